--- /dev/null
+++ b/src/lycheeledge/coordination/PeerLink.h
@@ -0,0 +1,37 @@
+// Port to the other entry processes.
+#pragma once
+
+#include "PeerMessages.h"
+
+#include <functional>
+
+namespace lycheeledge {
+
+/** @brief Sends messages to other members. Delivery is not guaranteed; messages arrive whole and authenticated. */
+class PeerLink {
+public:
+    virtual ~PeerLink() = default;
+
+    /** @brief Sends a gossip datagram to an address. It may be lost. */
+    virtual void gossip(const Address& to, const Gossip& message) = 0;
+    /**
+     * @brief Sends a message over the connection to a member, opening it if needed.
+     * @param failed called once if the connection breaks before the reply to this message's `call` arrived; the
+     * message may have been received.
+     */
+    virtual void send(const MemberId& to, const Address& address, PeerMessage message, std::function<void()> failed)
+        = 0;
+    /** @brief Answers on the connection on which a message of `to` arrived; dropped if that has closed. */
+    virtual void reply(const MemberId& to, PeerMessage message) = 0;
+};
+
+/** @brief Receives messages, on the coordination thread. */
+class PeerListener {
+public:
+    virtual ~PeerListener() = default;
+
+    virtual void gossipReceived(const Gossip& message) = 0;
+    virtual void messageReceived(const MemberId& from, const PeerMessage& message) = 0;
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/PeerMessages.h
@@ -0,0 +1,101 @@
+// Messages between entry processes.
+#pragma once
+
+#include "../state/Ids.h"
+#include "../state/Outcome.h"
+#include "../state/Work.h"
+#include "../state/Worker.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lycheeledge {
+
+/** @brief Cell that a member owns. */
+struct OwnedCell {
+    CellId cell;
+    Epoch epoch = 0;
+    bool active = false; ///< a majority of workers accepted the epoch recently
+
+    bool operator==(const OwnedCell&) const = default;
+};
+
+/** @brief Periodic state of a member, sent to all others by datagram. */
+struct Gossip {
+    MemberId member;
+    std::uint64_t incarnation = 0; ///< differs for each start of the process
+    std::uint64_t sequence = 0; ///< grows by one with each gossip of an incarnation
+    Revision appliedRevision = 0; ///< configuration revision in force at the member
+    Duration storeContactAge {}; ///< time since the member read the store
+    std::vector<OwnedCell> owned;
+    bool stopping = false;
+
+    bool operator==(const Gossip&) const = default;
+};
+
+/** @brief Submits work to the owner of a cell. Repeating it attaches the sender to the first submission. */
+struct SubmitMessage {
+    std::uint64_t call = 0; ///< chosen by the sender, echoed in the answer
+    CellId cell;
+    WorkSpec spec;
+    std::string traceparent;
+
+    bool operator==(const SubmitMessage&) const = default;
+};
+
+struct SubmitReply {
+    std::uint64_t call = 0;
+    bool notOwner = false; ///< the receiver does not own the cell; nothing was done
+    WorkResult result;
+
+    bool operator==(const SubmitReply&) const = default;
+};
+
+struct CancelMessage {
+    std::uint64_t call = 0;
+    CellId cell;
+    WorkId work;
+
+    bool operator==(const CancelMessage&) const = default;
+};
+
+struct StatusMessage {
+    std::uint64_t call = 0;
+    CellId cell;
+    WorkId work;
+
+    bool operator==(const StatusMessage&) const = default;
+};
+
+/** @brief Answer to CancelMessage and StatusMessage. */
+struct StatusReply {
+    std::uint64_t call = 0;
+    bool notOwner = false;
+    bool found = false;
+    WorkStatus status;
+
+    bool operator==(const StatusReply&) const = default;
+};
+
+/** @brief Asks for the owner's overview of its cell, as JSON. */
+struct OverviewMessage {
+    std::uint64_t call = 0;
+    CellId cell;
+
+    bool operator==(const OverviewMessage&) const = default;
+};
+
+struct OverviewReply {
+    std::uint64_t call = 0;
+    bool notOwner = false;
+    std::string json;
+
+    bool operator==(const OverviewReply&) const = default;
+};
+
+using PeerMessage = std::variant<SubmitMessage, SubmitReply, CancelMessage, StatusMessage, StatusReply, OverviewMessage,
+    OverviewReply>;
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/VmDirectory.h
@@ -0,0 +1,24 @@
+// Port to the platform's lagging list of live and leaving VMs.
+#pragma once
+
+#include "../state/Worker.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <vector>
+
+namespace lycheeledge {
+
+/** @brief The platform's list of worker VMs. A missing VM is not proof that it has stopped. */
+class VmDirectory {
+public:
+    using Callback = std::function<void(absl::StatusOr<std::vector<WorkerDescription>>)>;
+
+    virtual ~VmDirectory() = default;
+
+    /** @brief Reads the list. Errors: `UNAVAILABLE`, `DEADLINE_EXCEEDED`. */
+    virtual void list(Callback done) = 0;
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/WorkerPool.h
@@ -0,0 +1,47 @@
+// Port between the scheduler and the sessions with the workers of its cell.
+#pragma once
+
+#include "../state/Worker.h"
+
+#include <functional>
+#include <string>
+
+namespace lycheeledge {
+
+/** @brief Commands to workers under the owner's epoch. Implemented by WorkerSessions. */
+class WorkerPool {
+public:
+    virtual ~WorkerPool() = default;
+
+    /**
+     * @brief Starts a task on a worker. While the outcome is unknown the command is repeated at the same worker.
+     * @param done receives Accepted, Refused or NotDelivered (the task does not run there and never will under this
+     * id), or Unknown once the worker is lost.
+     */
+    virtual void start(const VmId& worker, const TaskId& task, const Resources& size, const std::string& payload,
+        const std::string& traceparent, std::function<void(CommandOutcome, std::string message)> done)
+        = 0;
+    /** @brief Stops, checkpoints or throttles a task; repeated until answered or the worker is lost. */
+    virtual void act(const VmId& worker, TaskAction action, const TaskId& task) = 0;
+};
+
+/** @brief Events of the workers of a cell. Implemented by the scheduler. */
+class WorkerPoolListener {
+public:
+    virtual ~WorkerPoolListener() = default;
+
+    /** @brief A worker accepted the owner's epoch; `report` is full. Also called after a restart of the worker. */
+    virtual void workerAvailable(const WorkerDescription& worker, const LeaseReport& report) = 0;
+    /** @brief A renewal succeeded; `report` carries the measured usage. */
+    virtual void workerReported(const VmId& worker, const LeaseReport& report) = 0;
+    /** @brief The platform's list changed the description of a worker, for example to leaving. */
+    virtual void workerChanged(const WorkerDescription& worker) = 0;
+    /** @brief Renewals fail. No new work may be placed there; its tasks may still run. */
+    virtual void workerUnreachable(const VmId& worker) = 0;
+    /** @brief All leases of the worker have certainly ended, or it restarted: nothing runs there any more. */
+    virtual void workerLost(const VmId& worker) = 0;
+    /** @brief A task ended. Delivered at least once; duplicates carry the same task id. */
+    virtual void taskFinished(const VmId& worker, const FinishedTask& task) = 0;
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/state/Resources.cpp
@@ -0,0 +1,43 @@
+// Arithmetic on resource amounts.
+
+#include "Resources.h"
+
+#include <algorithm>
+
+namespace lycheeledge {
+
+Resources Resources::operator+(const Resources& other) const
+{
+    return { milliCpu + other.milliCpu, memoryMb + other.memoryMb, accelerators + other.accelerators,
+        slots + other.slots, connections + other.connections };
+}
+
+Resources Resources::operator-(const Resources& other) const { return *this + other * -1; }
+
+Resources Resources::operator*(std::int64_t n) const
+{
+    return { milliCpu * n, memoryMb * n, accelerators * n, slots * n, connections * n };
+}
+
+bool Resources::fitsIn(const Resources& capacity) const
+{
+    return milliCpu <= capacity.milliCpu && memoryMb <= capacity.memoryMb && accelerators <= capacity.accelerators
+        && slots <= capacity.slots && connections <= capacity.connections;
+}
+
+bool Resources::hasNegative() const
+{
+    return milliCpu < 0 || memoryMb < 0 || accelerators < 0 || slots < 0 || connections < 0;
+}
+
+double Resources::dominantShare(const Resources& total) const
+{
+    auto quotient = [](std::int64_t amount, std::int64_t whole) {
+        return whole > 0 ? static_cast<double>(amount) / static_cast<double>(whole) : 0.0;
+    };
+    return std::max({ quotient(milliCpu, total.milliCpu), quotient(memoryMb, total.memoryMb),
+        quotient(accelerators, total.accelerators), quotient(slots, total.slots),
+        quotient(connections, total.connections) });
+}
+
+} // namespace lycheeledge
