--- /dev/null
+++ b/src/lycheeledge/transport/HttpServer.h
@@ -0,0 +1,53 @@
+// HTTP server on a thread of its own.
+#pragma once
+
+#include "Http.h"
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lycheeledge {
+
+struct HttpServerSettings {
+    std::string address = "127.0.0.1"; ///< IP number to listen on
+    std::uint16_t port = 0; ///< 0 for any free port
+    std::size_t maxBodyBytes = 1 << 20;
+    std::size_t maxConnections = 4096;
+    std::chrono::milliseconds readTimeout { 10000 }; ///< for a whole request
+    std::chrono::milliseconds handleTimeout { 120000 }; ///< until the handler must have responded
+
+    bool operator==(const HttpServerSettings&) const = default;
+};
+
+/** @brief HTTP/1.1 server. */
+class HttpServer {
+public:
+    /** @brief Sends the response; may be called once, from any thread, also after the handler has returned. */
+    using Respond = std::function<void(HttpResponse)>;
+    /** @brief Called on the server's thread; must not block. */
+    using Handler = std::function<void(HttpRequest, Respond)>;
+
+    HttpServer(HttpServerSettings settings, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    /** @brief Binds and starts the thread. @return the port listened on. Errors: `UNAVAILABLE` if it is in use. */
+    absl::StatusOr<std::uint16_t> start();
+    /** @brief Stops accepting connections; requests in progress continue. */
+    void stopAccepting();
+    /** @brief Closes all connections and joins the thread. */
+    void stop();
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace lycheeledge
