Link the entry processes by authenticated TCP and UDP

Gossip travels as datagrams, work and answers over framed connections. Each frame carries an HMAC over both sides' nonces, direction and counter, so that a recorded, repeated or reflected frame is refused.

--- /dev/null
+++ b/src/lycheeledge/protocol/AsioPeerLink.h
@@ -0,0 +1,71 @@
+// Authenticated messages between entry processes over TCP and UDP.
+#pragma once
+
+#include "../coordination/PeerLink.h"
+#include "../transport/PeerTransport.h"
+#include "CompletionExecutor.h"
+#include "SecureChannel.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lycheeledge {
+
+struct PeerLinkSettings {
+    MemberId self;
+    std::string secret; ///< shared by all members
+    PeerTransportSettings transport;
+
+    bool operator==(const PeerLinkSettings&) const = default;
+};
+
+/** @brief PeerLink over PeerTransport. Used on the coordination thread, apart from start() and stop(). */
+class AsioPeerLink final : public PeerLink {
+public:
+    AsioPeerLink(PeerLinkSettings settings, CompletionExecutor& executor);
+    ~AsioPeerLink() override;
+
+    void setListener(PeerListener* listener) { m_listener = listener; }
+    /** @return the port listened on. Errors: `UNAVAILABLE`. */
+    absl::StatusOr<std::uint16_t> start();
+    void stop();
+
+    void gossip(const Address& to, const Gossip& message) override;
+    void send(const MemberId& to, const Address& address, PeerMessage message, std::function<void()> failed) override;
+    void reply(const MemberId& to, PeerMessage message) override;
+
+private:
+    using ConnectionId = PeerTransport::ConnectionId;
+
+    struct Connection {
+        SecureChannel channel;
+        bool initiator = false;
+        Address address; // of the other end, if initiator
+        std::deque<std::string> waiting; // encoded messages to send once the channel is established
+        absl::flat_hash_map<std::uint64_t, std::function<void()>> calls; // failure callbacks by call
+    };
+
+    Connection& add(ConnectionId id, bool initiator);
+    void datagramArrived(const std::string& datagram);
+    void frameArrived(ConnectionId id, const std::string& frame);
+    void established(ConnectionId id, Connection& connection);
+    void messageArrived(ConnectionId id, Connection& connection, const std::string& text);
+    void closed(ConnectionId id);
+    void transmit(ConnectionId id, Connection& connection, std::string text);
+    std::string makeNonce();
+
+    PeerLinkSettings m_settings;
+    CompletionExecutor& m_executor;
+    PeerListener* m_listener = nullptr;
+    absl::flat_hash_map<ConnectionId, std::unique_ptr<Connection>> m_connections;
+    absl::flat_hash_map<MemberId, ConnectionId> m_outgoing; // connections that this side opened
+    absl::flat_hash_map<MemberId, ConnectionId> m_incoming; // last connection on which the member sent a message
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // guards completions that outlive this object
+    PeerTransport m_transport; // last member: its thread must end before the others are destroyed
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/transport/PeerTransport.cpp
@@ -0,0 +1,296 @@
+// Datagrams and framed connections between entry processes, on a thread of their own.
+
+#include "PeerTransport.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+#include <asio.hpp>
+#include <glog/logging.h>
+
+#include <array>
+#include <atomic>
+#include <deque>
+#include <thread>
+#include <utility>
+
+namespace lycheeledge {
+
+namespace {
+
+    using Tcp = asio::ip::tcp;
+    using Udp = asio::ip::udp;
+
+    constexpr std::size_t headerBytes = 4; // frame length, big-endian
+    constexpr std::size_t maxDatagramBytes = 65507; // largest UDP payload over IPv4
+
+    std::array<unsigned char, headerBytes> encodeLength(std::size_t n)
+    {
+        return { static_cast<unsigned char>(n >> 24), static_cast<unsigned char>(n >> 16),
+            static_cast<unsigned char>(n >> 8), static_cast<unsigned char>(n) };
+    }
+
+    std::size_t decodeLength(const std::array<unsigned char, headerBytes>& header)
+    {
+        return (static_cast<std::size_t>(header[0]) << 24) | (static_cast<std::size_t>(header[1]) << 16)
+            | (static_cast<std::size_t>(header[2]) << 8) | header[3];
+    }
+
+    std::string withHeader(std::string frame)
+    {
+        const auto header = encodeLength(frame.size());
+        frame.insert(0, reinterpret_cast<const char*>(header.data()), header.size());
+        return frame;
+    }
+
+} // namespace
+
+// All members but m_nextConnection are used only on the transport's thread once it runs.
+struct PeerTransport::Implementation {
+    struct Connection {
+        explicit Connection(asio::io_context& context)
+            : socket(context)
+        {
+        }
+
+        Tcp::socket socket;
+        bool open = false; // handshake of TCP done
+        bool writing = false;
+        std::deque<std::string> queue; // frames with header; the first is being written if `writing`
+        std::size_t queuedBytes = 0; // total size of `queue`
+        std::array<unsigned char, headerBytes> header {};
+        std::string body;
+    };
+    using ConnectionPointer = std::shared_ptr<Connection>;
+
+    Implementation(PeerTransportSettings s, Handlers h)
+        : settings(std::move(s))
+        , handlers(std::move(h))
+        , work(asio::make_work_guard(context))
+        , acceptor(context)
+        , datagramSocket(context)
+        , datagramBuffer(maxDatagramBytes, '\0')
+    {
+    }
+
+    absl::Status bind()
+    {
+        asio::error_code ec;
+        const auto address = asio::ip::make_address(settings.address, ec);
+        if (ec)
+            return absl::InvalidArgumentError(absl::StrCat("invalid IP number ", settings.address));
+        Tcp::endpoint endpoint(address, settings.port);
+        acceptor.open(endpoint.protocol(), ec);
+        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+        if (acceptor.bind(endpoint, ec) || acceptor.listen(asio::socket_base::max_listen_connections, ec))
+            return absl::UnavailableError(
+                absl::StrCat("cannot listen on TCP port ", settings.port, ": ", ec.message()));
+        port = acceptor.local_endpoint().port();
+        datagramSocket.open(Udp::endpoint(address, port).protocol(), ec);
+        if (datagramSocket.bind(Udp::endpoint(address, port), ec))
+            return absl::UnavailableError(absl::StrCat("cannot bind UDP port ", port, ": ", ec.message()));
+        return absl::OkStatus();
+    }
+
+    void receiveDatagram()
+    {
+        datagramSocket.async_receive_from(
+            asio::buffer(datagramBuffer), datagramSender, [this](asio::error_code ec, std::size_t n) {
+                if (ec == asio::error::operation_aborted)
+                    return;
+                // Other errors, such as a refused earlier datagram, say nothing about the next one.
+                if (!ec)
+                    handlers.datagram(datagramBuffer.substr(0, n));
+                receiveDatagram();
+            });
+    }
+
+    void accept()
+    {
+        auto connection = std::make_shared<Connection>(context);
+        acceptor.async_accept(connection->socket, [this, connection](asio::error_code ec) {
+            if (ec == asio::error::operation_aborted)
+                return;
+            if (!ec && connections.size() < settings.maxConnections) {
+                const ConnectionId id = nextConnection++;
+                connections.emplace(id, connection);
+                handlers.accepted(id);
+                opened(id, connection);
+            }
+            accept();
+        });
+    }
+
+    void opened(ConnectionId id, const ConnectionPointer& connection)
+    {
+        asio::error_code ec;
+        connection->socket.set_option(Tcp::no_delay(true), ec);
+        connection->open = true;
+        readHeader(id, connection);
+        writeNext(id, connection);
+    }
+
+    void connect(ConnectionId id, const std::string& host, std::uint16_t remotePort)
+    {
+        auto connection = std::make_shared<Connection>(context);
+        connections.emplace(id, connection);
+        asio::error_code ec;
+        const auto address = asio::ip::make_address(host, ec);
+        if (ec) {
+            asio::post(context, [this, id] { close(id); });
+            return;
+        }
+        connection->socket.async_connect(
+            Tcp::endpoint(address, remotePort), [this, id, connection](asio::error_code e) {
+                if (e || !connections.contains(id)) {
+                    close(id);
+                    return;
+                }
+                handlers.connected(id);
+                opened(id, connection);
+            });
+    }
+
+    void readHeader(ConnectionId id, const ConnectionPointer& connection)
+    {
+        asio::async_read(connection->socket, asio::buffer(connection->header),
+            [this, id, connection](asio::error_code ec, std::size_t) {
+                const std::size_t n = decodeLength(connection->header);
+                if (ec || n > settings.maxFrameBytes) {
+                    close(id);
+                    return;
+                }
+                connection->body.resize(n);
+                readBody(id, connection);
+            });
+    }
+
+    void readBody(ConnectionId id, const ConnectionPointer& connection)
+    {
+        asio::async_read(connection->socket, asio::buffer(connection->body),
+            [this, id, connection](asio::error_code ec, std::size_t) {
+                if (ec) {
+                    close(id);
+                    return;
+                }
+                handlers.frame(id, std::exchange(connection->body, {}));
+                if (connections.contains(id))
+                    readHeader(id, connection);
+            });
+    }
+
+    void sendFrame(ConnectionId id, std::string frame)
+    {
+        const auto it = connections.find(id);
+        if (it == connections.end())
+            return;
+        const ConnectionPointer connection = it->second;
+        connection->queuedBytes += frame.size() + headerBytes;
+        if (frame.size() > settings.maxFrameBytes || connection->queuedBytes > settings.maxQueuedBytes) {
+            LOG(WARNING) << "[peer] Closed a connection: its send queue is over the limit.";
+            close(id);
+            return;
+        }
+        connection->queue.push_back(withHeader(std::move(frame)));
+        writeNext(id, connection);
+    }
+
+    void writeNext(ConnectionId id, const ConnectionPointer& connection)
+    {
+        if (!connection->open || connection->writing || connection->queue.empty())
+            return;
+        connection->writing = true;
+        asio::async_write(connection->socket, asio::buffer(connection->queue.front()),
+            [this, id, connection](asio::error_code ec, std::size_t n) {
+                connection->writing = false;
+                if (ec) {
+                    close(id);
+                    return;
+                }
+                connection->queue.pop_front();
+                connection->queuedBytes -= n;
+                writeNext(id, connection);
+            });
+    }
+
+    void close(ConnectionId id)
+    {
+        const auto it = connections.find(id);
+        if (it == connections.end())
+            return;
+        const ConnectionPointer connection = it->second;
+        connections.erase(it);
+        asio::error_code ec;
+        connection->socket.close(ec);
+        handlers.closed(id);
+    }
+
+    PeerTransportSettings settings;
+    Handlers handlers;
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    Tcp::acceptor acceptor;
+    Udp::socket datagramSocket;
+    Udp::endpoint datagramSender;
+    std::string datagramBuffer;
+    std::uint16_t port = 0;
+    absl::flat_hash_map<ConnectionId, ConnectionPointer> connections;
+    std::atomic<ConnectionId> nextConnection { 1 };
+    std::thread thread;
+};
+
+PeerTransport::PeerTransport(PeerTransportSettings settings, Handlers handlers)
+    : m_implementation(std::make_unique<Implementation>(std::move(settings), std::move(handlers)))
+{
+}
+
+PeerTransport::~PeerTransport() { stop(); }
+
+absl::StatusOr<std::uint16_t> PeerTransport::start()
+{
+    if (auto status = m_implementation->bind(); !status.ok())
+        return status;
+    m_implementation->receiveDatagram();
+    m_implementation->accept();
+    m_implementation->thread
+        = std::thread([implementation = m_implementation.get()] { implementation->context.run(); });
+    return m_implementation->port;
+}
+
+void PeerTransport::stop()
+{
+    if (!m_implementation->thread.joinable())
+        return;
+    m_implementation->context.stop();
+    m_implementation->thread.join();
+}
+
+void PeerTransport::sendDatagram(const std::string& host, std::uint16_t port, std::string datagram)
+{
+    asio::post(m_implementation->context, [this, host, port, datagram = std::move(datagram)] {
+        asio::error_code ec;
+        const auto address = asio::ip::make_address(host, ec);
+        if (!ec)
+            m_implementation->datagramSocket.send_to(asio::buffer(datagram), Udp::endpoint(address, port), 0, ec);
+    });
+}
+
+PeerTransport::ConnectionId PeerTransport::connect(const std::string& host, std::uint16_t port)
+{
+    const ConnectionId id = m_implementation->nextConnection++;
+    asio::post(m_implementation->context, [this, id, host, port] { m_implementation->connect(id, host, port); });
+    return id;
+}
+
+void PeerTransport::sendFrame(ConnectionId connection, std::string frame)
+{
+    asio::post(m_implementation->context, [this, connection, frame = std::move(frame)]() mutable {
+        m_implementation->sendFrame(connection, std::move(frame));
+    });
+}
+
+void PeerTransport::close(ConnectionId connection)
+{
+    asio::post(m_implementation->context, [this, connection] { m_implementation->close(connection); });
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/transport/PeerTransport.h
@@ -0,0 +1,61 @@
+// Datagrams and framed connections between entry processes, on a thread of their own.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lycheeledge {
+
+struct PeerTransportSettings {
+    std::string address = "127.0.0.1"; ///< IP number to listen on
+    std::uint16_t port = 0; ///< for UDP and TCP; 0 for any free port
+    std::size_t maxFrameBytes = 80 << 20;
+    std::size_t maxQueuedBytes = 256 << 20; ///< a connection with more unsent bytes is closed
+    std::size_t maxConnections = 1024;
+
+    bool operator==(const PeerTransportSettings&) const = default;
+};
+
+/** @brief Moves bytes between processes. Knows nothing of their meaning. */
+class PeerTransport {
+public:
+    using ConnectionId = std::uint64_t;
+
+    /** @brief Called on the transport's thread. */
+    struct Handlers {
+        std::function<void(std::string datagram)> datagram;
+        std::function<void(ConnectionId)> accepted;
+        std::function<void(ConnectionId)> connected;
+        std::function<void(ConnectionId, std::string frame)> frame;
+        std::function<void(ConnectionId)> closed; ///< once for each connection, also if connecting failed
+    };
+
+    PeerTransport(PeerTransportSettings settings, Handlers handlers);
+    ~PeerTransport();
+    PeerTransport(const PeerTransport&) = delete;
+    PeerTransport& operator=(const PeerTransport&) = delete;
+
+    /** @brief Binds both sockets and starts the thread. @return the port. Errors: `UNAVAILABLE` if it is in use. */
+    absl::StatusOr<std::uint16_t> start();
+    /** @brief Closes everything and joins the thread. No handler is called afterwards. */
+    void stop();
+
+    // The functions below may be called from any thread.
+
+    void sendDatagram(const std::string& host, std::uint16_t port, std::string datagram);
+    /** @brief Opens a connection. Frames may be sent at once; they wait until it is open. */
+    ConnectionId connect(const std::string& host, std::uint16_t port);
+    void sendFrame(ConnectionId connection, std::string frame);
+    void close(ConnectionId connection);
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/test/protocol/AsioPeerLinkTest.cpp
@@ -0,0 +1,117 @@
+// Tests of the links between entry processes on loopback.
+
+#include <lycheeledge/protocol/AsioPeerLink.h>
+#include <lycheeledge/transport/BoundedRing.h>
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace lycheeledge;
+
+namespace {
+
+// Executes completions on the test's thread, so that assertions need no locks.
+class RingExecutor final : public CompletionExecutor {
+public:
+    void execute(std::function<void()> task) override { m_ring.tryPush(std::move(task)); }
+
+    template <typename Predicate> bool runUntil(Predicate predicate)
+    {
+        // Generous limit that only bounds a failing test.
+        const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!predicate() && std::chrono::steady_clock::now() < deadline) {
+            if (auto task = m_ring.popUntil(deadline))
+                (*task)();
+        }
+        return predicate();
+    }
+
+private:
+    BoundedRing<std::function<void()>> m_ring { 4096 };
+};
+
+class Recorder final : public PeerListener {
+public:
+    void gossipReceived(const Gossip& message) override { gossips.push_back(message); }
+    void messageReceived(const MemberId& from, const PeerMessage& message) override
+    {
+        senders.push_back(from);
+        messages.push_back(message);
+    }
+
+    std::vector<Gossip> gossips;
+    std::vector<MemberId> senders;
+    std::vector<PeerMessage> messages;
+};
+
+struct Node {
+    Node(const std::string& name, CompletionExecutor& executor, const std::string& secret = "secret")
+        : link({ MemberId(name), secret, {} }, executor)
+    {
+        link.setListener(&recorder);
+        address = { "127.0.0.1", link.start().value() };
+    }
+
+    Recorder recorder;
+    AsioPeerLink link;
+    Address address;
+};
+
+StatusMessage statusMessage(std::uint64_t call)
+{
+    return { .call = call, .cell = CellId("c"), .work = { TeamId("t"), RequestId("r") } };
+}
+
+} // namespace
+
+TEST_CASE("Messages and replies travel between two members", "[peer-link]")
+{
+    RingExecutor executor;
+    Node a("a", executor);
+    Node b("b", executor);
+    bool failed = false;
+    a.link.send(MemberId("b"), b.address, statusMessage(9), [&] { failed = true; });
+    REQUIRE(executor.runUntil([&] { return !b.recorder.messages.empty(); }));
+    CHECK(b.recorder.senders.front() == MemberId("a"));
+    StatusReply reply;
+    reply.call = 9;
+    b.link.reply(MemberId("a"), reply);
+    REQUIRE(executor.runUntil([&] { return !a.recorder.messages.empty(); }));
+    CHECK(std::get<StatusReply>(a.recorder.messages.front()).call == 9);
+    CHECK_FALSE(failed);
+}
+
+TEST_CASE("A call fails once when the connection breaks before its reply", "[peer-link]")
+{
+    RingExecutor executor;
+    Node a("a", executor);
+    int failures = 0;
+    {
+        Node b("b", executor);
+        a.link.send(MemberId("b"), b.address, statusMessage(1), [&] { ++failures; });
+        REQUIRE(executor.runUntil([&] { return !b.recorder.messages.empty(); }));
+    }
+    REQUIRE(executor.runUntil([&] { return failures == 1; }));
+    a.link.send(MemberId("b"), { "127.0.0.1", 1 }, statusMessage(2), [&] { ++failures; });
+    CHECK(executor.runUntil([&] { return failures == 2; }));
+}
+
+TEST_CASE("A member with another secret is not heard", "[peer-link]")
+{
+    RingExecutor executor;
+    Node a("a", executor);
+    Node stranger("x", executor, "wrong");
+    Node b("b", executor);
+    bool refused = false;
+    stranger.link.send(MemberId("a"), a.address, statusMessage(1), [&] { refused = true; });
+    REQUIRE(executor.runUntil([&] { return refused; }));
+    Gossip gossip;
+    gossip.member = MemberId("x");
+    stranger.link.gossip(a.address, gossip);
+    gossip.member = MemberId("b");
+    b.link.gossip(a.address, gossip);
+    REQUIRE(executor.runUntil([&] { return !a.recorder.gossips.empty(); }));
+    CHECK(a.recorder.messages.empty());
+    CHECK(a.recorder.gossips.front().member == MemberId("b"));
+}
