Assemble the entry process

Joins HTTP gateway, router, membership and cell controller, each on the thread of its duty: HTTP server, peer links, coordination, platform client, worker client. A planned stop turns readiness off, hands the cell over, waits for calls in progress and leaves the roster last, because a process that has left would refuse its own callers as not fresh.

--- /dev/null
+++ b/apps/lycheeledged.cpp
@@ -0,0 +1,89 @@
+// Entry process of the scheduler.
+
+#include <lycheeledge/daemon/EntryProcess.h>
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <pthread.h>
+#include <thread>
+
+DEFINE_string(settings, "", "settings file (JSON with comments)");
+DEFINE_bool(check_settings, false, "check the settings file and exit");
+DEFINE_uint64(seed, 0, "seed of random numbers; 0 takes the time");
+
+namespace {
+
+constexpr int exitBadSettings = 2;
+constexpr int exitUnavailable = 3;
+
+std::uint64_t wallClockMicroseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+int minimumLevel(lycheeledge::LogLevel level)
+{
+    switch (level) {
+    case lycheeledge::LogLevel::Warning:
+        return google::GLOG_WARNING;
+    case lycheeledge::LogLevel::Error:
+        return google::GLOG_ERROR;
+    case lycheeledge::LogLevel::Info:
+        break;
+    }
+    return google::GLOG_INFO;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("lycheeledged --settings=FILE [--check_settings]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    FLAGS_logtostderr = true; // the VM has no disk
+    google::InitGoogleLogging(argv[0]);
+
+    auto settings = lycheeledge::readSettings(FLAGS_settings);
+    if (!settings.ok()) {
+        std::cerr << "lycheeledged: " << settings.status().message() << '\n';
+        return exitBadSettings;
+    }
+    if (FLAGS_check_settings) {
+        std::cout << FLAGS_settings << ": ok\n";
+        return 0;
+    }
+    FLAGS_minloglevel = minimumLevel(settings->logLevel);
+
+    // Blocked before the first thread starts, so that only the waiting thread below receives them.
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    const std::uint64_t started = wallClockMicroseconds();
+    lycheeledge::EntryProcess process(*std::move(settings), FLAGS_seed != 0 ? FLAGS_seed : started, started);
+    if (const auto status = process.start(); !status.ok()) {
+        std::cerr << "lycheeledged: " << status.message() << '\n';
+        return exitUnavailable;
+    }
+    std::thread([&process, signals] {
+        for (int signal = 0; sigwait(&signals, &signal) == 0;)
+            process.requestStop();
+    }).detach();
+    process.run();
+    LOG(INFO) << "[daemon] Stopped.";
+    return 0;
+}
--- /dev/null
+++ b/src/lycheeledge/coordination/CellController.h
@@ -0,0 +1,92 @@
+// Runs the scheduler of a cell while this process owns the cell.
+#pragma once
+
+#include "CellOwnership.h"
+#include "CellScheduler.h"
+#include "RequestRouter.h"
+#include "StoreJournal.h"
+#include "WorkerSessions.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheeledge {
+
+struct CellControllerSettings {
+    CellOwnershipSettings ownership;
+    StoreJournalSettings journal;
+    WorkerSessionSettings workers;
+    SchedulerSettings scheduler;
+};
+
+/** @brief The ports that a CellController uses. */
+struct CellPorts {
+    Runtime& runtime;
+    Store& store;
+    WorkerGateway& gateway;
+    VmDirectory& directory;
+    const OwnershipView& view;
+    const JournalCodec& codec;
+};
+
+/**
+ * @brief Joins ownership, journal, worker sessions and scheduler of one cell.
+ *
+ * After a takeover the journal is read, the workers are contacted, and the scheduler starts to place work once a
+ * majority of the workers accepted the epoch. When the epoch ends all three are discarded.
+ */
+class CellController final : public LocalCell, private CellOwnershipListener {
+public:
+    CellController(CellPorts ports, CellId cell, CellControllerSettings settings = {});
+    ~CellController() override;
+    CellController(const CellController&) = delete;
+    CellController& operator=(const CellController&) = delete;
+
+    /** @brief Called after the scheduler became active or was discarded. */
+    void onChanged(std::function<void()> listener) { m_changed = std::move(listener); }
+    void start();
+    /** @brief Planned stop: hands the cell over. @param done called once another member may take it. */
+    void release(std::function<void()> done);
+    void applyConfiguration(const Configuration& configuration);
+    /** @brief Cells for the gossip of this member. */
+    std::vector<OwnedCell> ownedCells() const;
+
+    bool isActive() const override;
+    void submit(WorkSpec spec, const std::string& traceparent, std::function<void(WorkResult)> done) override;
+    void cancel(const WorkId& id, std::function<void(std::optional<WorkStatus>)> done) override;
+    std::optional<WorkStatus> status(const WorkId& id) const override;
+    std::string overview() const override;
+
+private:
+    // Everything that lives as long as one epoch.
+    struct Session {
+        Session(const CellPorts& ports, const CellId& cell, Epoch number, Revision epochRevision,
+            const CellControllerSettings& settings);
+
+        Epoch epoch;
+        bool active = false;
+        StoreJournal journal;
+        WorkerSessions workers;
+        CellScheduler scheduler;
+    };
+
+    void ownershipAcquired(const CellId& cell, Epoch epoch, Revision epochRevision) override;
+    void ownershipLost(const CellId& cell, Epoch epoch) override;
+    void journalLoaded(const absl::StatusOr<std::vector<JournalRecord>>& records);
+    void activated(const std::vector<VmId>& missing);
+    void workersLost();
+    void closeSession();
+
+    CellPorts m_ports;
+    CellId m_cell;
+    CellControllerSettings m_settings;
+    CellOwnership m_ownership;
+    Configuration m_configuration;
+    std::shared_ptr<Session> m_session; // none while another process owns the cell
+    std::function<void()> m_changed;
+};
+
+} // namespace lycheeledge
--- a/src/lycheeledge/coordination/RequestRouter.cpp
+++ b/src/lycheeledge/coordination/RequestRouter.cpp
@@ -42,7 +42,9 @@
         done(refusal(spec.id, RunState::NotRun, ErrorKind::Overloaded, "too many calls in progress at this process"));
         return;
     }
-    const Duration limit = spec.deadline > Duration::zero() ? spec.deadline : m_settings.defaultDeadline;
+    // Jobs are only accepted here; their deadline is that of the job itself.
+    const bool ownDeadline = spec.kind == WorkKind::Request && spec.deadline > Duration::zero();
+    const Duration limit = ownDeadline ? spec.deadline : m_settings.defaultDeadline;
     const std::uint64_t key = m_nextId++;
     Submission& submission = m_submissions[key];
     submission.spec = std::move(spec);
@@ -85,13 +87,20 @@
         sendTo(key, submission, *owner);
 }
 
+WorkSpec RequestRouter::specToSend(const Submission& submission) const
+{
+    WorkSpec spec = submission.spec;
+    if (spec.kind == WorkKind::Request)
+        spec.deadline = submission.deadline - m_runtime.now();
+    return spec;
+}
+
 void RequestRouter::sendTo(std::uint64_t key, Submission& submission, const OwnerLocation& owner)
 {
     SubmitMessage message;
     message.call = submission.call;
     message.cell = m_settings.cell;
-    message.spec = submission.spec;
-    message.spec.deadline = submission.deadline - m_runtime.now();
+    message.spec = specToSend(submission);
     message.traceparent = submission.traceparent;
     const std::uint64_t call = submission.call;
     m_link.send(owner.member, owner.address, std::move(message), [this, key, call] {
@@ -103,10 +112,8 @@
 
 void RequestRouter::submitLocally(std::uint64_t key, Submission& submission)
 {
-    WorkSpec spec = submission.spec;
-    spec.deadline = submission.deadline - m_runtime.now();
     const std::uint64_t call = submission.call;
-    m_local.submit(std::move(spec), submission.traceparent, [this, key, call](WorkResult result) {
+    m_local.submit(specToSend(submission), submission.traceparent, [this, key, call](WorkResult result) {
         const auto it = m_submissions.find(key);
         if (it != m_submissions.end() && it->second.call == call)
             finish(key, std::move(result));
--- a/src/lycheeledge/coordination/RequestRouter.h
+++ b/src/lycheeledge/coordination/RequestRouter.h
@@ -107,6 +107,7 @@
     };
 
     void dispatch(std::uint64_t key);
+    WorkSpec specToSend(const Submission& submission) const;
     void dispatchAll(std::vector<std::uint64_t> keys);
     void sendTo(std::uint64_t key, Submission& submission, const OwnerLocation& owner);
     void submitLocally(std::uint64_t key, Submission& submission);
--- /dev/null
+++ b/src/lycheeledge/daemon/EntryProcess.cpp
@@ -0,0 +1,266 @@
+// One entry process: all parts of lycheeledged and their threads.
+
+#include "EntryProcess.h"
+
+#include <glog/logging.h>
+
+#include <chrono>
+#include <utility>
+
+namespace lycheeledge {
+
+namespace {
+
+    // The balancer asks /readyz about once a second; connections are accepted until it has noticed.
+    constexpr Duration readinessNotice = std::chrono::seconds(2);
+    constexpr Duration drainInterval = std::chrono::milliseconds(50);
+    // A request's deadline is at most 10 min; the server must not cut its answer.
+    constexpr std::chrono::milliseconds handleTimeout = std::chrono::minutes(11);
+
+    std::chrono::milliseconds toMilliseconds(Duration value)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(value);
+    }
+
+    HttpClientSettings clientSettings(const Settings& settings)
+    {
+        HttpClientSettings result;
+        result.maxWaiting = settings.limits.maxWaitingCalls;
+        result.maxConnectionsPerHost = settings.limits.maxConnectionsPerHost;
+        result.maxResponseBytes = settings.limits.maxResponseBytes;
+        return result;
+    }
+
+    EtcdStoreSettings storeSettings(const Settings& settings)
+    {
+        EtcdStoreSettings result;
+        result.baseUrl = settings.storeUrl;
+        result.clientName = settings.member.value();
+        return result;
+    }
+
+    VmDirectorySettings directorySettings(const Settings& settings)
+    {
+        VmDirectorySettings result;
+        result.baseUrl = settings.vmListUrl;
+        result.clientName = settings.member.value();
+        return result;
+    }
+
+    PeerLinkSettings linkSettings(const Settings& settings)
+    {
+        PeerLinkSettings result;
+        result.self = settings.member;
+        result.secret = settings.clusterSecret;
+        result.transport.address = settings.peer.host;
+        result.transport.port = settings.peer.port;
+        return result;
+    }
+
+    MembershipTimes membershipTimes(const IntervalSettings& intervals)
+    {
+        MembershipTimes result;
+        result.gossipInterval = intervals.gossip;
+        result.readInterval = intervals.freshnessRead;
+        result.leaseTimeToLive = intervals.storeLease;
+        result.renewInterval = intervals.storeLeaseRenew;
+        result.isolation = intervals.isolation;
+        result.staleAfter = intervals.rosterRemoval;
+        result.inForceTimeout = intervals.inForceWait;
+        return result;
+    }
+
+    CellControllerSettings cellSettings(const Settings& settings)
+    {
+        CellControllerSettings result;
+        result.ownership.claimDelay = settings.intervals.storeRecovery;
+        result.journal.interval = settings.intervals.journalCommit;
+        result.workers.zones = { settings.cellZones.begin(), settings.cellZones.end() };
+        result.workers.controllerLease = settings.intervals.controllerLease;
+        result.workers.taskLease = settings.intervals.taskLease;
+        result.workers.renewInterval = settings.intervals.workerRenew;
+        result.workers.directoryInterval = settings.intervals.vmList;
+        return result;
+    }
+
+    HttpServerSettings serverSettings(const Settings& settings)
+    {
+        HttpServerSettings result;
+        result.address = settings.listen.host;
+        result.port = settings.listen.port;
+        result.maxBodyBytes = settings.limits.maxBodyBytes;
+        result.maxConnections = settings.limits.maxConnections;
+        result.handleTimeout = handleTimeout;
+        return result;
+    }
+
+    std::optional<Key> bootstrapKey(const Settings& settings)
+    {
+        return settings.bootstrapKey.id.empty() ? std::nullopt : std::optional(settings.bootstrapKey);
+    }
+
+} // namespace
+
+namespace detail {
+
+    std::optional<EpochRecord> MembershipView::epochRecord(const CellId& cell) const
+    {
+        const auto record = m_membership.ownerRecord(cell);
+        if (!record)
+            return std::nullopt;
+        return EpochRecord { .epoch = record->epoch,
+            .owner = record->owner,
+            .incarnation = record->incarnation,
+            .address = record->peer,
+            .revision = record->epochRevision };
+    }
+
+    bool MembershipView::ownerLeaseExists(const CellId& cell) const
+    {
+        const auto record = m_membership.ownerRecord(cell);
+        return record && record->leased;
+    }
+
+    std::optional<OwnerLocation> MembershipOwners::ownerOf(const CellId& cell) const
+    {
+        const auto owned = m_cell.ownedCells();
+        if (!owned.empty() && owned.front().cell == cell && owned.front().active)
+            return OwnerLocation { m_membership.self().id, m_membership.self().peer, owned.front().epoch };
+        const auto member = m_membership.ownerOf(cell);
+        if (!member)
+            return std::nullopt;
+        return OwnerLocation { member->id, member->peer, m_membership.ownerEpoch(cell) };
+    }
+
+} // namespace detail
+
+EntryProcess::EntryProcess(Settings settings, std::uint64_t seed, std::uint64_t incarnation)
+    : m_settings(std::move(settings))
+    , m_loop(seed, m_settings.limits.maxWaitingCalls)
+    , m_executor(m_loop)
+    , m_platformClient(clientSettings(m_settings))
+    , m_workerClient(clientSettings(m_settings))
+    , m_store(m_platformClient, m_executor, storeSettings(m_settings))
+    , m_directory(m_platformClient, m_executor, directorySettings(m_settings))
+    , m_gateway(m_workerClient, m_executor)
+    , m_link(linkSettings(m_settings), m_executor)
+    , m_membership(m_loop, m_store, m_link,
+          MemberRecord { .id = m_settings.member,
+              .peer = m_settings.peer,
+              .zone = m_settings.zone,
+              .incarnation = incarnation },
+          membershipTimes(m_settings.intervals))
+    , m_view(m_membership)
+    , m_cell({ m_loop, m_store, m_gateway, m_directory, m_view, m_journalCodec }, m_settings.cell,
+          cellSettings(m_settings))
+    , m_owners(m_membership, m_cell)
+    , m_router(m_loop, m_link, m_owners, m_cell, { .self = m_settings.member, .cell = m_settings.cell })
+    , m_authenticator(m_membership, bootstrapKey(m_settings))
+    , m_commands(m_loop, m_store, m_membership)
+    , m_service(m_membership, m_authenticator, m_commands, m_router, m_cell)
+    , m_http(m_loop, m_service, m_settings.limits.maxBodyBytes, [this] { return metricsText(); })
+    , m_server(serverSettings(m_settings), [this](HttpRequest request, const HttpServer::Respond& respond) {
+        m_http.handle(std::move(request), respond);
+    })
+{
+    m_link.setListener(this);
+    m_membership.setOwnedCells([this] { return m_cell.ownedCells(); });
+    m_membership.onOwnersChanged([this] { m_router.ownerChanged(); });
+    m_membership.onConfigurationChanged(
+        [this](const Configuration& configuration) { m_cell.applyConfiguration(configuration); });
+    m_cell.onChanged([this] {
+        if (m_cell.isActive())
+            m_router.ownerChanged();
+        else
+            m_router.localCellClosed();
+    });
+}
+
+EntryProcess::~EntryProcess() = default;
+
+absl::Status EntryProcess::start()
+{
+    if (const auto port = m_link.start(); !port.ok())
+        return port.status();
+    if (const auto port = m_server.start(); !port.ok())
+        return port.status();
+    m_loop.post([this] {
+        m_membership.start();
+        m_cell.start();
+        m_http.setReady(true);
+    });
+    return absl::OkStatus();
+}
+
+void EntryProcess::run()
+{
+    m_loop.run();
+    m_server.stop();
+    m_link.stop();
+}
+
+void EntryProcess::requestStop()
+{
+    m_loop.postCompletion([this] { beginStop(); });
+}
+
+void EntryProcess::beginStop()
+{
+    if (m_stopping)
+        return;
+    m_stopping = true;
+    m_stopDeadline = m_loop.now() + m_settings.intervals.stopLimit;
+    LOG(INFO) << "[daemon] Planned stop begins, " << m_http.callsInProgress() << " calls in progress.";
+    m_http.setReady(false);
+    m_membership.setStopping();
+    handOver();
+    m_loop.after(readinessNotice, [this] {
+        m_server.stopAccepting();
+        m_service.stopAccepting();
+        drain();
+    });
+}
+
+void EntryProcess::handOver()
+{
+    // Without the store nobody could take the cell over, so it is kept until the store answers.
+    if (!m_membership.storeReachable() && !stopLimitReached()) {
+        m_loop.after(drainInterval, [this] { handOver(); });
+        return;
+    }
+    m_cell.release([this] { m_handedOver = true; });
+}
+
+void EntryProcess::drain()
+{
+    const bool done = m_handedOver && m_http.callsInProgress() == 0;
+    if (done || stopLimitReached())
+        leave();
+    else
+        m_loop.after(drainInterval, [this] { drain(); });
+}
+
+void EntryProcess::leave()
+{
+    LOG(INFO) << "[daemon] Planned stop ends, " << m_http.callsInProgress() << " calls in progress.";
+    m_membership.leave([this] { m_loop.stop(); });
+    // While the store is down the roster record is left to the other members.
+    m_loop.after(toMilliseconds(std::chrono::seconds(2)), [this] { m_loop.stop(); });
+}
+
+std::string EntryProcess::metricsText() const
+{
+    std::string text;
+    const auto line = [&text](const char* name, auto value) {
+        text += std::string("lycheeledge_") + name + " " + std::to_string(value) + "\n";
+    };
+    line("calls_in_progress", m_http.callsInProgress());
+    line("submissions_pending", m_router.pendingSubmissions());
+    line("configuration_revision", m_membership.configuration().revision);
+    line("configuration_fresh", m_membership.isFresh() ? 1 : 0);
+    line("store_contact_age_seconds", std::chrono::duration<double>(m_membership.storeContactAge()).count());
+    line("cell_active", m_cell.isActive() ? 1 : 0);
+    return text;
+}
+
+} // namespace lycheeledge
