--- /dev/null
+++ b/src/lycheeledge/coordination/ConfigurationCache.h
@@ -0,0 +1,41 @@
+// The configuration in force at this process.
+#pragma once
+
+#include "../state/Configuration.h"
+#include "ConfigurationCodec.h"
+#include "Store.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lycheeledge {
+
+/**
+ * @brief Builds the configuration from entities read from the store.
+ *
+ * An entity is applied only with a modification revision higher than the one applied before, so the configuration
+ * never reverts, whatever the order in which reads complete.
+ */
+class ConfigurationCache {
+public:
+    /**
+     * @brief Applies the entities of one read. `entries` holds every entity changed since revision(), as of one store
+     * revision. @return whether the configuration changed.
+     */
+    bool apply(const std::vector<StoreEntry>& entries);
+
+    /** @brief The configuration in force. The reference stays valid; its content changes in apply(). */
+    const Configuration& configuration() const { return m_configuration; }
+    /** @brief Highest modification revision applied. Every change up to it is in force. */
+    Revision revision() const { return m_configuration.revision; }
+
+private:
+    bool applyEntry(const StoreEntry& entry);
+    void erase(const std::string& key);
+
+    Configuration m_configuration;
+    std::map<std::string, Revision> m_applied; ///< modification revision for each store key, also of tombstones
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/Freshness.cpp
@@ -0,0 +1,135 @@
+// How current this process's configuration is.
+
+#include "Freshness.h"
+
+#include <algorithm>
+
+namespace lycheeledge {
+
+namespace {
+
+    // Covers 12 s of gossip. An echo of an older one is of no use: it exceeds the isolation time.
+    constexpr std::size_t sentMax = 64;
+
+} // namespace
+
+Freshness::Freshness(MemberId self, std::uint64_t incarnation, Duration isolation)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_isolation(isolation)
+{
+}
+
+void Freshness::setRoster(const RosterView& roster)
+{
+    std::map<MemberId, Peer> peers;
+    m_inRoster = false;
+    for (const auto& [id, entry] : roster.entries()) {
+        if (id == m_self) {
+            m_inRoster = entry.record.incarnation == m_incarnation;
+            continue;
+        }
+        Peer peer;
+        peer.incarnation = entry.record.incarnation;
+        const auto it = m_peers.find(id);
+        if (it != m_peers.end() && it->second.incarnation == peer.incarnation)
+            peer = it->second;
+        peers.emplace(id, peer);
+    }
+    m_peers = std::move(peers);
+}
+
+void Freshness::storeRead(TimePoint issued, Revision applied)
+{
+    m_applied = std::max(m_applied, applied);
+    m_currentAt = m_currentAt ? std::max(*m_currentAt, issued) : issued;
+}
+
+void Freshness::gossipSent(std::uint64_t sequence, TimePoint now)
+{
+    m_sent.emplace_back(sequence, now);
+    if (m_sent.size() > sentMax)
+        m_sent.pop_front();
+}
+
+bool Freshness::gossipReceived(const Gossip& message)
+{
+    const auto it = m_peers.find(message.member);
+    if (it == m_peers.end() || it->second.incarnation != message.incarnation)
+        return false;
+    Peer& peer = it->second;
+    if (message.sequence <= peer.sequence)
+        return false;
+    peer.sequence = message.sequence;
+    peer.applied = std::max(peer.applied, message.appliedRevision);
+    peer.stopping = message.stopping;
+    m_highestHeard = std::max(m_highestHeard, message.appliedRevision);
+    const auto echoed = message.echoIncarnation == m_incarnation ? sentAt(message.echoSequence) : std::nullopt;
+    if (!echoed)
+        return true;
+    peer.heardAt = peer.heardAt ? std::max(*peer.heardAt, *echoed) : *echoed;
+    if (message.appliedRevision <= m_applied && m_currentAt)
+        m_currentAt = std::max(*m_currentAt, *echoed - message.storeContactAge);
+    return true;
+}
+
+bool Freshness::isFresh(TimePoint now) const
+{
+    if (!m_inRoster || !m_currentAt)
+        return false;
+    return now - *m_currentAt <= m_isolation || hearsCurrentMajority(now);
+}
+
+bool Freshness::hearsCurrentMajority(TimePoint now) const
+{
+    if (m_highestHeard > m_applied)
+        return false;
+    const auto n = std::count_if(
+        m_peers.begin(), m_peers.end(), [&](const auto& peer) { return heardRecently(peer.first, now); });
+    return 2 * (static_cast<std::size_t>(n) + 1) > m_peers.size() + 1;
+}
+
+bool Freshness::heardRecently(const MemberId& member, TimePoint now) const
+{
+    const auto it = m_peers.find(member);
+    return it != m_peers.end() && it->second.heardAt && now - *it->second.heardAt <= m_isolation;
+}
+
+bool Freshness::hasConfirmed(const MemberId& member, Revision revision) const
+{
+    if (member == m_self)
+        return m_inRoster && m_applied >= revision;
+    const auto it = m_peers.find(member);
+    return it != m_peers.end() && it->second.applied >= revision;
+}
+
+bool Freshness::majorityConfirmed(Revision revision) const
+{
+    const auto n = std::count_if(
+        m_peers.begin(), m_peers.end(), [revision](const auto& peer) { return peer.second.applied >= revision; });
+    const std::size_t own = hasConfirmed(m_self, revision) ? 1 : 0;
+    return 2 * (static_cast<std::size_t>(n) + own) > m_peers.size() + 1;
+}
+
+std::pair<std::uint64_t, std::uint64_t> Freshness::echoFor(const MemberId& member) const
+{
+    const auto it = m_peers.find(member);
+    if (it == m_peers.end() || it->second.sequence == 0)
+        return { 0, 0 };
+    return { it->second.incarnation, it->second.sequence };
+}
+
+bool Freshness::isStopping(const MemberId& member) const
+{
+    const auto it = m_peers.find(member);
+    return it != m_peers.end() && it->second.stopping;
+}
+
+std::optional<TimePoint> Freshness::sentAt(std::uint64_t sequence) const
+{
+    const auto it
+        = std::find_if(m_sent.begin(), m_sent.end(), [sequence](const auto& sent) { return sent.first == sequence; });
+    return it == m_sent.end() ? std::nullopt : std::optional(it->second);
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/InForceWaits.cpp
@@ -0,0 +1,54 @@
+// Waits until a configuration change is in force at all members that serve.
+
+#include "InForceWaits.h"
+
+#include <utility>
+
+namespace lycheeledge {
+
+InForceWaits::InForceWaits(const RosterView& roster, const Freshness& freshness, Duration isolation)
+    : m_roster(roster)
+    , m_freshness(freshness)
+    , m_isolation(isolation)
+{
+}
+
+void InForceWaits::add(Revision revision, TimePoint deadline, Callback done)
+{
+    m_waits.push_back({ revision, deadline, std::move(done), std::nullopt });
+}
+
+void InForceWaits::check(TimePoint now)
+{
+    std::vector<std::pair<Callback, InForceResult>> over;
+    std::erase_if(m_waits, [&](Wait& wait) {
+        auto result = evaluate(wait, now);
+        if (result)
+            over.emplace_back(std::move(wait.done), std::move(*result));
+        return result.has_value();
+    });
+    for (const auto& [done, result] : over)
+        done(result);
+}
+
+std::optional<InForceResult> InForceWaits::evaluate(Wait& wait, TimePoint now) const
+{
+    const bool majority = m_freshness.majorityConfirmed(wait.revision);
+    if (majority && !wait.majoritySince)
+        wait.majoritySince = now;
+    const bool oldMessagesExpired = wait.majoritySince && now - *wait.majoritySince > m_isolation;
+    InForceResult result;
+    for (const auto& [id, entry] : m_roster.entries()) {
+        if (m_freshness.hasConfirmed(id, wait.revision))
+            continue;
+        const bool leaseGone = entry.leaseGoneSince && now - *entry.leaseGoneSince > m_isolation;
+        if (!leaseGone || !oldMessagesExpired)
+            result.waitingFor.push_back(id);
+    }
+    result.inForce = majority && result.waitingFor.empty();
+    if (result.inForce || now >= wait.deadline)
+        return result;
+    return std::nullopt;
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/MemberLease.h
@@ -0,0 +1,68 @@
+// The store lease of this process and the records of the process in the store.
+#pragma once
+
+#include "../state/Time.h"
+#include "MemberRecord.h"
+#include "MembershipTimes.h"
+#include "RosterView.h"
+#include "Runtime.h"
+#include "Store.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lycheeledge {
+
+/** @brief Holds the store lease of this process, its key `m/<id>` and its roster record `r/<id>`. */
+class MemberLease {
+public:
+    /** @param written called after the records were written. */
+    MemberLease(Runtime& runtime, Store& store, const MemberRecord& self, const MembershipTimes& times,
+        std::function<void()> written);
+    ~MemberLease();
+    MemberLease(const MemberLease&) = delete;
+    MemberLease& operator=(const MemberLease&) = delete;
+
+    /** @brief Starts renewing. The first lease is granted after the first read. */
+    void start();
+    /** @brief Stops renewing, deletes the records and ends the lease. @param done OK once the records are gone. */
+    void release(std::function<void(absl::Status)> done);
+    /** @brief Writes the records if a read that was issued at `issued` shows that they are missing. */
+    void checkRecords(const RosterView& roster, bool leaseKeyPresent, TimePoint issued);
+
+    /** @brief The lease, unless it may have ended. */
+    std::optional<StoreLeaseId> current() const;
+    /** @brief Whether a later start of this member has taken over its record. */
+    bool superseded() const { return m_superseded; }
+
+private:
+    void renewTick();
+    void acquire();
+    void renew();
+    void writeRecords();
+    void revoke(std::function<void(absl::Status)> done);
+
+    Runtime& m_runtime;
+    Store& m_store;
+    const MemberRecord& m_self;
+    const MembershipTimes& m_times;
+    std::function<void()> m_written;
+    const std::string m_rosterKey;
+    const std::string m_leaseKey;
+
+    bool m_running = false;
+    bool m_superseded = false;
+    bool m_acquiring = false;
+    bool m_writing = false;
+    Revision m_rosterRevision = 0; ///< modification revision of the roster record as last read; 0 if absent
+    bool m_recordPresent = false; ///< the roster record of this incarnation exists
+    std::optional<StoreLeaseId> m_lease;
+    TimePoint m_leaseEnd; ///< the lease has not ended in the store before this time
+    TimePoint m_writtenAt; ///< completion of the last write of the records
+    Runtime::TimerId m_timer = 0;
+    std::shared_ptr<MemberLease*> m_alive = std::make_shared<MemberLease*>(this); ///< expires with this object
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/MemberRecord.cpp
@@ -0,0 +1,105 @@
+// JSON form of the records of members and cell owners.
+
+#include "MemberRecord.h"
+
+#include "JsonFields.h"
+
+#include <absl/strings/numbers.h>
+
+#include <limits>
+
+namespace lycheeledge {
+
+namespace {
+
+    using namespace detail;
+
+    // Incarnations use all 64 bits, which JSON numbers do not carry safely, so they are written as strings.
+    std::optional<std::uint64_t> incarnationField(const rapidjson::Value& object)
+    {
+        const auto text = stringField(object, "incarnation");
+        std::uint64_t value = 0;
+        if (!text || !absl::SimpleAtoi(*text, &value))
+            return std::nullopt;
+        return value;
+    }
+
+    std::optional<Address> addressFields(const rapidjson::Value& object)
+    {
+        const auto host = stringField(object, "host");
+        const auto port = uintField(object, "port");
+        if (!host || !port || *port > std::numeric_limits<std::uint16_t>::max())
+            return std::nullopt;
+        return Address { *host, static_cast<std::uint16_t>(*port) };
+    }
+
+    void writeAddress(JsonWriter& out, const Address& address)
+    {
+        writeString(out, "host", address.host);
+        writeKey(out, "port");
+        out.Uint(address.port);
+    }
+
+} // namespace
+
+std::string encodeMemberRecord(const MemberRecord& record)
+{
+    rapidjson::StringBuffer buf;
+    JsonWriter out(buf);
+    out.StartObject();
+    writeString(out, "id", record.id.value());
+    writeAddress(out, record.peer);
+    writeString(out, "zone", record.zone.value());
+    writeString(out, "incarnation", std::to_string(record.incarnation));
+    out.EndObject();
+    return { buf.GetString(), buf.GetSize() };
+}
+
+std::optional<MemberRecord> decodeMemberRecord(std::string_view json)
+{
+    rapidjson::Document document;
+    if (!parseObject(document, json))
+        return std::nullopt;
+    const auto id = stringField(document, "id");
+    const auto peer = addressFields(document);
+    const auto zone = stringField(document, "zone");
+    const auto incarnation = incarnationField(document);
+    if (!id || id->empty() || !peer || !zone || !incarnation)
+        return std::nullopt;
+    return MemberRecord { MemberId(*id), *peer, ZoneId(*zone), *incarnation };
+}
+
+std::string encodeEpochRecord(const OwnerRecord& record)
+{
+    rapidjson::StringBuffer buf;
+    JsonWriter out(buf);
+    out.StartObject();
+    writeKey(out, "epoch");
+    out.Uint64(record.epoch);
+    writeString(out, "owner", record.owner.value());
+    writeString(out, "incarnation", std::to_string(record.incarnation));
+    writeAddress(out, record.peer);
+    out.EndObject();
+    return { buf.GetString(), buf.GetSize() };
+}
+
+std::optional<OwnerRecord> decodeEpochRecord(std::string_view json)
+{
+    rapidjson::Document document;
+    if (!parseObject(document, json))
+        return std::nullopt;
+    const auto epoch = uintField(document, "epoch");
+    const auto owner = stringField(document, "owner");
+    const auto incarnation = incarnationField(document);
+    const auto peer = addressFields(document);
+    if (!epoch || !owner || !incarnation || !peer)
+        return std::nullopt;
+    OwnerRecord record;
+    record.epoch = *epoch;
+    record.owner = MemberId(*owner);
+    record.incarnation = *incarnation;
+    record.peer = *peer;
+    return record;
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/MemberRecord.h
@@ -0,0 +1,47 @@
+// Records of members and cell owners, as kept in the store.
+#pragma once
+
+#include "../state/Ids.h"
+#include "../state/Worker.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lycheeledge {
+
+/** @brief An entry process. Stored as JSON under `r/<id>`. */
+struct MemberRecord {
+    MemberId id;
+    Address peer; ///< address for gossip and peer connections
+    ZoneId zone;
+    std::uint64_t incarnation = 0; ///< higher for each later start of the process
+
+    bool operator==(const MemberRecord&) const = default;
+};
+
+/** @brief Owner of a cell, from `o/<cell>/epoch` and `o/<cell>/lease`. */
+struct OwnerRecord {
+    CellId cell;
+    Epoch epoch = 0;
+    MemberId owner;
+    std::uint64_t incarnation = 0;
+    Address peer;
+    Revision epochRevision = 0; ///< modification revision of the epoch record
+    bool leased = false; ///< the lease key exists
+
+    bool operator==(const OwnerRecord&) const = default;
+};
+
+/** @brief JSON form of a member record. */
+std::string encodeMemberRecord(const MemberRecord& record);
+/** @brief Inverse of encodeMemberRecord(). @return nullopt if the text is malformed. */
+std::optional<MemberRecord> decodeMemberRecord(std::string_view json);
+
+/** @brief JSON form of the value of `o/<cell>/epoch`. */
+std::string encodeEpochRecord(const OwnerRecord& record);
+/** @brief Reads the value of `o/<cell>/epoch`; `cell`, `epochRevision` and `leased` are left to the caller. */
+std::optional<OwnerRecord> decodeEpochRecord(std::string_view json);
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/Membership.cpp
@@ -0,0 +1,333 @@
+// This process as a member of the cluster.
+
+#include "Membership.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace lycheeledge {
+
+namespace {
+
+    // A store call whose answer does not come within this time no longer blocks the next read.
+    constexpr Duration readTimeout = std::chrono::seconds(2);
+    // Least distance of reads that gossip triggers, so that a burst of changes costs few calls.
+    constexpr Duration triggeredReadDistance = std::chrono::milliseconds(50);
+    constexpr Duration leaveRetryInterval = std::chrono::milliseconds(500);
+    constexpr std::size_t rangeCount = 4; // configuration, roster, leases, owners
+
+} // namespace
+
+Membership::Membership(Runtime& runtime, Store& store, PeerLink& peers, MemberRecord self, MembershipTimes times)
+    : m_runtime(runtime)
+    , m_store(store)
+    , m_peers(peers)
+    , m_self(std::move(self))
+    , m_times(times)
+    , m_freshness(m_self.id, m_self.incarnation, m_times.isolation)
+    , m_waits(m_roster, m_freshness, m_times.isolation)
+    , m_lease(runtime, store, m_self, m_times, [this] { refresh(); })
+{
+}
+
+Membership::~Membership()
+{
+    for (const auto timer : { m_gossipTimer, m_readTimer, m_planTimer })
+        m_runtime.cancel(timer);
+}
+
+void Membership::start()
+{
+    m_lease.start();
+    readTick();
+    gossipTick();
+}
+
+void Membership::gossipTick()
+{
+    m_gossipTimer = m_runtime.after(m_times.gossipInterval, [this] { gossipTick(); });
+    const TimePoint now = m_runtime.now();
+    m_owners.expireClaims(now - m_times.isolation);
+    if (!m_left)
+        gossipNow();
+    m_waits.check(now);
+    notifyOwners();
+}
+
+void Membership::gossipNow()
+{
+    Gossip message;
+    message.member = m_self.id;
+    message.incarnation = m_self.incarnation;
+    message.sequence = ++m_sequence;
+    message.appliedRevision = m_cache.revision();
+    message.storeContactAge = storeContactAge();
+    message.stopping = m_stopping;
+    if (m_ownedCells)
+        message.owned = m_ownedCells();
+    m_owners.setClaims(m_self.id, m_self.incarnation, message.owned, m_runtime.now());
+    m_freshness.gossipSent(message.sequence, m_runtime.now());
+    for (const auto& [id, entry] : m_roster.entries()) {
+        if (id == m_self.id)
+            continue;
+        std::tie(message.echoIncarnation, message.echoSequence) = m_freshness.echoFor(id);
+        m_peers.gossip(entry.record.peer, message);
+    }
+}
+
+void Membership::gossipReceived(const Gossip& message)
+{
+    if (m_left || message.member == m_self.id)
+        return;
+    if (message.appliedRevision > m_cache.revision())
+        refreshSoon();
+    if (!m_freshness.gossipReceived(message)) {
+        const auto* entry = m_roster.find(message.member);
+        if (!entry || entry->record.incarnation < message.incarnation)
+            refreshSoon(); // a member that has just joined
+        return;
+    }
+    m_owners.setClaims(message.member, message.incarnation, message.owned, m_runtime.now());
+    m_waits.check(m_runtime.now());
+    notifyOwners();
+}
+
+void Membership::readTick()
+{
+    m_readTimer = m_runtime.after(m_times.readInterval, [this] { readTick(); });
+    refresh();
+}
+
+void Membership::refreshSoon()
+{
+    // While the store does not answer, only the periodic read tries again.
+    if (m_readPlanned || m_lastReadFailed || m_left)
+        return;
+    const TimePoint now = m_runtime.now();
+    const Duration wait = std::max(Duration {}, m_readIssued + triggeredReadDistance - now);
+    m_readPlanned = true;
+    m_planTimer = m_runtime.after(wait, [this] {
+        m_readPlanned = false;
+        refresh();
+    });
+}
+
+void Membership::refresh()
+{
+    if (m_left)
+        return;
+    if (m_reading && m_runtime.now() - m_readIssued < readTimeout)
+        m_readAgain = true;
+    else
+        startRead();
+}
+
+void Membership::startRead()
+{
+    m_reading = true;
+    m_readAgain = false;
+    m_readIssued = m_runtime.now();
+    std::vector<StoreRange> ranges { { std::string(configurationPrefix), m_cache.revision() + 1 }, { "r/" }, { "m/" },
+        { "o/" } };
+    const std::weak_ptr<Membership*> alive = m_alive;
+    m_store.read(std::move(ranges), [this, alive, issued = m_readIssued](absl::StatusOr<StoreSnapshot> result) {
+        if (!alive.expired())
+            readDone(issued, std::move(result));
+    });
+}
+
+void Membership::readDone(TimePoint issued, absl::StatusOr<StoreSnapshot> result)
+{
+    const bool latest = issued == m_readIssued;
+    if (latest)
+        m_reading = false;
+    if (m_left) {
+        leaveReadDone(issued, result);
+        return;
+    }
+    if (!result.ok() || result->ranges.size() != rangeCount) {
+        LOG_IF(WARNING, !m_lastReadFailed) << "[membership] store not read: " << result.status();
+        m_lastReadFailed = m_lastReadFailed || latest;
+        return;
+    }
+    m_lastReadFailed = false;
+    m_contact = m_contact ? std::max(*m_contact, issued) : issued;
+    apply(issued, *result);
+    if (latest && m_readAgain)
+        startRead();
+}
+
+void Membership::apply(TimePoint issued, const StoreSnapshot& snapshot)
+{
+    const TimePoint now = m_runtime.now();
+    const bool changed = m_cache.apply(snapshot.ranges[0]);
+    m_freshness.storeRead(issued, m_cache.revision());
+    if (snapshot.revision >= m_snapshotRevision) {
+        m_snapshotRevision = snapshot.revision;
+        m_roster.update(snapshot.ranges[1], snapshot.ranges[2], now);
+        m_freshness.setRoster(m_roster);
+        m_owners.setRecords(snapshot.ranges[3]);
+        const std::string leaseKey = "m/" + m_self.id.value();
+        const bool present = std::any_of(snapshot.ranges[2].begin(), snapshot.ranges[2].end(),
+            [&](const StoreEntry& entry) { return entry.key == leaseKey; });
+        m_lease.checkRecords(m_roster, present, issued);
+        removeStaleMember();
+    }
+    if (changed) {
+        for (const auto& listener : m_configurationListeners)
+            listener(m_cache.configuration());
+    }
+    m_waits.check(now);
+    notifyOwners();
+    for (const auto& listener : m_readListeners)
+        listener();
+}
+
+void Membership::removeStaleMember()
+{
+    if (m_removing || m_lease.superseded() || !m_lease.current())
+        return;
+    // One member removes, to spare the store the attempts of the others.
+    const auto& entries = m_roster.entries();
+    const auto first
+        = std::find_if(entries.begin(), entries.end(), [](const auto& entry) { return !entry.second.leaseGoneSince; });
+    if (first == entries.end() || first->first != m_self.id)
+        return;
+    const TimePoint now = m_runtime.now();
+    const auto stale = std::find_if(entries.begin(), entries.end(),
+        [&](const auto& entry) { return m_roster.leaseGoneFor(entry.first, m_times.staleAfter, now); });
+    if (stale == entries.end())
+        return;
+    const std::string id = stale->first.value();
+    StoreTransaction transaction;
+    transaction.conditions = { { "r/" + id, stale->second.modRevision }, { "m/" + id, 0 } };
+    transaction.erases = { "r/" + id };
+    m_removing = true;
+    const std::weak_ptr<Membership*> alive = m_alive;
+    m_store.commit(std::move(transaction), [this, alive, id](absl::StatusOr<StoreCommit> result) {
+        if (alive.expired())
+            return;
+        m_removing = false;
+        if (result.ok() && result->applied) {
+            LOG(INFO) << "[membership] removed " << id << ", whose lease has ended";
+            refresh();
+        }
+    });
+}
+
+void Membership::leave(std::function<void()> done)
+{
+    m_stopping = true;
+    gossipNow();
+    m_left = true;
+    m_leaveDone = std::move(done);
+    finishLeaving();
+}
+
+void Membership::finishLeaving()
+{
+    const std::weak_ptr<Membership*> alive = m_alive;
+    m_lease.release([this, alive](absl::Status status) {
+        if (alive.expired())
+            return;
+        if (status.ok()) {
+            m_leaveDone();
+            return;
+        }
+        LOG(WARNING) << "[membership] member record not deleted: " << status;
+        m_planTimer = m_runtime.after(leaveRetryInterval, [this] {
+            m_leaveRetry = true;
+            startRead();
+        });
+    });
+}
+
+void Membership::leaveReadDone(TimePoint issued, const absl::StatusOr<StoreSnapshot>& result)
+{
+    if (!std::exchange(m_leaveRetry, false))
+        return;
+    if (result.ok() && result->ranges.size() == rangeCount) {
+        m_roster.update(result->ranges[1], result->ranges[2], m_runtime.now());
+        m_lease.checkRecords(m_roster, false, issued);
+    }
+    finishLeaving();
+}
+
+void Membership::notifyOwners()
+{
+    auto owners = m_owners.owners();
+    if (owners == m_notifiedOwners)
+        return;
+    m_notifiedOwners = std::move(owners);
+    for (const auto& listener : m_ownerListeners)
+        listener();
+}
+
+std::vector<MemberRecord> Membership::roster() const
+{
+    std::vector<MemberRecord> members;
+    members.reserve(m_roster.size());
+    for (const auto& [id, entry] : m_roster.entries())
+        members.push_back(entry.record);
+    return members;
+}
+
+std::vector<MemberId> Membership::liveMembers() const
+{
+    const TimePoint now = m_runtime.now();
+    const bool leasesKnown = storeReachable();
+    std::vector<MemberId> members;
+    for (const auto& [id, entry] : m_roster.entries()) {
+        const bool stopping = id == m_self.id ? m_stopping : m_freshness.isStopping(id);
+        const bool live
+            = id == m_self.id || (leasesKnown && !entry.leaseGoneSince) || m_freshness.heardRecently(id, now);
+        if (live && !stopping)
+            members.push_back(id);
+    }
+    return members;
+}
+
+bool Membership::storeReachable() const { return !m_lastReadFailed && storeContactAge() <= m_times.isolation; }
+
+Duration Membership::storeContactAge() const
+{
+    // An age that no limit admits, small enough to be added to and subtracted from times.
+    constexpr Duration never = std::chrono::hours(24 * 365);
+    return m_contact ? m_runtime.now() - *m_contact : never;
+}
+
+bool Membership::isFresh() const { return !m_left && m_freshness.isFresh(m_runtime.now()); }
+
+std::optional<MemberRecord> Membership::ownerOf(const CellId& cell) const
+{
+    const auto owner = m_owners.owner(cell);
+    if (!owner)
+        return std::nullopt;
+    if (owner->member == m_self.id && owner->incarnation == m_self.incarnation)
+        return m_self;
+    const auto* entry = m_roster.find(owner->member);
+    if (entry && entry->record.incarnation == owner->incarnation)
+        return entry->record;
+    const auto record = m_owners.record(cell);
+    if (!record || record->owner != owner->member)
+        return std::nullopt;
+    return MemberRecord { record->owner, record->peer, ZoneId(), record->incarnation };
+}
+
+bool Membership::ownerClaimsActive(const CellId& cell) const
+{
+    const auto members = m_owners.activeClaimants(cell);
+    return std::any_of(members.begin(), members.end(), [this](const MemberId& id) { return id != m_self.id; });
+}
+
+void Membership::whenInForce(Revision revision, InForceWaits::Callback done)
+{
+    m_waits.add(revision, m_runtime.now() + m_times.inForceTimeout, std::move(done));
+    refresh();
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/Membership.h
@@ -0,0 +1,145 @@
+// This process as a member of the cluster: lease, roster, gossip, and the freshness of its configuration.
+#pragma once
+
+#include "../state/Configuration.h"
+#include "ConfigurationCache.h"
+#include "Freshness.h"
+#include "InForceWaits.h"
+#include "MemberLease.h"
+#include "MemberRecord.h"
+#include "MembershipTimes.h"
+#include "OwnerTable.h"
+#include "PeerLink.h"
+#include "RosterView.h"
+#include "Runtime.h"
+#include "Store.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace lycheeledge {
+
+/**
+ * @brief Keeps this process in the roster, gossips with all other members and reads what changed in the store.
+ *
+ * One read a second covers the configuration, the roster, the members' leases and the owners of the cells. Gossip of
+ * a newer configuration triggers a read at once.
+ */
+class Membership {
+public:
+    /** @param self record of this process; its incarnation must be higher than that of earlier starts with this id. */
+    Membership(Runtime& runtime, Store& store, PeerLink& peers, MemberRecord self, MembershipTimes times = {});
+    ~Membership();
+    Membership(const Membership&) = delete;
+    Membership& operator=(const Membership&) = delete;
+
+    /** @brief Joins the cluster. */
+    void start();
+    /** @brief Tells the other members that this process stops, so that they prefer others as owners. */
+    void setStopping() { m_stopping = true; }
+    /**
+     * @brief Leaves the roster and gives up the lease. The process serves nothing any more.
+     * @param done called once the records are gone; while the store is down the call waits.
+     */
+    void leave(std::function<void()> done);
+    void gossipReceived(const Gossip& message);
+    /** @brief Sets the source of the cells that this process owns. */
+    void setOwnedCells(std::function<std::vector<OwnedCell>()> source) { m_ownedCells = std::move(source); }
+
+    const MemberRecord& self() const { return m_self; }
+    std::vector<MemberRecord> roster() const;
+    /** @brief Members that hold a lease or gossiped recently, without stopping ones, sorted by id. */
+    std::vector<MemberId> liveMembers() const;
+    /** @brief Lease to bind keys of this process to; none if it may have ended. */
+    std::optional<StoreLeaseId> storeLease() const { return m_lease.current(); }
+
+    /** @brief Whether the last read succeeded and is no older than the isolation time. */
+    bool storeReachable() const;
+    /** @brief Time since the issue of the last read that succeeded. */
+    Duration storeContactAge() const;
+    /** @brief Whether the configuration is recent enough to serve with. */
+    bool isFresh() const;
+
+    /** @brief Owner of a cell by the store's records and the members' gossip; none if nobody holds it. */
+    std::optional<MemberRecord> ownerOf(const CellId& cell) const;
+    /** @brief Owner of a cell as last read from the store. */
+    std::optional<OwnerRecord> ownerRecord(const CellId& cell) const { return m_owners.record(cell); }
+    /** @brief Whether a member other than this one recently gossiped that it is active in the cell. */
+    bool ownerClaimsActive(const CellId& cell) const;
+
+    /** @brief The configuration in force. The reference stays valid. */
+    const Configuration& configuration() const { return m_cache.configuration(); }
+    /** @brief Calls `listener` after each change of the owner of a cell. */
+    void onOwnersChanged(std::function<void()> listener) { m_ownerListeners.push_back(std::move(listener)); }
+    /** @brief Calls `listener` after each change of the configuration. */
+    void onConfigurationChanged(std::function<void(const Configuration&)> listener)
+    {
+        m_configurationListeners.push_back(std::move(listener));
+    }
+    /** @brief Calls `listener` after each read that succeeded. */
+    void onRead(std::function<void()> listener) { m_readListeners.push_back(std::move(listener)); }
+
+    /** @brief Reads the store now, or again if a read is under way. */
+    void refresh();
+    /** @brief Waits until a change is in force everywhere, at most for the time limit of the settings. */
+    void whenInForce(Revision revision, InForceWaits::Callback done);
+
+private:
+    void gossipTick();
+    void gossipNow();
+    void readTick();
+    void startRead();
+    void readDone(TimePoint issued, absl::StatusOr<StoreSnapshot> result);
+    void apply(TimePoint issued, const StoreSnapshot& snapshot);
+    void refreshSoon();
+    void removeStaleMember();
+    void finishLeaving();
+    void leaveReadDone(TimePoint issued, const absl::StatusOr<StoreSnapshot>& result);
+    void notifyOwners();
+
+    Runtime& m_runtime;
+    Store& m_store;
+    PeerLink& m_peers;
+    const MemberRecord m_self;
+    const MembershipTimes m_times;
+
+    ConfigurationCache m_cache;
+    RosterView m_roster;
+    OwnerTable m_owners;
+    Freshness m_freshness;
+    InForceWaits m_waits;
+    MemberLease m_lease;
+
+    std::uint64_t m_sequence = 0; ///< of the last gossip sent
+    bool m_stopping = false;
+    bool m_left = false;
+    bool m_leaveRetry = false; ///< the read under way precedes another attempt to leave
+    std::function<void()> m_leaveDone;
+
+    bool m_reading = false;
+    bool m_readAgain = false;
+    bool m_lastReadFailed = false;
+    bool m_readPlanned = false;
+    bool m_removing = false;
+    TimePoint m_readIssued;
+    Revision m_snapshotRevision = 0; ///< of the newest read applied
+    std::optional<TimePoint> m_contact; ///< issue of the last read that succeeded
+
+    std::function<std::vector<OwnedCell>()> m_ownedCells;
+    std::map<CellId, OwnerTable::Owner> m_notifiedOwners;
+    std::vector<std::function<void()>> m_ownerListeners;
+    std::vector<std::function<void(const Configuration&)>> m_configurationListeners;
+    std::vector<std::function<void()>> m_readListeners;
+
+    Runtime::TimerId m_gossipTimer = 0;
+    Runtime::TimerId m_readTimer = 0;
+    Runtime::TimerId m_planTimer = 0;
+    std::shared_ptr<Membership*> m_alive = std::make_shared<Membership*>(this); ///< expires with this object
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/MembershipTimes.h
@@ -0,0 +1,21 @@
+// Intervals and time limits of the membership.
+#pragma once
+
+#include "../state/Time.h"
+
+namespace lycheeledge {
+
+/** @brief Intervals and time limits of the membership. */
+struct MembershipTimes {
+    Duration gossipInterval = std::chrono::milliseconds(200);
+    Duration readInterval = std::chrono::seconds(1);
+    Duration leaseTimeToLive = std::chrono::seconds(6);
+    Duration renewInterval = std::chrono::seconds(2);
+    Duration isolation = std::chrono::seconds(3); ///< longest age of the configuration that a process serves with
+    Duration staleAfter = std::chrono::seconds(60); ///< a roster record goes when its lease has been gone this long
+    Duration inForceTimeout = std::chrono::seconds(10); ///< longest wait for a change to be in force everywhere
+
+    bool operator==(const MembershipTimes&) const = default;
+};
+
+} // namespace lycheeledge
--- a/src/lycheeledge/coordination/PeerMessages.h
+++ b/src/lycheeledge/coordination/PeerMessages.h
@@ -31,6 +31,8 @@
     Duration storeContactAge {}; ///< time since the member read the store
     std::vector<OwnedCell> owned;
     bool stopping = false;
+    std::uint64_t echoIncarnation = 0; ///< incarnation of the recipient that `echoSequence` belongs to
+    std::uint64_t echoSequence = 0; ///< last gossip received from the recipient; bounds the age of this message
 
     bool operator==(const Gossip&) const = default;
 };
--- /dev/null
+++ b/src/lycheeledge/coordination/RosterView.cpp
@@ -0,0 +1,56 @@
+// The roster and the members' leases, as last read from the store.
+
+#include "RosterView.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace lycheeledge {
+
+void RosterView::update(const std::vector<StoreEntry>& roster, const std::vector<StoreEntry>& leases, TimePoint now)
+{
+    std::set<std::string> leased;
+    for (const auto& lease : leases)
+        leased.insert(lease.key);
+    std::map<MemberId, Entry> entries;
+    for (const auto& entry : roster) {
+        auto record = decodeMemberRecord(entry.value);
+        if (!record || entry.key != "r/" + record->id.value()) {
+            LOG(ERROR) << "[membership] malformed roster record " << entry.key;
+            continue;
+        }
+        Entry next { *record, entry.modRevision, std::nullopt };
+        if (!leased.contains("m/" + record->id.value())) {
+            const auto* previous = find(record->id);
+            const bool same = previous && previous->record.incarnation == record->incarnation;
+            next.leaseGoneSince = same && previous->leaseGoneSince ? *previous->leaseGoneSince : now;
+        }
+        entries.emplace(record->id, std::move(next));
+    }
+    m_entries = std::move(entries);
+}
+
+const RosterView::Entry* RosterView::find(const MemberId& member) const
+{
+    const auto it = m_entries.find(member);
+    return it == m_entries.end() ? nullptr : &it->second;
+}
+
+bool RosterView::leaseGoneFor(const MemberId& member, Duration duration, TimePoint now) const
+{
+    const auto* entry = find(member);
+    return entry && entry->leaseGoneSince && now - *entry->leaseGoneSince >= duration;
+}
+
+bool RosterView::majorityLeased() const
+{
+    const auto n = std::count_if(
+        m_entries.begin(), m_entries.end(), [](const auto& entry) { return !entry.second.leaseGoneSince; });
+    return 2 * static_cast<std::size_t>(n) > m_entries.size();
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/test/coordination/MembershipTest.cpp
@@ -0,0 +1,88 @@
+// Tests of roster, lease, gossip and owners without faults.
+
+#include "support/Cluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheeledge;
+using namespace lycheeledge::test;
+using namespace std::chrono_literals;
+
+TEST_CASE("Members join, see each other and stay fresh", "[membership]")
+{
+    Cluster cluster(3);
+    cluster.advance(3s);
+    for (const auto& process : cluster.processes) {
+        CHECK(process->membership.roster().size() == 3);
+        CHECK(process->membership.liveMembers().size() == 3);
+        CHECK(process->membership.isFresh());
+        CHECK(process->membership.storeReachable());
+        CHECK(process->membership.storeLease().has_value());
+    }
+    cluster.advance(60s);
+    CHECK(cluster.store.contains("m/m1"));
+    CHECK(cluster[2].membership.isFresh());
+}
+
+TEST_CASE("A leaving member is gone from the roster at once and serves nothing", "[membership]")
+{
+    Cluster cluster(3);
+    cluster.advance(3s);
+    bool left = false;
+    cluster[1].membership.leave([&left] { left = true; });
+    CHECK_FALSE(cluster[1].membership.isFresh());
+    cluster.advance(1500ms);
+    CHECK(left);
+    CHECK_FALSE(cluster.store.contains("r/m1"));
+    CHECK_FALSE(cluster.store.contains("m/m1"));
+    CHECK(cluster[0].membership.roster().size() == 2);
+}
+
+TEST_CASE("A roster record is removed a minute after the lease of its member ended", "[membership]")
+{
+    Cluster cluster(3);
+    cluster.advance(3s);
+    cluster.kill(2);
+    cluster.advance(60s);
+    CHECK(cluster.store.contains("r/m2"));
+    CHECK(cluster[0].membership.liveMembers().size() == 2);
+    cluster.advance(12s);
+    CHECK_FALSE(cluster.store.contains("r/m2"));
+}
+
+TEST_CASE("Owners come from the store, and from gossip with a higher epoch", "[membership]")
+{
+    Cluster cluster(3);
+    cluster.advance(3s);
+    const CellId cell("central");
+    OwnerRecord record;
+    record.epoch = 4;
+    record.owner = MemberId("m1");
+    record.incarnation = cluster[1].membership.self().incarnation;
+    record.peer = cluster[1].membership.self().peer;
+    int changes = 0;
+    cluster[0].membership.onOwnersChanged([&changes] { ++changes; });
+    cluster.store.put("o/central/epoch", encodeEpochRecord(record));
+    cluster.advance(2s);
+    CHECK_FALSE(cluster[0].membership.ownerOf(cell)); // the lease key is missing
+    cluster.store.put("o/central/lease", "m1");
+    cluster.advance(2s);
+    CHECK(cluster[0].membership.ownerOf(cell) == cluster[1].membership.self());
+    CHECK(cluster[0].membership.ownerRecord(cell)->leased);
+    CHECK_FALSE(cluster[0].membership.ownerClaimsActive(cell));
+    CHECK(changes == 1);
+
+    std::vector<OwnedCell> owned { { cell, 5, false } };
+    cluster[2].membership.setOwnedCells([&owned] { return owned; });
+    cluster.advance(1s);
+    CHECK(cluster[0].membership.ownerOf(cell)->id == MemberId("m1"));
+    owned[0].active = true;
+    cluster.advance(1s);
+    CHECK(cluster[0].membership.ownerOf(cell)->id == MemberId("m2"));
+    CHECK(cluster[0].membership.ownerClaimsActive(cell));
+    CHECK_FALSE(cluster[2].membership.ownerClaimsActive(cell));
+    CHECK(changes == 2);
+    cluster.kill(2);
+    cluster.advance(4s);
+    CHECK(cluster[0].membership.ownerOf(cell)->id == MemberId("m1"));
+}
--- /dev/null
+++ b/test/support/PausableRuntime.h
@@ -0,0 +1,88 @@
+// Runtime of one simulated process, which a test can pause.
+#pragma once
+
+#include "ManualRuntime.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace lycheeledge::test {
+
+/**
+ * @brief Runtime of one process. While paused, due timers and deliveries pile up; resume() runs them in order.
+ *
+ * The clock goes on during a pause, as that of a stopped operating system process does.
+ */
+class PausableRuntime final : public Runtime {
+public:
+    explicit PausableRuntime(ManualRuntime& base)
+        : m_base(base)
+    {
+    }
+    ~PausableRuntime() override { *m_alive = false; }
+
+    TimePoint now() const override { return m_base.now(); }
+
+    TimerId after(Duration delay, std::function<void()> task) override
+    {
+        const TimerId timer = m_next++;
+        m_timers.emplace(timer, std::move(task));
+        m_base.after(delay, [this, alive = m_alive, timer] {
+            if (*alive)
+                deliver([this, timer] { fire(timer); });
+        });
+        return timer;
+    }
+
+    void cancel(TimerId timer) override { m_timers.erase(timer); }
+
+    void post(std::function<void()> task) override
+    {
+        m_base.post([this, alive = m_alive, task = std::move(task)] {
+            if (*alive)
+                deliver(task);
+        });
+    }
+
+    std::uint64_t random() override { return m_base.random(); }
+
+    /** @brief Runs `task` now, or on resume(). */
+    void deliver(std::function<void()> task)
+    {
+        if (m_paused)
+            m_backlog.push_back(std::move(task));
+        else
+            task();
+    }
+
+    void pause() { m_paused = true; }
+
+    void resume()
+    {
+        m_paused = false;
+        for (auto backlog = std::exchange(m_backlog, {}); !backlog.empty(); backlog.pop_front())
+            backlog.front()();
+    }
+
+    /** @brief False once the process is gone. */
+    std::shared_ptr<const bool> alive() const { return m_alive; }
+
+private:
+    void fire(TimerId timer)
+    {
+        if (auto node = m_timers.extract(timer))
+            node.mapped()();
+    }
+
+    ManualRuntime& m_base;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    std::map<TimerId, std::function<void()>> m_timers;
+    TimerId m_next = 1;
+    bool m_paused = false;
+    std::deque<std::function<void()>> m_backlog;
+};
+
+} // namespace lycheeledge::test
