Add the call schema, JSON-RPC, the codec of calls, and the settings

Callers and operators need one description of all calls that the program itself enforces. schema/api.json is an OpenRPC document; ApiSchema turns the parameter descriptors of each method into one object schema, validates it with rapidjson, and explains the first violation by field. The schema text is compiled in from a committed header, which a test compares with the file.

Ruled out: absl::StrCat, because the packaged Abseil has a string_view of its own that does not accept std::string_view; fmt is used instead. A recursive JSON parser, because 1 MB of '[' overflows the stack; the iterative one keeps its stack on the heap. Decoding base64 in place, because absl::Base64Unescape clears its output first (found by the round-trip test of binary bodies).

Settings are JSON with comments. rapidjson keeps no line numbers, so a second pass records the line of each value, only when an error must be reported. Intervals whose combination would break a guarantee (for example a task lease shorter than the controller lease) are refused.

--- /dev/null
+++ b/src/lycheeledge/daemon/Settings.cpp
@@ -0,0 +1,204 @@
+// Settings of lycheeledged.
+
+#include "Settings.h"
+
+#include "../protocol/JsonFields.h"
+#include "../protocol/JsonSchema.h"
+#include "JsonLines.h"
+#include "SettingsSchemaText.h"
+
+#include <asio/ip/address.hpp>
+#include <fmt/format.h>
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+
+#include <algorithm>
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+namespace lycheeledge {
+
+namespace {
+
+    constexpr unsigned settingsFlags = rapidjson::kParseIterativeFlag | rapidjson::kParseCommentsFlag
+        | rapidjson::kParseTrailingCommasFlag | rapidjson::kParseValidateEncodingFlag;
+
+    absl::Status refuse(std::string_view file, std::size_t line, std::string_view message)
+    {
+        return absl::InvalidArgumentError(fmt::format("{}:{}: {}", file, line, message));
+    }
+
+    // A missing field has no line of its own, so the line of the object that lacks it is given.
+    std::size_t lineOfField(std::string_view text, std::string field)
+    {
+        const auto lines = jsonLines(text);
+        while (true) {
+            if (const auto it = lines.find(field); it != lines.end())
+                return it->second;
+            if (field.empty())
+                return 1;
+            field.erase(field.rfind('/'));
+        }
+    }
+
+    const rapidjson::Value& section(const rapidjson::Value& root, const char* name)
+    {
+        static const rapidjson::Value empty(rapidjson::kObjectType);
+        const auto* value = detail::member(root, name);
+        return value != nullptr ? *value : empty;
+    }
+
+    Address readAddress(const rapidjson::Value& value)
+    {
+        return { detail::string(value, "address"), static_cast<std::uint16_t>(detail::integer(value, "port", 0)) };
+    }
+
+    LimitSettings readLimits(const rapidjson::Value& value)
+    {
+        LimitSettings limits;
+        auto read = [&value](const char* name, std::size_t& limit) {
+            limit = static_cast<std::size_t>(detail::integer(value, name, static_cast<std::int64_t>(limit)));
+        };
+        read("maxBodyBytes", limits.maxBodyBytes);
+        read("maxConnections", limits.maxConnections);
+        read("maxWaitingCalls", limits.maxWaitingCalls);
+        read("maxConnectionsPerHost", limits.maxConnectionsPerHost);
+        read("maxResponseBytes", limits.maxResponseBytes);
+        return limits;
+    }
+
+    IntervalSettings readIntervals(const rapidjson::Value& value)
+    {
+        IntervalSettings intervals;
+        auto read = [&value](const char* name, Duration& interval) {
+            if (const auto* field = detail::member(value, name))
+                interval = std::chrono::milliseconds(field->GetInt64());
+        };
+        read("gossipMs", intervals.gossip);
+        read("freshnessReadMs", intervals.freshnessRead);
+        read("isolationMs", intervals.isolation);
+        read("storeLeaseMs", intervals.storeLease);
+        read("storeLeaseRenewMs", intervals.storeLeaseRenew);
+        read("controllerLeaseMs", intervals.controllerLease);
+        read("taskLeaseMs", intervals.taskLease);
+        read("workerRenewMs", intervals.workerRenew);
+        read("vmListMs", intervals.vmList);
+        read("journalCommitMs", intervals.journalCommit);
+        read("inForceWaitMs", intervals.inForceWait);
+        read("rosterRemovalMs", intervals.rosterRemoval);
+        read("storeRecoveryMs", intervals.storeRecovery);
+        read("stopLimitMs", intervals.stopLimit);
+        return intervals;
+    }
+
+    LogLevel readLogLevel(const rapidjson::Value& value)
+    {
+        const std::string level = detail::string(value, "level", "info");
+        if (level == "error")
+            return LogLevel::Error;
+        return level == "warning" ? LogLevel::Warning : LogLevel::Info;
+    }
+
+    Settings convert(const rapidjson::Value& root)
+    {
+        Settings settings;
+        settings.member = MemberId(detail::string(section(root, "member"), "id"));
+        settings.zone = ZoneId(detail::string(section(root, "member"), "zone"));
+        settings.listen = readAddress(section(root, "listen"));
+        settings.peer = readAddress(section(root, "peer"));
+        settings.cell = CellId(detail::string(section(root, "cell"), "id"));
+        for (const auto& zone : section(root, "cell")["zones"].GetArray())
+            settings.cellZones.emplace_back(zone.GetString());
+        settings.storeUrl = detail::string(section(root, "platform"), "storeUrl");
+        settings.vmListUrl = detail::string(section(root, "platform"), "vmListUrl");
+        settings.clusterSecret = detail::string(root, "clusterSecret");
+        const auto& key = section(root, "bootstrapKey");
+        settings.bootstrapKey = { KeyId(detail::string(key, "id", "bootstrap")), TeamId(), KeyRole::Operator,
+            detail::string(key, "salt"), detail::string(key, "sha256"), false };
+        settings.limits = readLimits(section(root, "limits"));
+        settings.intervals = readIntervals(section(root, "intervals"));
+        settings.logLevel = readLogLevel(section(root, "log"));
+        const auto& trace = section(root, "trace");
+        settings.traceUrl = detail::string(trace, "exportUrl");
+        settings.maxSpans = static_cast<std::size_t>(
+            detail::integer(trace, "maxSpans", static_cast<std::int64_t>(settings.maxSpans)));
+        return settings;
+    }
+
+    bool isIpAddress(const std::string& text)
+    {
+        std::error_code ec;
+        asio::ip::make_address(text, ec);
+        return !ec;
+    }
+
+    /** @brief Rules between several settings, which the schema cannot express. */
+    std::optional<SchemaViolation> checkRelations(const Settings& settings)
+    {
+        const auto& t = settings.intervals;
+        if (!isIpAddress(settings.listen.host))
+            return SchemaViolation { "/listen/address", "is not an IP number" };
+        if (!isIpAddress(settings.peer.host))
+            return SchemaViolation { "/peer/address", "is not an IP number" };
+        if (settings.listen.port == settings.peer.port && settings.listen.host == settings.peer.host)
+            return SchemaViolation { "/peer/port", "must differ from /listen/port on the same address" };
+        if (t.isolation < 2 * t.gossip)
+            return SchemaViolation { "/intervals/isolationMs", "must be at least twice gossipMs" };
+        if (t.isolation <= t.freshnessRead)
+            return SchemaViolation { "/intervals/isolationMs", "must be greater than freshnessReadMs" };
+        if (t.storeLease < 2 * t.storeLeaseRenew)
+            return SchemaViolation { "/intervals/storeLeaseMs", "must be at least twice storeLeaseRenewMs" };
+        if (t.storeLease % std::chrono::seconds(1) != Duration::zero())
+            return SchemaViolation { "/intervals/storeLeaseMs",
+                "must be a multiple of 1000: the store counts whole seconds" };
+        if (t.controllerLease < 2 * t.workerRenew)
+            return SchemaViolation { "/intervals/controllerLeaseMs", "must be at least twice workerRenewMs" };
+        if (t.taskLease < t.controllerLease)
+            return SchemaViolation { "/intervals/taskLeaseMs", "must be at least controllerLeaseMs" };
+        return std::nullopt;
+    }
+
+    const JsonSchema& schema()
+    {
+        static const JsonSchema compiled([] {
+            rapidjson::Document document;
+            document.Parse(settingsSchemaText.data(), settingsSchemaText.size());
+            return document;
+        }());
+        return compiled;
+    }
+
+} // namespace
+
+absl::StatusOr<Settings> parseSettings(std::string_view text, std::string_view file)
+{
+    rapidjson::Document document;
+    document.Parse<settingsFlags>(text.data(), text.size());
+    if (document.HasParseError())
+        return refuse(file, lineOfOffset(text, document.GetErrorOffset()),
+            fmt::format("malformed JSON: {}", rapidjson::GetParseError_En(document.GetParseError())));
+    auto violation = schema().check(document);
+    Settings settings;
+    if (!violation) {
+        settings = convert(document);
+        violation = checkRelations(settings);
+    }
+    if (violation) {
+        const std::string field = violation->field.empty() ? "the file" : violation->field;
+        return refuse(file, lineOfField(text, violation->field), fmt::format("{} {}", field, violation->message));
+    }
+    return settings;
+}
+
+absl::StatusOr<Settings> readSettings(const std::string& file)
+{
+    std::ifstream in(file, std::ios::binary);
+    if (!in)
+        return absl::NotFoundError(fmt::format("{}: the file cannot be opened", file));
+    std::ostringstream text;
+    text << in.rdbuf();
+    return parseSettings(text.str(), file);
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/protocol/ApiCodec.h
@@ -0,0 +1,85 @@
+// Conversion between the parameters and results of calls and the value types.
+#pragma once
+
+#include "../state/Configuration.h"
+#include "../state/Outcome.h"
+#include "../state/Work.h"
+#include "ApiError.h"
+
+#include <rapidjson/document.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheeledge {
+
+/** @brief Fields that every call has which changes the configuration. */
+struct ChangeHeader {
+    std::string idempotencyKey;
+    std::optional<Revision> expectedVersion; ///< 0 requires that the entity does not exist
+
+    bool operator==(const ChangeHeader&) const = default;
+};
+
+/** @brief Result of a call that changed the configuration. */
+struct ChangeResult {
+    Revision version = 0;
+    bool inForce = false;
+    std::vector<MemberId> waitingFor; ///< members that have not confirmed the change
+
+    bool operator==(const ChangeResult&) const = default;
+};
+
+// The functions below expect parameters that ApiSchema accepted. Absent fields take the defaults of the schema.
+
+/** @brief Converts and checks what the schema cannot express. @param spec set on success. */
+std::optional<ApiError> decodeWorkSpec(const rapidjson::Value& params, WorkSpec& spec);
+WorkId decodeWorkId(const rapidjson::Value& params);
+Team decodeTeam(const rapidjson::Value& params);
+/** @brief Salts and digests the secret. @param salt hexadecimal. @param key set on success. */
+std::optional<ApiError> decodeKey(const rapidjson::Value& params, std::string_view salt, Key& key);
+Queue decodeQueue(const rapidjson::Value& params);
+KindPolicy decodePolicy(const rapidjson::Value& params);
+ChangeHeader decodeChangeHeader(const rapidjson::Value& params);
+
+/** @brief Parameters of work.submit as JSON text. */
+std::string encodeWorkSpec(const WorkSpec& spec);
+/** @brief Result of work.submit as JSON text. @param result successful. */
+std::string encodeWorkResult(const WorkResult& result);
+/** @brief Inverse of encodeWorkResult(). @return Truncated if length or digest do not match the body. */
+std::optional<ApiError> decodeWorkResult(const rapidjson::Value& value, WorkResult& result);
+/** @brief Error of a failed result. @param result not successful. */
+ApiError toApiError(const WorkResult& result);
+std::string encodeWorkStatus(const WorkStatus& status);
+/** @param value accepted by the schema of work.status. */
+WorkStatus decodeWorkStatus(const rapidjson::Value& value);
+std::string encodeChange(const ChangeResult& change);
+
+/** @brief Entities as listed, with the revision of their last change. Keys are listed without salt and digest. */
+std::string encodeTeam(const Team& team, Revision version);
+std::string encodeKey(const Key& key, Revision version);
+std::string encodeQueue(const Queue& queue, Revision version);
+std::string encodePolicy(const KindPolicy& policy, Revision version);
+std::string encodeVm(const VmId& vm, bool drained, Revision version);
+/** @brief JSON array of JSON texts. */
+std::string encodeList(const std::vector<std::string>& elements);
+
+std::string_view toString(WorkKind kind);
+std::string_view toString(WorkPhase phase);
+std::string_view toString(KeyRole role);
+
+/** @brief Digest of a key's secret. @param salt hexadecimal. @return hexadecimal. */
+std::string keyDigest(std::string_view salt, std::string_view secret);
+/** @brief Whether a secret is that of the key, in constant time. */
+bool keyMatches(const Key& key, std::string_view secret);
+/** @brief Parts of `Authorization: Bearer <key id>.<secret>`. */
+struct PresentedKey {
+    KeyId id;
+    std::string secret;
+};
+/** @return nothing if the header is malformed. */
+std::optional<PresentedKey> parseAuthorization(std::string_view header);
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/protocol/ApiSchema.h
@@ -0,0 +1,58 @@
+// The calls of callers and operators, as described by schema/api.json.
+#pragma once
+
+#include "ApiError.h"
+#include "JsonRpc.h"
+#include "JsonSchema.h"
+
+#include <rapidjson/document.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheeledge {
+
+/** @brief Validates methods and parameters. May be used by several threads. */
+class ApiSchema {
+public:
+    /** @brief Compiles the schema that is built into the program. */
+    ApiSchema();
+
+    /** @brief Names of all methods, sorted. */
+    std::vector<std::string> methods() const;
+    bool hasMethod(std::string_view method) const;
+    /** @brief Whether the method needs an operator's key. */
+    bool isForOperators(std::string_view method) const;
+    /** @brief Whether the method changes the configuration. */
+    bool isMutating(std::string_view method) const;
+    /** @brief The description of the method in the schema; nullptr for an unknown method. */
+    const rapidjson::Value* description(std::string_view method) const;
+
+    /** @brief Checks method and parameters of a call. @return the answer to send if they are not valid. */
+    std::optional<RpcFailure> check(const RpcRequest& request) const;
+    /** @brief Checks parameters. @return nothing if the method exists and they are valid. */
+    std::optional<ApiError> checkParams(std::string_view method, const rapidjson::Value& params) const;
+    /** @brief Checks a result, for tests and clients. */
+    std::optional<ApiError> checkResult(std::string_view method, const rapidjson::Value& result) const;
+
+private:
+    struct Method {
+        JsonSchema params;
+        JsonSchema result;
+        const rapidjson::Value* description; ///< in m_schema
+        bool forOperators;
+        bool mutating;
+    };
+
+    const Method* find(std::string_view method) const;
+    rapidjson::Document paramsSchema(const rapidjson::Value& method) const;
+    rapidjson::Document resultSchema(const rapidjson::Value& method) const;
+
+    rapidjson::Document m_schema;
+    std::map<std::string, Method, std::less<>> m_methods;
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/protocol/JsonRpc.cpp
@@ -0,0 +1,267 @@
+// JSON-RPC 2.0 requests and responses.
+
+#include "JsonRpc.h"
+
+#include <fmt/format.h>
+#include <rapidjson/error/en.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <optional>
+#include <utility>
+
+namespace lycheeledge {
+
+namespace {
+
+    constexpr int parseErrorCode = -32700;
+    constexpr int invalidRequestCode = -32600;
+    constexpr int invalidParamsCode = -32602;
+    constexpr int firstServerErrorCode = -32000; // JSON-RPC reserves -32099 to -32000 for servers
+
+    constexpr std::size_t maxIdLength = 128;
+
+    // The iterative parser keeps its stack on the heap, so deep nesting cannot overflow the thread's stack.
+    constexpr unsigned parseFlags = rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag;
+
+    RpcFailure refuse(std::string id, int code, ErrorKind kind, std::string message)
+    {
+        return { std::move(id), code, { kind, std::move(message), "", RunState::NotRun } };
+    }
+
+    const rapidjson::Value* member(const rapidjson::Value& object, const char* name)
+    {
+        const auto it = object.FindMember(name);
+        return it == object.MemberEnd() ? nullptr : &it->value;
+    }
+
+    std::string stringMember(const rapidjson::Value& object, const char* name)
+    {
+        const auto* value = member(object, name);
+        return value != nullptr && value->IsString() ? std::string(value->GetString(), value->GetStringLength())
+                                                     : std::string();
+    }
+
+    bool isVersion2(const rapidjson::Value& root) { return stringMember(root, "jsonrpc") == "2.0"; }
+
+    std::optional<std::string> readId(const rapidjson::Value& root)
+    {
+        const auto* id = member(root, "id");
+        if (id == nullptr || !(id->IsString() || id->IsInt64() || id->IsUint64()))
+            return std::nullopt;
+        if (id->IsString() && id->GetStringLength() > maxIdLength)
+            return std::nullopt;
+        return jsonText(*id);
+    }
+
+    std::optional<std::string> unknownMember(const rapidjson::Value& root)
+    {
+        for (const auto& it : root.GetObject()) {
+            const std::string_view name(it.name.GetString(), it.name.GetStringLength());
+            if (name != "jsonrpc" && name != "id" && name != "method" && name != "params")
+                return std::string(name);
+        }
+        return std::nullopt;
+    }
+
+    std::variant<RpcRequest, RpcFailure> readRequest(rapidjson::Document document)
+    {
+        if (document.IsArray())
+            return refuse("null", invalidRequestCode, ErrorKind::InvalidArgument, "batches of calls are not supported");
+        if (!document.IsObject())
+            return refuse("null", invalidRequestCode, ErrorKind::InvalidArgument, "a request must be an object");
+        auto id = readId(document);
+        if (!id)
+            return refuse("null", invalidRequestCode, ErrorKind::InvalidArgument,
+                fmt::format("'id' must be an integer or a string of at most {} bytes", maxIdLength));
+        auto invalid = [&id](std::string message) {
+            return refuse(*id, invalidRequestCode, ErrorKind::InvalidArgument, std::move(message));
+        };
+        if (!isVersion2(document))
+            return invalid("'jsonrpc' must be \"2.0\"");
+        if (const auto name = unknownMember(document))
+            return invalid(fmt::format("'{}' is an unknown field of a request", *name));
+        RpcRequest request { *id, stringMember(document, "method"), {} };
+        if (request.method.empty())
+            return invalid("'method' must be a string");
+        const auto it = document.FindMember("params");
+        if (it == document.MemberEnd()) {
+            request.params.SetObject();
+            return request;
+        }
+        if (!it->value.IsObject())
+            return invalid("'params' must be an object: parameters are passed by name");
+        // Swapping keeps the strings in the memory of the parsed document instead of copying them.
+        rapidjson::Value params(std::move(it->value));
+        static_cast<rapidjson::Value&>(document).Swap(params);
+        request.params = std::move(document);
+        return request;
+    }
+
+    ApiError readError(const rapidjson::Value& error)
+    {
+        ApiError result { ErrorKind::Internal, stringMember(error, "message"), "", RunState::Unknown };
+        const auto* data = member(error, "data");
+        if (data != nullptr && data->IsObject()) {
+            result.kind = errorKindFromString(stringMember(*data, "kind"));
+            result.field = stringMember(*data, "field");
+            result.run = runStateFromString(stringMember(*data, "run"));
+        }
+        return result;
+    }
+
+    RpcResponse unreadable(std::string message)
+    {
+        return { "null", ApiError { ErrorKind::Truncated, std::move(message), "", RunState::Unknown } };
+    }
+
+    void writeString(rapidjson::Writer<rapidjson::StringBuffer>& writer, std::string_view text)
+    {
+        writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
+    }
+
+    void writeRaw(rapidjson::Writer<rapidjson::StringBuffer>& writer, std::string_view json)
+    {
+        writer.RawValue(json.data(), json.size(), rapidjson::kObjectType);
+    }
+
+} // namespace
+
+std::variant<RpcRequest, RpcFailure> parseRpcRequest(std::string_view body, std::size_t maxBytes)
+{
+    if (body.size() > maxBytes)
+        return refuse("null", rpcCode(ErrorKind::TooLarge), ErrorKind::TooLarge,
+            fmt::format("the body has {} bytes, at most {} are accepted", body.size(), maxBytes));
+    // rapidjson takes a zero byte for the end of the text and would ignore what follows.
+    if (body.find('\0') != std::string_view::npos)
+        return refuse("null", parseErrorCode, ErrorKind::InvalidArgument, "malformed JSON: zero byte");
+    rapidjson::Document document;
+    document.Parse<parseFlags>(body.data(), body.size());
+    if (document.HasParseError())
+        return refuse("null", parseErrorCode, ErrorKind::InvalidArgument,
+            fmt::format("malformed JSON at byte {}: {}", document.GetErrorOffset(),
+                rapidjson::GetParseError_En(document.GetParseError())));
+    return readRequest(std::move(document));
+}
+
+RpcResponse parseRpcResponse(std::string_view body)
+{
+    rapidjson::Document document;
+    document.Parse<parseFlags>(body.data(), body.size());
+    if (document.HasParseError() || !document.IsObject() || !isVersion2(document))
+        return unreadable("the answer is no JSON-RPC response");
+    const auto id = readId(document);
+    const auto* error = member(document, "error");
+    if (error != nullptr && error->IsObject())
+        return { id.value_or("null"), readError(*error) };
+    const auto it = document.FindMember("result");
+    if (it == document.MemberEnd() || !id)
+        return unreadable("the answer has neither a result nor an error");
+    rapidjson::Value result(std::move(it->value));
+    static_cast<rapidjson::Value&>(document).Swap(result);
+    return { *id, std::move(document) };
+}
+
+std::string writeRpcRequest(std::string_view id, std::string_view method, std::string_view params)
+{
+    return fmt::format("{{\"jsonrpc\":\"2.0\",\"id\":{},\"method\":{},\"params\":{}}}", id, jsonString(method), params);
+}
+
+std::string writeRpcResult(std::string_view id, std::string_view result)
+{
+    return fmt::format("{{\"jsonrpc\":\"2.0\",\"id\":{},\"result\":{}}}", id, result);
+}
+
+std::string writeRpcError(std::string_view id, int code, const ApiError& error)
+{
+    rapidjson::StringBuffer buf;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
+    writer.StartObject();
+    writer.Key("jsonrpc");
+    writer.String("2.0");
+    writer.Key("id");
+    writeRaw(writer, id);
+    writer.Key("error");
+    writer.StartObject();
+    writer.Key("code");
+    writer.Int(code);
+    writer.Key("message");
+    writeString(writer, error.message);
+    writer.Key("data");
+    writer.StartObject();
+    writer.Key("kind");
+    writeString(writer, toString(error.kind));
+    writer.Key("field");
+    writeString(writer, error.field);
+    writer.Key("run");
+    writeString(writer, toString(error.run));
+    writer.EndObject();
+    writer.EndObject();
+    writer.EndObject();
+    return { buf.GetString(), buf.GetSize() };
+}
+
+std::string writeRpcError(std::string_view id, const ApiError& error)
+{
+    return writeRpcError(id, rpcCode(error.kind), error);
+}
+
+int rpcCode(ErrorKind kind)
+{
+    return kind == ErrorKind::InvalidArgument ? invalidParamsCode : firstServerErrorCode - static_cast<int>(kind);
+}
+
+int httpStatus(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::None:
+        return 200;
+    case ErrorKind::InvalidArgument:
+        return 400;
+    case ErrorKind::TooLarge:
+        return 413;
+    case ErrorKind::Unauthenticated:
+        return 401;
+    case ErrorKind::WrongTeam:
+        return 403;
+    case ErrorKind::NotFound:
+        return 404;
+    case ErrorKind::Conflict:
+        return 409;
+    case ErrorKind::NeverFits:
+        return 422;
+    case ErrorKind::Overloaded:
+        return 429;
+    case ErrorKind::DeadlineExceeded:
+        return 504;
+    case ErrorKind::Cancelled:
+        return 410;
+    case ErrorKind::Unavailable:
+        return 503;
+    case ErrorKind::TaskFailed:
+    case ErrorKind::WorkerLost:
+    case ErrorKind::Truncated:
+        return 502;
+    case ErrorKind::Internal:
+        break;
+    }
+    return 500;
+}
+
+std::string jsonString(std::string_view text)
+{
+    rapidjson::StringBuffer buf;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
+    writeString(writer, text);
+    return { buf.GetString(), buf.GetSize() };
+}
+
+std::string jsonText(const rapidjson::Value& value)
+{
+    rapidjson::StringBuffer buf;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
+    value.Accept(writer);
+    return { buf.GetString(), buf.GetSize() };
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/protocol/JsonRpc.h
@@ -0,0 +1,65 @@
+// JSON-RPC 2.0 requests and responses.
+#pragma once
+
+#include "ApiError.h"
+
+#include <rapidjson/document.h>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace lycheeledge {
+
+/** @brief A parsed request. */
+struct RpcRequest {
+    std::string id = "null"; ///< JSON text of a string or number, echoed in the response
+    std::string method;
+    rapidjson::Document params; ///< always an object
+};
+
+/** @brief A request that could not be parsed. */
+struct RpcFailure {
+    std::string id = "null"; ///< JSON text; null if it could not be read
+    int code = 0; ///< error code of JSON-RPC
+    ApiError error;
+};
+
+/** @brief A parsed response. */
+struct RpcResponse {
+    std::string id = "null";
+    std::variant<rapidjson::Document, ApiError> outcome;
+
+    bool ok() const { return outcome.index() == 0; }
+    const rapidjson::Document& result() const { return std::get<0>(outcome); }
+    const ApiError& error() const { return std::get<1>(outcome); }
+};
+
+/** @brief Parses a request body. Batches and notifications are refused. @param maxBytes largest body. */
+std::variant<RpcRequest, RpcFailure> parseRpcRequest(std::string_view body, std::size_t maxBytes);
+
+/** @brief Parses a response body. @return Truncated with run = unknown for a body that is no JSON-RPC response. */
+RpcResponse parseRpcResponse(std::string_view body);
+
+/** @param id JSON text. @param params JSON text of an object. */
+std::string writeRpcRequest(std::string_view id, std::string_view method, std::string_view params);
+/** @param id JSON text. @param result JSON text. */
+std::string writeRpcResult(std::string_view id, std::string_view result);
+std::string writeRpcError(std::string_view id, int code, const ApiError& error);
+std::string writeRpcError(std::string_view id, const ApiError& error);
+
+/** @brief Error code of JSON-RPC for a method that does not exist. */
+constexpr int methodNotFoundCode = -32601;
+
+/** @brief Error code of JSON-RPC for a class of error. */
+int rpcCode(ErrorKind kind);
+/** @brief HTTP status for a class of error. */
+int httpStatus(ErrorKind kind);
+
+/** @brief JSON text of a string. */
+std::string jsonString(std::string_view text);
+/** @brief JSON text of a value. */
+std::string jsonText(const rapidjson::Value& value);
+
+} // namespace lycheeledge
--- /dev/null
+++ b/test/daemon/SettingsTest.cpp
@@ -0,0 +1,146 @@
+// Tests of the settings file.
+
+#include <lycheeledge/daemon/JsonLines.h>
+#include <lycheeledge/daemon/Settings.h>
+#include <lycheeledge/daemon/SettingsSchemaText.h>
+#include <lycheeledge/protocol/ApiCodec.h>
+
+#include <catch2/catch.hpp>
+#include <rapidjson/document.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace lycheeledge;
+
+namespace {
+
+std::string readFile(const std::string& name)
+{
+    std::ifstream in(LYCHEELEDGE_SOURCE_DIR "/" + name);
+    REQUIRE(in);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+const std::string valid = R"(// comment
+{
+  "member": { "id": "m1", "zone": "c1" },
+  "listen": { "address": "127.0.0.1", "port": 8080 },
+  "peer": { "address": "127.0.0.1", "port": 7400 },
+  "cell": { "id": "central", "zones": ["c1", "c2"] },
+  "platform": { "storeUrl": "http://127.0.0.1:1", "vmListUrl": "http://127.0.0.1:2/v1/vms" },
+  "clusterSecret": "0123456789abcdef0123456789abcdef",
+  "bootstrapKey": { "salt": "0123456789abcdef",
+    "sha256": "0000000000000000000000000000000000000000000000000000000000000000" },
+  "intervals": { "gossipMs": 100 }, /* trailing comma */
+}
+)";
+
+std::string replaced(const std::string& from, const std::string& to)
+{
+    auto text = valid;
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+std::string error(const std::string& text)
+{
+    const auto settings = parseSettings(text, "s.jsonc");
+    REQUIRE_FALSE(settings.ok());
+    CHECK(settings.status().code() == absl::StatusCode::kInvalidArgument);
+    return std::string(settings.status().message());
+}
+
+} // namespace
+
+TEST_CASE("The compiled-in schema of the settings is the committed file", "[settings]")
+{
+    CHECK(readFile("schema/settings.json") == settingsSchemaText); // run scripts/embed-schema after a change
+}
+
+TEST_CASE("Settings are read and absent ones take their defaults", "[settings]")
+{
+    const auto settings = parseSettings(valid, "s.jsonc");
+    REQUIRE(settings.ok());
+    CHECK(settings->member == MemberId("m1"));
+    CHECK(settings->peer == Address { "127.0.0.1", 7400 });
+    CHECK(settings->cellZones == std::vector { ZoneId("c1"), ZoneId("c2") });
+    CHECK(settings->bootstrapKey.id == KeyId("bootstrap"));
+    CHECK(settings->bootstrapKey.role == KeyRole::Operator);
+    CHECK(settings->limits == LimitSettings {});
+    IntervalSettings intervals;
+    intervals.gossip = std::chrono::milliseconds(100);
+    CHECK(settings->intervals == intervals);
+}
+
+TEST_CASE("Defaults of the schema and of the program agree", "[settings]")
+{
+    // The schema documents the defaults; the program takes them from its own structs.
+    rapidjson::Document schema;
+    schema.Parse(settingsSchemaText.data(), settingsSchemaText.size());
+    std::string intervals;
+    for (const auto& it : schema["properties"]["intervals"]["properties"].GetObject())
+        intervals += (intervals.empty() ? "\"" : ",\"") + std::string(it.name.GetString())
+            + "\":" + std::to_string(it.value["default"].GetInt64());
+    std::string limits;
+    for (const auto& it : schema["properties"]["limits"]["properties"].GetObject())
+        limits += (limits.empty() ? "\"" : ",\"") + std::string(it.name.GetString())
+            + "\":" + std::to_string(it.value["default"].GetInt64());
+    const auto settings = parseSettings(replaced("\"intervals\": { \"gossipMs\": 100 }",
+                                            "\"intervals\": {" + intervals + "}, \"limits\": {" + limits + "}"),
+        "s.jsonc");
+    REQUIRE(settings.ok());
+    CHECK(settings->intervals == IntervalSettings {});
+    CHECK(settings->limits == LimitSettings {});
+}
+
+TEST_CASE("Wrong entries are refused with file, line and what was expected", "[settings]")
+{
+    CHECK(error(replaced("\"port\": 8080", "\"port\": 0"))
+        == "s.jsonc:4: /listen/port is out of range: must be at least 1");
+    CHECK(error(replaced("\"port\": 8080", "\"port\": \"8080\""))
+        == "s.jsonc:4: /listen/port has the wrong type: expected integer, got string");
+    CHECK(error(replaced("\"port\": 7400", "\"prot\": 7400")) == "s.jsonc:5: /peer/prot is an unknown field");
+    CHECK(error(replaced(", \"zone\": \"c1\"", "")) == "s.jsonc:3: /member/zone is missing");
+    CHECK(
+        error(replaced("\"c2\"", "7")) == "s.jsonc:6: /cell/zones/1 has the wrong type: expected string, got integer");
+    CHECK(error(replaced("\"gossipMs\"", "\"gossip\"")) == "s.jsonc:11: /intervals/gossip is an unknown field");
+    CHECK(error(replaced("127.0.0.1\", \"port\": 8080", "127.0.1\", \"port\": 8080"))
+        == "s.jsonc:4: /listen/address is not an IP number");
+    CHECK(error(replaced("\"cell\":", "\"cell\"")).find("s.jsonc:6: malformed JSON") == 0);
+    CHECK(error("{}").find("s.jsonc:1: /member is missing") == 0);
+    CHECK(error("").find("s.jsonc:1: malformed JSON") == 0);
+    CHECK(error(std::string(1000000, '[')).find("s.jsonc:1: ") == 0);
+}
+
+TEST_CASE("Intervals that would break a guarantee are refused", "[settings]")
+{
+    auto withIntervals = [](const std::string& text) { return replaced("\"gossipMs\": 100", text); };
+    CHECK(error(withIntervals("\"gossipMs\": 2000")).find("/intervals/isolationMs") != std::string::npos);
+    CHECK(error(withIntervals("\"freshnessReadMs\": 3000")).find("/intervals/isolationMs") != std::string::npos);
+    CHECK(error(withIntervals("\"storeLeaseMs\": 3000")).find("/intervals/storeLeaseMs") != std::string::npos);
+    CHECK(error(withIntervals("\"storeLeaseMs\": 6500")).find("whole seconds") != std::string::npos);
+    CHECK(error(withIntervals("\"workerRenewMs\": 1501")).find("/intervals/controllerLeaseMs") != std::string::npos);
+    CHECK(error(withIntervals("\"taskLeaseMs\": 2999")).find("/intervals/taskLeaseMs") != std::string::npos);
+}
+
+TEST_CASE("The examples are valid and their bootstrap key is the documented one", "[settings]")
+{
+    for (const std::string name : { "examples/settings-a.jsonc", "examples/settings-b.jsonc" }) {
+        const auto settings = parseSettings(readFile(name), name);
+        INFO(settings.status().message());
+        REQUIRE(settings.ok());
+        CHECK(keyMatches(settings->bootstrapKey, "replace-this-secret"));
+    }
+}
+
+TEST_CASE("A settings file that does not exist is named", "[settings]")
+{
+    const auto settings = readSettings("/nonexistent/settings.jsonc");
+    CHECK(settings.status().code() == absl::StatusCode::kNotFound);
+    CHECK(std::string(settings.status().message()).find("/nonexistent/settings.jsonc") == 0);
+}
