Show entity versions and owner epochs

Operators need the version of an entity to send expectedVersion, and the router needs the epoch to notice that an owner lost and re-acquired a cell. No measurement: accessors.

--- a/src/lycheeledge/coordination/ConfigurationCache.cpp
+++ b/src/lycheeledge/coordination/ConfigurationCache.cpp
@@ -54,6 +54,7 @@
                    << "; the previous value stays in force";
         return false;
     }
+    m_versions[entry.key] = entity->version;
     if (entity->value)
         store(m_configuration, *entity->value);
     else
@@ -61,6 +62,12 @@
     return true;
 }
 
+std::uint64_t ConfigurationCache::versionOf(const std::string& storeKey) const
+{
+    const auto it = m_versions.find(storeKey);
+    return it == m_versions.end() ? 0 : it->second;
+}
+
 void ConfigurationCache::erase(const std::string& key)
 {
     eraseNamed(m_configuration.teams, key, teamKey);
--- a/src/lycheeledge/coordination/ConfigurationCache.h
+++ b/src/lycheeledge/coordination/ConfigurationCache.h
@@ -29,12 +29,15 @@
     const Configuration& configuration() const { return m_configuration; }
     /** @brief Highest modification revision applied. Every change up to it is in force. */
     Revision revision() const { return m_configuration.revision; }
+    /** @brief Version of an entity, by store key; 0 if it was never read. */
+    std::uint64_t versionOf(const std::string& storeKey) const;
 
 private:
     bool applyEntry(const StoreEntry& entry);
     void erase(const std::string& key);
 
     Configuration m_configuration;
+    std::map<std::string, std::uint64_t> m_versions; ///< version of each entity, also of tombstones
     std::map<std::string, Revision> m_applied; ///< modification revision for each store key, also of tombstones
 };
 
--- a/src/lycheeledge/coordination/Membership.cpp
+++ b/src/lycheeledge/coordination/Membership.cpp
@@ -302,6 +302,12 @@
 
 bool Membership::isFresh() const { return !m_left && m_freshness.isFresh(m_runtime.now()); }
 
+Epoch Membership::ownerEpoch(const CellId& cell) const
+{
+    const auto owner = m_owners.owner(cell);
+    return owner ? owner->epoch : 0;
+}
+
 std::optional<MemberRecord> Membership::ownerOf(const CellId& cell) const
 {
     const auto owner = m_owners.owner(cell);
--- a/src/lycheeledge/coordination/Membership.h
+++ b/src/lycheeledge/coordination/Membership.h
@@ -67,6 +67,8 @@
 
     /** @brief Owner of a cell by the store's records and the members' gossip; none if nobody holds it. */
     std::optional<MemberRecord> ownerOf(const CellId& cell) const;
+    /** @brief Epoch of the owner that ownerOf() returns; 0 if nobody holds the cell. */
+    Epoch ownerEpoch(const CellId& cell) const;
     /** @brief Owner of a cell as last read from the store. */
     std::optional<OwnerRecord> ownerRecord(const CellId& cell) const { return m_owners.record(cell); }
     /** @brief Whether a member other than this one recently gossiped that it is active in the cell. */
@@ -74,6 +76,8 @@
 
     /** @brief The configuration in force. The reference stays valid. */
     const Configuration& configuration() const { return m_cache.configuration(); }
+    /** @brief Version of an entity of the configuration, by store key; 0 if it was never read. */
+    std::uint64_t versionOf(const std::string& storeKey) const { return m_cache.versionOf(storeKey); }
     /** @brief Calls `listener` after each change of the owner of a cell. */
     void onOwnersChanged(std::function<void()> listener) { m_ownerListeners.push_back(std::move(listener)); }
     /** @brief Calls `listener` after each change of the configuration. */
