Add the cell scheduler with queues, limits, placement and recovery

Placement searches a segment tree per zone that holds the largest free amount of each resource. The search is exact, so a size that fits nowhere is remembered and rejected in O(1) until a worker frees enough for it. Scanning all workers was ruled out because a full fleet would pay for it at each event.

A refused identity may be sent anew only with a higher attempt: a late copy of the refused sending would otherwise run after its caller was told "not run". A task that ended on another worker than that of its current run is ignored, because run numbers can repeat after a takeover.

--- a/src/lycheeledge/coordination/Fwd.h
+++ b/src/lycheeledge/coordination/Fwd.h
@@ -3,15 +3,22 @@
 
 namespace lycheeledge {
 
+class CellScheduler;
 class JobJournal;
 class PeerLink;
 class PeerListener;
+class Placement;
 class Runtime;
 class Store;
+class TeamOrder;
 class VmDirectory;
 class WorkerGateway;
 class WorkerPool;
 class WorkerPoolListener;
 struct Gossip;
+struct SchedulerOverview;
+struct SchedulerSettings;
+struct TeamRecord;
+struct WorkItem;
 
 } // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/WorkItem.h
@@ -0,0 +1,83 @@
+// A piece of work inside the scheduler.
+#pragma once
+
+#include "../state/Outcome.h"
+#include "../state/Work.h"
+#include "Placement.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheeledge {
+
+struct TeamRecord;
+
+/** @brief Where a task stands. */
+enum class TaskState {
+    Waiting, ///< ready to be placed
+    Delayed, ///< waits for its backoff to end
+    Unresolved, ///< recovered; may run on a worker that has not reported
+    Journalling, ///< reserved; its start is being journalled
+    Starting, ///< reserved; the start command is on its way
+    Running,
+    Succeeded,
+    Failed,
+    Dropped, ///< never to be started, since its work is being closed
+};
+
+/** @brief A task of a piece of work. */
+struct TaskRecord {
+    TaskState state = TaskState::Waiting;
+    std::uint32_t run = 0; ///< number of the last start; 0 before the first
+    std::uint32_t attempts = 0; ///< starts that count against the policy's limit
+    WorkerSlot worker = 0; ///< of the last start
+    TimePoint since; ///< time of the last change of state
+    bool journalled = false; ///< `run` was journalled as starting
+};
+
+/** @brief A piece of work that has not ended. */
+struct WorkItem {
+    using Done = std::function<void(WorkResult)>;
+
+    WorkSpec spec;
+    std::string traceparent;
+    std::uint64_t sequence = 0; ///< order of acceptance
+    TimePoint arrival;
+    std::optional<TimePoint> deadline;
+    std::vector<Done> waiters;
+    std::vector<TaskRecord> tasks;
+    std::deque<std::uint32_t> waiting; ///< tasks ready to be placed
+    std::uint32_t held = 0; ///< tasks with a reservation
+    std::uint32_t succeeded = 0;
+    std::uint32_t failed = 0;
+    RunState run = RunState::NotRun; ///< what is known about execution so far
+    bool durable = false; ///< its journal record is durable, or none is needed
+    bool started = false; ///< a first task was placed
+    bool setAside = false;
+    std::optional<WorkResult> failure; ///< of the first task that failed for good
+    std::optional<WorkResult> closing; ///< no task is started any more; the result once all tasks ended
+    std::optional<WorkResult> answer; ///< what `waiters` were told
+    std::string reason; ///< why it waits
+    Spread spread;
+
+    TeamRecord* team = nullptr;
+    bool queued = false;
+    std::list<WorkItem*>::iterator queuePosition; ///< valid while `queued`
+
+    bool isJob() const { return spec.kind != WorkKind::Request; }
+    std::uint32_t ended() const { return succeeded + failed; }
+    /** @brief Adds to what is known about execution. Certainty that it ran outweighs doubt. */
+    void noteRun(RunState state)
+    {
+        if (state == RunState::Run || run == RunState::NotRun)
+            run = state;
+    }
+    TaskId taskId(std::uint32_t index) const { return { spec.id, index, tasks[index].run }; }
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/WorkerTable.cpp
@@ -0,0 +1,143 @@
+// The workers of a cell and what is reserved on them.
+
+#include "WorkerTable.h"
+
+#include <algorithm>
+
+namespace lycheeledge {
+
+std::uint64_t tasksThatFit(const Resources& size, const Resources& capacity, std::uint64_t limit)
+{
+    if (!size.fitsIn(capacity))
+        return 0;
+    auto bound = [&limit](std::int64_t amount, std::int64_t whole) {
+        if (amount > 0)
+            limit = std::min(limit, static_cast<std::uint64_t>(whole / amount));
+    };
+    bound(size.milliCpu, capacity.milliCpu);
+    bound(size.memoryMb, capacity.memoryMb);
+    bound(size.accelerators, capacity.accelerators);
+    bound(size.slots, capacity.slots);
+    bound(size.connections, capacity.connections);
+    return limit;
+}
+
+WorkerSlot WorkerTable::describe(const WorkerDescription& description)
+{
+    const auto [it, added] = m_slots.try_emplace(description.id, static_cast<WorkerSlot>(m_workers.size()));
+    const WorkerSlot slot = it->second;
+    if (added) {
+        WorkerEntry entry;
+        entry.description = description;
+        entry.zone = zoneIndex(description.zone);
+        Zone& zone = m_zones[entry.zone];
+        entry.zonePosition = zone.tree.add();
+        zone.slots.push_back(slot);
+        m_workers.push_back(std::move(entry));
+        return slot;
+    }
+    update(slot, [&](WorkerEntry& entry) {
+        if (entry.description.zone != description.zone) {
+            m_zones[entry.zone].tree.exclude(entry.zonePosition);
+            entry.zone = zoneIndex(description.zone);
+            entry.zonePosition = m_zones[entry.zone].tree.add();
+            m_zones[entry.zone].slots.push_back(slot);
+        }
+        entry.description = description;
+    });
+    return slot;
+}
+
+std::optional<WorkerSlot> WorkerTable::find(const VmId& id) const
+{
+    const auto it = m_slots.find(id);
+    return it == m_slots.end() ? std::nullopt : std::optional(it->second);
+}
+
+void WorkerTable::reserve(const TaskId& task, const Reservation& reservation)
+{
+    if (!m_reservations.try_emplace(task, reservation).second)
+        return;
+    WorkerEntry& entry = m_workers[reservation.worker];
+    entry.reserved += reservation.size;
+    entry.tasks.insert(task);
+    refresh(reservation.worker);
+}
+
+std::optional<Reservation> WorkerTable::release(const TaskId& task)
+{
+    const auto it = m_reservations.find(task);
+    if (it == m_reservations.end())
+        return std::nullopt;
+    const Reservation reservation = it->second;
+    WorkerEntry& entry = m_workers[reservation.worker];
+    entry.reserved -= reservation.size;
+    entry.tasks.erase(task);
+    m_reservations.erase(it);
+    refresh(reservation.worker);
+    return reservation;
+}
+
+const Reservation* WorkerTable::reservation(const TaskId& task) const
+{
+    const auto it = m_reservations.find(task);
+    return it == m_reservations.end() ? nullptr : &it->second;
+}
+
+std::optional<std::uint32_t> WorkerTable::zone(const ZoneId& id) const
+{
+    const auto it = m_zoneIndexes.find(id);
+    return it == m_zoneIndexes.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::optional<std::size_t> WorkerTable::findInZone(std::uint32_t zone, std::size_t start, const Resources& size) const
+{
+    return m_zones[zone].tree.find(start, size);
+}
+
+std::uint64_t WorkerTable::fleetHolds(const Resources& size, std::uint64_t limit) const
+{
+    std::uint64_t n = 0;
+    for (const auto& [capacity, count] : m_sizes) {
+        if (count > 0)
+            n += tasksThatFit(size, capacity, limit) * static_cast<std::uint64_t>(count);
+        if (n >= limit)
+            return limit;
+    }
+    return n;
+}
+
+void WorkerTable::refresh(WorkerSlot slot)
+{
+    const WorkerEntry& entry = m_workers[slot];
+    FreeCapacityTree& tree = m_zones[entry.zone].tree;
+    if (entry.placeable())
+        tree.set(entry.zonePosition, entry.free());
+    else
+        tree.exclude(entry.zonePosition);
+}
+
+void WorkerTable::countCapacity(WorkerSlot slot, int sign)
+{
+    const WorkerEntry& entry = m_workers[slot];
+    if (!entry.available || entry.description.leaving)
+        return;
+    const Resources& capacity = entry.description.capacity;
+    m_total += capacity * sign;
+    auto it = std::find_if(m_sizes.begin(), m_sizes.end(), [&](const auto& e) { return e.first == capacity; });
+    if (it == m_sizes.end())
+        it = m_sizes.insert(m_sizes.end(), { capacity, 0 });
+    it->second += sign;
+    if (it->second == 0)
+        m_sizes.erase(it);
+}
+
+std::uint32_t WorkerTable::zoneIndex(const ZoneId& id)
+{
+    const auto [it, added] = m_zoneIndexes.try_emplace(id, static_cast<std::uint32_t>(m_zones.size()));
+    if (added)
+        m_zones.emplace_back();
+    return it->second;
+}
+
+} // namespace lycheeledge
