--- /dev/null
+++ b/src/lycheeledge/coordination/OwnershipView.h
@@ -0,0 +1,33 @@
+// What a member knows when it decides whether to own a cell.
+#pragma once
+
+#include "EpochRecord.h"
+#include "Store.h"
+
+#include <optional>
+#include <vector>
+
+namespace lycheeledge {
+
+/** @brief View of the membership and of a cell's owner. It may lag behind the store and the other members. */
+class OwnershipView {
+public:
+    virtual ~OwnershipView() = default;
+
+    /** @brief Members whose leases are live, in any order. */
+    virtual std::vector<MemberId> liveMembers() const = 0;
+    /** @brief The epoch record as last read, or none if the cell never had an owner. */
+    virtual std::optional<EpochRecord> epochRecord(const CellId& cell) const = 0;
+    /** @brief Whether the owner's lease record existed at the last read. */
+    virtual bool ownerLeaseExists(const CellId& cell) const = 0;
+    /** @brief Whether another member claimed by gossip, recently, to be the active owner of the cell. */
+    virtual bool isClaimedByAnother(const CellId& cell) const = 0;
+    /** @brief Store lease of this member, or none while it has no live one. */
+    virtual std::optional<StoreLeaseId> storeLease() const = 0;
+    virtual MemberId self() const = 0;
+    virtual std::uint64_t incarnation() const = 0;
+    /** @brief Address at which other members reach this one. */
+    virtual Address address() const = 0;
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/coordination/StoreJournal.cpp
@@ -0,0 +1,315 @@
+// The job journal of a cell, kept in the platform's store.
+
+#include "StoreJournal.h"
+
+#include "JournalIndex.h"
+
+#include <absl/strings/str_cat.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace lycheeledge {
+
+StoreJournal::StoreJournal(Runtime& runtime, Store& store, const JournalCodec& codec, CellId cell,
+    Revision epochRevision, StoreJournalSettings settings)
+    : m_runtime(runtime)
+    , m_store(store)
+    , m_codec(codec)
+    , m_prefix(absl::StrCat("j/", cell.value(), "/"))
+    , m_indexKey(m_prefix + "index")
+    , m_epochKey(absl::StrCat("o/", cell.value(), "/epoch"))
+    , m_epochRevision(epochRevision)
+    , m_settings(settings)
+    , m_self(std::make_shared<StoreJournal*>(this))
+{
+}
+
+StoreJournal::~StoreJournal() = default;
+
+std::string StoreJournal::keyOf(std::uint64_t sequence) const
+{
+    return absl::StrCat(m_prefix, absl::Hex(sequence, absl::kZeroPad16));
+}
+
+std::function<void()> StoreJournal::guarded(std::function<void()> task)
+{
+    return [self = std::weak_ptr<StoreJournal*>(m_self), task = std::move(task)] {
+        if (!self.expired())
+            task();
+    };
+}
+
+void StoreJournal::retryLater(std::function<void()> task)
+{
+    m_runtime.after(m_settings.retryDelay, guarded(std::move(task)));
+}
+
+bool StoreJournal::epochChanged(const std::vector<StoreEntry>& epochRange) const
+{
+    return epochRange.empty() || epochRange.front().modRevision != m_epochRevision;
+}
+
+// Loading
+
+void StoreJournal::load(LoadCallback done)
+{
+    m_loaded = std::move(done);
+    std::vector<StoreRange> ranges { { m_epochKey, 0, true }, { m_indexKey, 0, true } };
+    m_store.read(
+        std::move(ranges), [this, self = std::weak_ptr<StoreJournal*>(m_self)](absl::StatusOr<StoreSnapshot> snapshot) {
+            if (self.expired())
+                return;
+            if (snapshot.ok())
+                readIndex(*snapshot);
+            else
+                retryLater([this] { load(std::move(m_loaded)); });
+        });
+}
+
+void StoreJournal::readIndex(const StoreSnapshot& snapshot)
+{
+    if (epochChanged(snapshot.ranges.at(0)))
+        return finishLoad(absl::AbortedError("another owner has taken over the cell"));
+    if (!snapshot.ranges.at(1).empty()) {
+        const StoreEntry& entry = snapshot.ranges[1].front();
+        auto index = decodeJournalIndex(entry.value);
+        if (!index.ok())
+            return finishLoad(absl::DataLossError(index.status().message()));
+        m_toLoad = *std::move(index);
+        m_indexRevision = entry.modRevision;
+    }
+    loadNext();
+}
+
+void StoreJournal::loadNext()
+{
+    if (m_toLoad.empty())
+        return finishLoad(absl::OkStatus());
+    std::vector<std::uint64_t> sequences;
+    std::vector<StoreRange> ranges { { m_epochKey, 0, true } };
+    for (auto it = m_toLoad.begin(); it != m_toLoad.end() && sequences.size() < m_settings.valuesPerRead; ++it) {
+        sequences.push_back(*it);
+        ranges.push_back({ keyOf(*it), 0, true });
+    }
+    m_store.read(std::move(ranges),
+        [this, self = std::weak_ptr<StoreJournal*>(m_self), sequences](absl::StatusOr<StoreSnapshot> snapshot) {
+            if (self.expired())
+                return;
+            if (snapshot.ok())
+                readValues(sequences, *snapshot);
+            else
+                retryLater([this] { loadNext(); });
+        });
+}
+
+void StoreJournal::readValues(const std::vector<std::uint64_t>& sequences, const StoreSnapshot& snapshot)
+{
+    if (epochChanged(snapshot.ranges.at(0)))
+        return finishLoad(absl::AbortedError("another owner has taken over the cell"));
+    for (std::size_t i = 0; i < sequences.size(); ++i) {
+        const auto& range = snapshot.ranges.at(i + 1);
+        if (range.empty())
+            return finishLoad(absl::DataLossError(absl::StrCat("journal value ", sequences[i], " is missing")));
+        auto records = m_codec.decode(range.front().value);
+        if (!records.ok())
+            return finishLoad(
+                absl::DataLossError(absl::StrCat("journal value ", sequences[i], ": ", records.status().message())));
+        m_values[sequences[i]] = { *std::move(records), m_runtime.now() };
+        m_toLoad.erase(sequences[i]);
+    }
+    loadNext();
+}
+
+void StoreJournal::finishLoad(absl::Status status)
+{
+    const LoadCallback done = std::move(m_loaded);
+    if (!status.ok()) {
+        LOG(ERROR) << "[journal] cannot load: " << status;
+        abort();
+        return done(std::move(status));
+    }
+    std::vector<JournalRecord> records;
+    for (const auto& [sequence, value] : m_values)
+        records.insert(records.end(), value.records.begin(), value.records.end());
+    if (!m_values.empty())
+        m_nextSequence = m_values.rbegin()->first + 1;
+    LOG(INFO) << "[journal] loaded " << records.size() << " records from " << m_values.size() << " values";
+    done(std::move(records));
+}
+
+// Appending
+
+void StoreJournal::append(JournalRecord record, std::function<void(absl::Status)> done)
+{
+    const std::size_t bytes = m_codec.encode({ record }).size();
+    if (m_aborted || bytes > m_settings.maxRecordBytes) {
+        absl::Status status = m_aborted ? absl::AbortedError("this process no longer owns the cell")
+                                        : absl::ResourceExhaustedError("record exceeds the size of a journal value");
+        m_runtime.post([done = std::move(done), status = std::move(status)] { done(status); });
+        return;
+    }
+    m_queue.push_back({ std::move(record), bytes, std::move(done) });
+    scheduleWrite();
+}
+
+void StoreJournal::abort()
+{
+    if (m_aborted)
+        return;
+    m_aborted = true;
+    std::vector<PendingRecord> pending;
+    if (m_step)
+        std::move(m_step->batch.begin(), m_step->batch.end(), std::back_inserter(pending));
+    m_step.reset();
+    std::move(m_queue.begin(), m_queue.end(), std::back_inserter(pending));
+    m_queue.clear();
+    for (auto& record : pending)
+        m_runtime.post(
+            [done = std::move(record.done)] { done(absl::AbortedError("this process no longer owns the cell")); });
+}
+
+void StoreJournal::scheduleWrite()
+{
+    if (m_step || m_writeScheduled || m_aborted)
+        return;
+    m_writeScheduled = true;
+    Duration delay {};
+    if (m_lastWrite)
+        delay = std::max(delay, *m_lastWrite + m_settings.interval - m_runtime.now());
+    auto task = guarded([this] {
+        m_writeScheduled = false;
+        write();
+    });
+    // Even without a delay the write is posted, so that all records of one event share a batch.
+    if (delay > Duration::zero())
+        m_runtime.after(delay, std::move(task));
+    else
+        m_runtime.post(std::move(task));
+}
+
+void StoreJournal::write()
+{
+    if (m_step || m_aborted)
+        return;
+    m_lastWrite = m_runtime.now();
+    if (compact())
+        return commitStep();
+    if (m_queue.empty())
+        return;
+    std::vector<PendingRecord> batch;
+    Value value { {}, m_runtime.now() };
+    std::size_t bytes = 0;
+    while (!m_queue.empty() && (batch.empty() || bytes + m_queue.front().bytes <= m_settings.maxValueBytes)) {
+        bytes += m_queue.front().bytes;
+        value.records.push_back(m_queue.front().record);
+        batch.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    const std::uint64_t sequence = m_nextSequence++;
+    m_step = makeStep({ { sequence, std::move(value) } }, {});
+    m_step->transaction.conditions.push_back({ keyOf(sequence), 0 });
+    m_step->proofKey = keyOf(sequence);
+    m_step->proofValue = m_step->transaction.puts.front().value;
+    m_step->batch = std::move(batch);
+    commitStep();
+}
+
+StoreJournal::Step StoreJournal::makeStep(std::map<std::uint64_t, Value> added, std::vector<std::uint64_t> removed)
+{
+    Step step;
+    step.transaction.conditions = { { m_epochKey, m_epochRevision }, { m_indexKey, m_indexRevision } };
+    std::set<std::uint64_t> index;
+    for (const auto& [sequence, value] : m_values)
+        index.insert(sequence);
+    for (const std::uint64_t sequence : removed) {
+        index.erase(sequence);
+        if (!added.contains(sequence))
+            step.transaction.erases.push_back(keyOf(sequence));
+    }
+    for (const auto& [sequence, value] : added) {
+        index.insert(sequence);
+        step.transaction.puts.push_back({ keyOf(sequence), m_codec.encode(value.records), std::nullopt });
+    }
+    step.transaction.puts.push_back({ m_indexKey, encodeJournalIndex(index), std::nullopt });
+    step.added = std::move(added);
+    step.removed = std::move(removed);
+    return step;
+}
+
+bool StoreJournal::compact() { return false; }
+
+void StoreJournal::commitStep()
+{
+    if (m_aborted)
+        return;
+    m_store.commit(
+        m_step->transaction, [this, self = std::weak_ptr<StoreJournal*>(m_self)](absl::StatusOr<StoreCommit> result) {
+            if (!self.expired())
+                committed(result);
+        });
+}
+
+void StoreJournal::committed(const absl::StatusOr<StoreCommit>& result)
+{
+    if (m_aborted)
+        return;
+    if (result.ok() && result->applied)
+        finishStep(result->revision);
+    else if (absl::IsUnavailable(result.status()))
+        retryLater([this] { commitStep(); });
+    else
+        // Refused conditions may also mean that an earlier sending, whose answer was lost, was applied.
+        resolveStep();
+}
+
+void StoreJournal::resolveStep()
+{
+    if (m_aborted)
+        return;
+    std::vector<StoreRange> ranges { { m_epochKey, 0, true }, { m_step->proofKey, 0, true } };
+    m_store.read(
+        std::move(ranges), [this, self = std::weak_ptr<StoreJournal*>(m_self)](absl::StatusOr<StoreSnapshot> snapshot) {
+            if (self.expired() || m_aborted)
+                return;
+            if (snapshot.ok())
+                resolved(*snapshot);
+            else
+                retryLater([this] { resolveStep(); });
+        });
+}
+
+void StoreJournal::resolved(const StoreSnapshot& snapshot)
+{
+    const auto& proof = snapshot.ranges.at(1);
+    if (!proof.empty() && proof.front().value == m_step->proofValue)
+        return finishStep(proof.front().modRevision);
+    if (epochChanged(snapshot.ranges.at(0))) {
+        LOG(WARNING) << "[journal] another owner has taken over the cell";
+        return abort();
+    }
+    retryLater([this] { commitStep(); });
+}
+
+void StoreJournal::finishStep(Revision revision)
+{
+    Step step = *std::move(m_step);
+    m_step.reset();
+    m_indexRevision = revision;
+    for (const std::uint64_t sequence : step.removed)
+        m_values.erase(sequence);
+    for (auto& [sequence, value] : step.added)
+        m_values[sequence] = std::move(value);
+    const std::weak_ptr<StoreJournal*> self = m_self;
+    for (auto& record : step.batch) {
+        record.done(absl::OkStatus());
+        if (self.expired())
+            return;
+    }
+    if (!m_queue.empty())
+        scheduleWrite();
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/test/support/FakeWorkerGateway.h
@@ -0,0 +1,140 @@
+// Connections of one process to fake workers, with injectable faults.
+#pragma once
+
+#include "FakeWorker.h"
+
+#include <lycheeledge/coordination/VmDirectory.h>
+#include <lycheeledge/coordination/WorkerGateway.h>
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace lycheeledge::test {
+
+/** @brief The workers of a simulated deployment, and the platform's list of them. */
+struct FakeFleet {
+    std::map<VmId, std::unique_ptr<FakeWorker>> workers;
+    std::set<VmId> unlisted; ///< missing from the platform's list
+
+    FakeWorker& add(Runtime& runtime, const std::string& id, TaskObserver* observer = nullptr)
+    {
+        WorkerDescription description;
+        description.id = VmId(id);
+        description.zone = ZoneId("z1");
+        description.capacity = { 32000, 128000, 0, 8, 64 };
+        return *(workers[VmId(id)] = std::make_unique<FakeWorker>(runtime, description, observer));
+    }
+    FakeWorker& at(const std::string& id) { return *workers.at(VmId(id)); }
+};
+
+class FakeDirectory final : public VmDirectory {
+public:
+    FakeDirectory(Runtime& process, FakeFleet& fleet)
+        : m_process(process)
+        , m_fleet(fleet)
+    {
+    }
+
+    void list(Callback done) override
+    {
+        std::vector<WorkerDescription> listed;
+        for (const auto& [id, worker] : m_fleet.workers) {
+            if (!m_fleet.unlisted.contains(id))
+                listed.push_back(worker->description());
+        }
+        m_process.after(std::chrono::milliseconds(2), [done, listed] { done(listed); });
+    }
+
+private:
+    Runtime& m_process;
+    FakeFleet& m_fleet;
+};
+
+/** @brief State of the connection to one worker. */
+struct FakeLink {
+    bool isCut = false; ///< nothing arrives at the worker
+    bool losesAnswers = false; ///< requests arrive, answers do not
+    Duration delay = std::chrono::milliseconds(1); ///< one way
+    Duration startDelay {}; ///< in addition, for start commands
+};
+
+class FakeWorkerGateway final : public WorkerGateway {
+public:
+    FakeWorkerGateway(Runtime& network, Runtime& process, FakeFleet& fleet)
+        : m_network(network)
+        , m_process(process)
+        , m_fleet(fleet)
+    {
+    }
+
+    FakeLink& link(const std::string& worker) { return m_links[VmId(worker)]; }
+    int leaseRequests = 0;
+    int startsSent = 0;
+
+    void lease(const WorkerDescription& worker, LeaseRequest request,
+        std::function<void(absl::StatusOr<LeaseReport>)> done) override
+    {
+        ++leaseRequests;
+        call<absl::StatusOr<LeaseReport>>(
+            worker.id, {}, std::chrono::seconds(2), [request](FakeWorker& it) { return it.lease(request); },
+            absl::UnavailableError("unreachable"), absl::DeadlineExceededError("no answer"), std::move(done));
+    }
+
+    void start(const WorkerDescription& worker, StartCommand command,
+        std::function<void(CommandOutcome, std::string message)> done) override
+    {
+        ++startsSent;
+        call<CommandOutcome>(
+            worker.id, m_links[worker.id].startDelay, std::chrono::seconds(2),
+            [command](FakeWorker& it) { return it.start(command); }, CommandOutcome::NotDelivered,
+            CommandOutcome::Unknown, [done](CommandOutcome outcome) { done(outcome, ""); });
+    }
+
+    void act(const WorkerDescription& worker, TaskAction action, const TaskId& task, Epoch epoch,
+        const std::string& session, std::function<void(CommandOutcome, std::string message)> done) override
+    {
+        call<CommandOutcome>(
+            worker.id, {}, std::chrono::seconds(2),
+            [action, task, epoch, session](FakeWorker& it) { return it.act(action, task, epoch, session); },
+            CommandOutcome::NotDelivered, CommandOutcome::Unknown,
+            [done](CommandOutcome outcome) { done(outcome, ""); });
+    }
+
+    void events(const WorkerDescription& worker, Epoch /*epoch*/, const std::string& session, std::uint64_t after,
+        Duration /*wait*/, std::function<void(absl::StatusOr<WorkerEvents>)> done) override
+    {
+        call<absl::StatusOr<WorkerEvents>>(
+            worker.id, {}, std::chrono::seconds(2),
+            [after, session](FakeWorker& it) {
+                return it.session() == session ? it.events(after) : WorkerEvents { {}, after };
+            },
+            absl::UnavailableError("unreachable"), absl::DeadlineExceededError("no answer"), std::move(done));
+    }
+
+private:
+    template <typename T>
+    void call(const VmId& id, Duration extra, Duration timeout, std::function<T(FakeWorker&)> run, T undelivered,
+        T unanswered, std::function<void(T)> done)
+    {
+        const FakeLink& link = m_links[id];
+        const auto worker = m_fleet.workers.find(id);
+        if (link.isCut || worker == m_fleet.workers.end())
+            return void(m_process.after(link.delay, [done, undelivered] { done(undelivered); }));
+        const bool answers = !link.losesAnswers && 2 * link.delay + extra < timeout;
+        m_network.after(link.delay + extra, [this, id, run, answers, done, back = link.delay] {
+            const T result = run(*m_fleet.workers.at(id));
+            if (answers)
+                m_process.after(back, [done, result] { done(result); });
+        });
+        if (!answers)
+            m_process.after(timeout, [done, unanswered] { done(unanswered); });
+    }
+
+    Runtime& m_network;
+    Runtime& m_process;
+    FakeFleet& m_fleet;
+    std::map<VmId, FakeLink> m_links;
+};
+
+} // namespace lycheeledge::test
