Add the command line lycheectl and the load client

lycheectl builds the parameters of every call from flags, guided by the schema, so a method added to the schema needs no code here unless it has a parameter of a new name. It repeats an unanswered call at the next address: changes carry an idempotency key (generated and printed before the call if none is given), work carries its identity and counts its attempts.

load_client offers a plan drawn from a seed without waiting for answers, because a closed loop hides overload. The body of a request's answer is a function of the seed in its payload, so an answer that belongs to another request is found even if length and digest are right. After the run it reads the workers' history and fails on lost, doubled, wrong or overlapping work and on a "not run" that was not true. Both the one-page form of the history and the form of the worker stand-in are read.

Ruled out: std::exponential_distribution and the like, because their draws differ between standard libraries and the plan would not be the same everywhere.

--- /dev/null
+++ b/apps/CtlRequest.h
@@ -0,0 +1,154 @@
+// Builds the parameters of a call from the flags, guided by the schema.
+#pragma once
+
+#include "CtlFlags.h"
+
+#include <lycheeledge/protocol/ApiSchema.h>
+#include <lycheeledge/protocol/JsonObject.h>
+
+#include <absl/strings/escaping.h>
+#include <openssl/rand.h>
+#include <rapidjson/document.h>
+
+#include <array>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheeledge::ctl {
+
+/** @brief Random text of 32 hexadecimal digits. */
+inline std::string randomText()
+{
+    std::array<unsigned char, 16> buf {};
+    if (RAND_bytes(buf.data(), static_cast<int>(buf.size())) != 1)
+        return {};
+    return absl::BytesToHexString({ reinterpret_cast<const char*>(buf.data()), buf.size() });
+}
+
+/** @brief A command as given by its words, for example `team set` or `explain JOB`. */
+struct Command {
+    std::string method; ///< of the schema
+    std::string job; ///< request id given as a word
+    bool explain = false; ///< print only the reason
+
+    bool operator==(const Command&) const = default;
+};
+
+/** @brief Interprets the words of the command line. @return nothing if there is no such command. */
+inline std::optional<Command> parseCommand(const std::vector<std::string>& words, const ApiSchema& schema)
+{
+    if (words.empty())
+        return std::nullopt;
+    std::vector<std::string> rest(words);
+    const bool isShort = words[0] == "submit" || words[0] == "status" || words[0] == "cancel" || words[0] == "explain";
+    if (isShort)
+        rest.insert(rest.begin(), "work");
+    if (rest.size() < 2 || rest.size() > 3)
+        return std::nullopt;
+    Command command { rest[0] + "." + rest[1], rest.size() == 3 ? rest[2] : std::string(), false };
+    if (command.method == "work.explain") {
+        command.method = "work.status";
+        command.explain = true;
+    }
+    const bool takesJob = command.method == "work.status" || command.method == "work.cancel";
+    if (!schema.hasMethod(command.method) || (!command.job.empty() && !takesJob))
+        return std::nullopt;
+    return command;
+}
+
+/** @brief Collects the parameters of one call and notes which flags were used. */
+class ParamsBuilder {
+public:
+    explicit ParamsBuilder(const rapidjson::Value& method)
+        : m_method(method)
+    {
+        m_params.SetObject();
+    }
+
+    /** @brief Sets a parameter that is not taken from a flag. */
+    void set(const char* name, const std::string& text)
+    {
+        auto& allocator = m_params.GetAllocator();
+        if (m_params.HasMember(name))
+            m_params[name].SetString(text.c_str(), allocator);
+        else
+            m_params.AddMember(rapidjson::Value(name, allocator), rapidjson::Value(text.c_str(), allocator), allocator);
+    }
+
+    /** @brief Takes all parameters of the method whose flags were given. */
+    void takeFlags()
+    {
+        for (const auto& param : m_method["params"].GetArray()) {
+            const std::string name = param["name"].GetString();
+            if (name == "size")
+                takeAmounts(name, "");
+            else if (name == "upperLimit")
+                takeAmounts(name, "limit_");
+            else
+                takeFlag(m_params, name, flagName(name));
+        }
+    }
+
+    bool hasParameter(std::string_view name) const
+    {
+        for (const auto& param : m_method["params"].GetArray()) {
+            if (name == param["name"].GetString())
+                return true;
+        }
+        return false;
+    }
+
+    /** @brief Flags that were given although the method has no such parameter. */
+    std::vector<std::string> unusedFlags() const
+    {
+        static const std::set<std::string> general { "server", "key", "json", "timeout_ms", "call_timeout_ms" };
+        std::vector<std::string> unused;
+        for (const auto& flag : ctlFlags()) {
+            if (!flag.is_default && !general.contains(flag.name) && !m_used.contains(flag.name))
+                unused.push_back(flag.name);
+        }
+        return unused;
+    }
+
+    rapidjson::Document take() { return std::move(m_params); }
+
+private:
+    // The amounts of a size are given as flags of their own.
+    void takeAmounts(const std::string& name, const std::string& prefix)
+    {
+        rapidjson::Value amounts(rapidjson::kObjectType);
+        for (const std::string amount : { "cpu", "memoryMb", "accelerators", "slots", "connections" })
+            takeFlag(amounts, amount, prefix + flagName(amount));
+        auto& allocator = m_params.GetAllocator();
+        if (!amounts.ObjectEmpty())
+            m_params.AddMember(rapidjson::Value(name.c_str(), allocator), amounts, allocator);
+    }
+
+    void takeFlag(rapidjson::Value& object, const std::string& name, const std::string& flag)
+    {
+        gflags::CommandLineFlagInfo info;
+        if (!gflags::GetCommandLineFlagInfo(flag.c_str(), &info) || info.is_default)
+            return;
+        m_used.insert(flag);
+        auto& allocator = m_params.GetAllocator();
+        rapidjson::Value value;
+        if (info.type == "bool")
+            value.SetBool(info.current_value == "true");
+        else if (info.type == "int64")
+            value.SetInt64(std::stoll(info.current_value));
+        else if (info.type == "double")
+            value.SetDouble(std::stod(info.current_value));
+        else
+            value.SetString(info.current_value.c_str(), allocator);
+        object.AddMember(rapidjson::Value(name.c_str(), allocator), value, allocator);
+    }
+
+    const rapidjson::Value& m_method;
+    rapidjson::Document m_params;
+    std::set<std::string> m_used;
+};
+
+} // namespace lycheeledge::ctl
--- a/src/lycheeledge/daemon/Settings.cpp
+++ b/src/lycheeledge/daemon/Settings.cpp
@@ -2,7 +2,7 @@
 
 #include "Settings.h"
 
-#include "../protocol/JsonFields.h"
+#include "../protocol/JsonObject.h"
 #include "../protocol/JsonSchema.h"
 #include "JsonLines.h"
 #include "SettingsSchemaText.h"
--- a/src/lycheeledge/protocol/ApiCodec.cpp
+++ b/src/lycheeledge/protocol/ApiCodec.cpp
@@ -3,7 +3,7 @@
 #include "ApiCodec.h"
 
 #include "../transport/Hmac.h"
-#include "JsonFields.h"
+#include "JsonObject.h"
 
 #include <absl/strings/escaping.h>
 #include <fmt/format.h>
@@ -15,7 +15,7 @@
 
 namespace {
 
-    using detail::JsonWriter;
+    using detail::JsonBuilder;
 
     constexpr std::array<std::pair<WorkKind, std::string_view>, 3> kindNames { {
         { WorkKind::Request, "request" },
@@ -55,9 +55,9 @@
             detail::integer(value, "connections", 0) };
     }
 
-    void write(JsonWriter& writer, const Resources& amounts)
+    void write(JsonBuilder& builder, const Resources& amounts)
     {
-        writer.begin()
+        builder.begin()
             .field("cpu", amounts.milliCpu)
             .field("memoryMb", amounts.memoryMb)
             .field("accelerators", amounts.accelerators)
@@ -171,27 +171,27 @@
 
 std::string encodeWorkSpec(const WorkSpec& spec)
 {
-    JsonWriter writer;
-    writer.begin().field("team", spec.id.team.value()).field("requestId", spec.id.request.value());
+    JsonBuilder builder;
+    builder.begin().field("team", spec.id.team.value()).field("requestId", spec.id.request.value());
     if (!spec.queue.empty())
-        writer.field("queue", spec.queue.value());
-    writer.field("kind", toString(spec.kind)).key("size");
-    write(writer, spec.perTask);
-    writer.field("tasks", spec.taskCount)
+        builder.field("queue", spec.queue.value());
+    builder.field("kind", toString(spec.kind)).key("size");
+    write(builder, spec.perTask);
+    builder.field("tasks", spec.taskCount)
         .field("allTogether", spec.allTogether)
         .field("repeatable", spec.repeatable)
         .field("urgent", spec.urgent)
         .field("deadlineMs", toMilliseconds(spec.deadline))
         .field("expectedRunMs", toMilliseconds(spec.declaredRunTime));
     if (!spec.preferredZone.empty())
-        writer.field("zone", spec.preferredZone.value());
-    return writer.field("attempt", spec.attempt).field("payload", spec.payload).end().text();
+        builder.field("zone", spec.preferredZone.value());
+    return builder.field("attempt", spec.attempt).field("payload", spec.payload).end().text();
 }
 
 std::string encodeWorkResult(const WorkResult& result)
 {
     const bool isText = detail::isUtf8(result.body);
-    return JsonWriter()
+    return JsonBuilder()
         .begin()
         .field("team", result.id.team.value())
         .field("requestId", result.id.request.value())
@@ -227,7 +227,7 @@
 
 std::string encodeWorkStatus(const WorkStatus& status)
 {
-    return JsonWriter()
+    return JsonBuilder()
         .begin()
         .field("team", status.id.team.value())
         .field("requestId", status.id.request.value())
@@ -260,7 +260,7 @@
     waitingFor.reserve(change.waitingFor.size());
     for (const auto& member : change.waitingFor)
         waitingFor.push_back(detail::quoted(member.value()));
-    return JsonWriter()
+    return JsonBuilder()
         .begin()
         .field("version", change.version)
         .field("inForce", change.inForce)
@@ -271,22 +271,22 @@
 
 std::string encodeTeam(const Team& team, Revision version)
 {
-    JsonWriter writer;
-    writer.begin().field("id", team.id.value()).field("share", team.share);
+    JsonBuilder builder;
+    builder.begin().field("id", team.id.value()).field("share", team.share);
     if (team.upperLimit) {
-        writer.key("upperLimit");
-        write(writer, *team.upperLimit);
+        builder.key("upperLimit");
+        write(builder, *team.upperLimit);
     }
-    return writer.field("maxRunningTasks", team.maxRunningTasks).field("version", version).end().text();
+    return builder.field("maxRunningTasks", team.maxRunningTasks).field("version", version).end().text();
 }
 
 std::string encodeKey(const Key& key, Revision version)
 {
-    JsonWriter writer;
-    writer.begin().field("id", key.id.value());
+    JsonBuilder builder;
+    builder.begin().field("id", key.id.value());
     if (!key.team.empty())
-        writer.field("team", key.team.value());
-    return writer.field("role", toString(key.role))
+        builder.field("team", key.team.value());
+    return builder.field("role", toString(key.role))
         .field("withdrawn", key.withdrawn)
         .field("version", version)
         .end()
@@ -295,7 +295,7 @@
 
 std::string encodeQueue(const Queue& queue, Revision version)
 {
-    return JsonWriter()
+    return JsonBuilder()
         .begin()
         .field("id", queue.id.value())
         .field("team", queue.team.value())
@@ -307,7 +307,7 @@
 
 std::string encodePolicy(const KindPolicy& policy, Revision version)
 {
-    return JsonWriter()
+    return JsonBuilder()
         .begin()
         .field("kind", toString(policy.kind))
         .field("maxAttempts", policy.maxAttempts)
@@ -320,7 +320,7 @@
 
 std::string encodeVm(const VmId& vm, bool drained, Revision version)
 {
-    return JsonWriter()
+    return JsonBuilder()
         .begin()
         .field("id", vm.value())
         .field("drained", drained)
--- a/src/lycheeledge/protocol/JsonFields.h
+++ b/src/lycheeledge/protocol/JsonObject.h
@@ -61,69 +61,69 @@
 }
 
 /** @brief Writes JSON objects field by field. */
-class JsonWriter {
+class JsonBuilder {
 public:
-    JsonWriter()
+    JsonBuilder()
         : m_writer(m_buffer)
     {
     }
-    JsonWriter(const JsonWriter&) = delete;
-    JsonWriter& operator=(const JsonWriter&) = delete;
+    JsonBuilder(const JsonBuilder&) = delete;
+    JsonBuilder& operator=(const JsonBuilder&) = delete;
 
-    JsonWriter& begin()
+    JsonBuilder& begin()
     {
         m_writer.StartObject();
         return *this;
     }
-    JsonWriter& end()
+    JsonBuilder& end()
     {
         m_writer.EndObject();
         return *this;
     }
-    JsonWriter& beginArray()
+    JsonBuilder& beginArray()
     {
         m_writer.StartArray();
         return *this;
     }
-    JsonWriter& endArray()
+    JsonBuilder& endArray()
     {
         m_writer.EndArray();
         return *this;
     }
-    JsonWriter& key(std::string_view name)
+    JsonBuilder& key(std::string_view name)
     {
         m_writer.Key(name.data(), static_cast<rapidjson::SizeType>(name.size()));
         return *this;
     }
-    JsonWriter& value(std::string_view text)
+    JsonBuilder& value(std::string_view text)
     {
         m_writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
         return *this;
     }
-    JsonWriter& value(const char* text) { return value(std::string_view(text)); }
-    JsonWriter& value(const std::string& text) { return value(std::string_view(text)); }
-    JsonWriter& value(std::same_as<bool> auto flag)
+    JsonBuilder& value(const char* text) { return value(std::string_view(text)); }
+    JsonBuilder& value(const std::string& text) { return value(std::string_view(text)); }
+    JsonBuilder& value(std::same_as<bool> auto flag)
     {
         m_writer.Bool(flag);
         return *this;
     }
     template <std::integral Integer>
-    requires(!std::same_as<Integer, bool>) JsonWriter& value(Integer n)
+    requires(!std::same_as<Integer, bool>) JsonBuilder& value(Integer n)
     {
         m_writer.Int64(static_cast<std::int64_t>(n));
         return *this;
     }
-    JsonWriter& value(double n)
+    JsonBuilder& value(double n)
     {
         m_writer.Double(n);
         return *this;
     }
-    template <typename T> JsonWriter& field(std::string_view name, const T& content)
+    template <typename T> JsonBuilder& field(std::string_view name, const T& content)
     {
         return key(name).value(content);
     }
     /** @brief Appends a field whose value is JSON text. */
-    JsonWriter& raw(std::string_view name, std::string_view json)
+    JsonBuilder& raw(std::string_view name, std::string_view json)
     {
         key(name);
         m_writer.RawValue(json.data(), json.size(), rapidjson::kObjectType);
@@ -137,6 +137,6 @@
 };
 
 /** @brief JSON text of a string. */
-inline std::string quoted(std::string_view text) { return JsonWriter().value(text).text(); }
+inline std::string quoted(std::string_view text) { return JsonBuilder().value(text).text(); }
 
 } // namespace lycheeledge::detail
--- a/src/lycheeledge/protocol/JsonRpc.cpp
+++ b/src/lycheeledge/protocol/JsonRpc.cpp
@@ -2,6 +2,8 @@
 
 #include "JsonRpc.h"
 
+#include "JsonObject.h"
+
 #include <fmt/format.h>
 #include <rapidjson/error/en.h>
 #include <rapidjson/stringbuffer.h>
@@ -29,24 +31,11 @@
         return { std::move(id), code, { kind, std::move(message), "", RunState::NotRun } };
     }
 
-    const rapidjson::Value* member(const rapidjson::Value& object, const char* name)
-    {
-        const auto it = object.FindMember(name);
-        return it == object.MemberEnd() ? nullptr : &it->value;
-    }
-
-    std::string stringMember(const rapidjson::Value& object, const char* name)
-    {
-        const auto* value = member(object, name);
-        return value != nullptr && value->IsString() ? std::string(value->GetString(), value->GetStringLength())
-                                                     : std::string();
-    }
-
-    bool isVersion2(const rapidjson::Value& root) { return stringMember(root, "jsonrpc") == "2.0"; }
+    bool isVersion2(const rapidjson::Value& root) { return detail::string(root, "jsonrpc") == "2.0"; }
 
     std::optional<std::string> readId(const rapidjson::Value& root)
     {
-        const auto* id = member(root, "id");
+        const auto* id = detail::member(root, "id");
         if (id == nullptr || !(id->IsString() || id->IsInt64() || id->IsUint64()))
             return std::nullopt;
         if (id->IsString() && id->GetStringLength() > maxIdLength)
@@ -81,7 +70,7 @@
             return invalid("'jsonrpc' must be \"2.0\"");
         if (const auto name = unknownMember(document))
             return invalid(fmt::format("'{}' is an unknown field of a request", *name));
-        RpcRequest request { *id, stringMember(document, "method"), {} };
+        RpcRequest request { *id, detail::string(document, "method"), {} };
         if (request.method.empty())
             return invalid("'method' must be a string");
         const auto it = document.FindMember("params");
@@ -100,12 +89,12 @@
 
     ApiError readError(const rapidjson::Value& error)
     {
-        ApiError result { ErrorKind::Internal, stringMember(error, "message"), "", RunState::Unknown };
-        const auto* data = member(error, "data");
+        ApiError result { ErrorKind::Internal, detail::string(error, "message"), "", RunState::Unknown };
+        const auto* data = detail::member(error, "data");
         if (data != nullptr && data->IsObject()) {
-            result.kind = errorKindFromString(stringMember(*data, "kind"));
-            result.field = stringMember(*data, "field");
-            result.run = runStateFromString(stringMember(*data, "run"));
+            result.kind = errorKindFromString(detail::string(*data, "kind"));
+            result.field = detail::string(*data, "field");
+            result.run = runStateFromString(detail::string(*data, "run"));
         }
         return result;
     }
@@ -115,16 +104,6 @@
         return { "null", ApiError { ErrorKind::Truncated, std::move(message), "", RunState::Unknown } };
     }
 
-    void writeString(rapidjson::Writer<rapidjson::StringBuffer>& writer, std::string_view text)
-    {
-        writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
-    }
-
-    void writeRaw(rapidjson::Writer<rapidjson::StringBuffer>& writer, std::string_view json)
-    {
-        writer.RawValue(json.data(), json.size(), rapidjson::kObjectType);
-    }
-
 } // namespace
 
 std::variant<RpcRequest, RpcFailure> parseRpcRequest(std::string_view body, std::size_t maxBytes)
@@ -151,7 +130,7 @@
     if (document.HasParseError() || !document.IsObject() || !isVersion2(document))
         return unreadable("the answer is no JSON-RPC response");
     const auto id = readId(document);
-    const auto* error = member(document, "error");
+    const auto* error = detail::member(document, "error");
     if (error != nullptr && error->IsObject())
         return { id.value_or("null"), readError(*error) };
     const auto it = document.FindMember("result");
@@ -174,31 +153,15 @@
 
 std::string writeRpcError(std::string_view id, int code, const ApiError& error)
 {
-    rapidjson::StringBuffer buf;
-    rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
-    writer.StartObject();
-    writer.Key("jsonrpc");
-    writer.String("2.0");
-    writer.Key("id");
-    writeRaw(writer, id);
-    writer.Key("error");
-    writer.StartObject();
-    writer.Key("code");
-    writer.Int(code);
-    writer.Key("message");
-    writeString(writer, error.message);
-    writer.Key("data");
-    writer.StartObject();
-    writer.Key("kind");
-    writeString(writer, toString(error.kind));
-    writer.Key("field");
-    writeString(writer, error.field);
-    writer.Key("run");
-    writeString(writer, toString(error.run));
-    writer.EndObject();
-    writer.EndObject();
-    writer.EndObject();
-    return { buf.GetString(), buf.GetSize() };
+    detail::JsonBuilder builder;
+    builder.begin().field("jsonrpc", "2.0").raw("id", id).key("error");
+    builder.begin().field("code", code).field("message", error.message).key("data");
+    builder.begin()
+        .field("kind", toString(error.kind))
+        .field("field", error.field)
+        .field("run", toString(error.run))
+        .end();
+    return builder.end().end().text();
 }
 
 std::string writeRpcError(std::string_view id, const ApiError& error)
@@ -248,13 +211,7 @@
     return 500;
 }
 
-std::string jsonString(std::string_view text)
-{
-    rapidjson::StringBuffer buf;
-    rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
-    writeString(writer, text);
-    return { buf.GetString(), buf.GetSize() };
-}
+std::string jsonString(std::string_view text) { return detail::quoted(text); }
 
 std::string jsonText(const rapidjson::Value& value)
 {
--- /dev/null
+++ b/test/daemon/LoadHistoryTest.cpp
@@ -0,0 +1,87 @@
+// Tests of the checks that the load client makes.
+
+#include "../../standins/LoadHistory.h"
+
+#include "../../standins/LoadPlan.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace lycheeledge;
+using namespace lycheeledge::standin;
+
+namespace {
+
+std::string event(const char* type, int run, const char* worker, std::int64_t us)
+{
+    return fmt::format(R"({{"type":"{}","team":"feed","request":"r1","index":0,"run":{},"worker":"{}","us":{}}})", type,
+        run, worker, us);
+}
+
+std::string page(const std::vector<std::string>& events)
+{
+    std::string text;
+    for (const auto& it : events)
+        text += (text.empty() ? "" : ",") + it;
+    return "{\"events\":[" + text + "]}";
+}
+
+const WorkId work { TeamId("feed"), RequestId("r1") };
+
+} // namespace
+
+TEST_CASE("Two runs that overlap on different workers are found", "[load-client]")
+{
+    LoadHistory history;
+    REQUIRE(history.add(page({ event("start", 1, "w1", 100), event("end", 1, "w1", 300) }), 0));
+    REQUIRE(history.add(page({ event("start", 2, "w2", 299), event("end", 2, "w2", 400) }), 0));
+    CHECK(history.overlapping().size() == 1);
+    CHECK(history.startedTwice(work));
+}
+
+TEST_CASE("A run that never ended overlaps with every later one", "[load-client]")
+{
+    LoadHistory history;
+    REQUIRE(history.add(page({ event("start", 1, "w1", 100), event("start", 2, "w2", 9000) }), 0));
+    CHECK(history.overlapping().size() == 1);
+}
+
+TEST_CASE("Runs one after the other do not overlap but count as started twice", "[load-client]")
+{
+    LoadHistory history;
+    REQUIRE(history.add(page({ event("start", 2, "w2", 300), event("end", 2, "w2", 400) }), 0));
+    REQUIRE(history.add(page({ event("start", 1, "w1", 100), event("end", 1, "w1", 300) }), 0));
+    CHECK(history.overlapping().empty());
+    CHECK(history.startedTwice(work));
+    CHECK(history.firstStartUs(work) == 100);
+    CHECK(history.starts() == 2);
+}
+
+TEST_CASE("The page of a stand-in worker is read and shifted to the caller's clock", "[load-client]")
+{
+    LoadHistory history;
+    REQUIRE(history.add(
+        R"({"worker":"w1","nowUs":1000,"entries":[
+            {"timeUs":900,"event":"start","task":{"team":"feed","request":"r1","index":3,"run":1}},
+            {"timeUs":950,"event":"end","reason":"done","task":{"team":"feed","request":"r1","index":3,"run":1}}]})",
+        100'001'000));
+    CHECK(history.firstStartUs(work) == 100'000'900);
+    CHECK(history.find(work)->at(3).front() == TaskRun { 100'000'900, 100'000'950, "w1", 1 });
+    CHECK_FALSE(history.add("<html>", 0));
+    CHECK_FALSE(history.add("{}", 0));
+}
+
+TEST_CASE("A plan depends only on its settings", "[load-client]")
+{
+    LoadSettings settings;
+    settings.teams = { { TeamId("feed"), "k.s", 3 }, { TeamId("ads"), "k.s", 1 } };
+    settings.label = "t";
+    const auto first = LoadPlanner(settings).plan();
+    CHECK(first == LoadPlanner(settings).plan());
+    settings.seed = 2;
+    CHECK_FALSE(first == LoadPlanner(settings).plan());
+    const auto ofFeed = std::count_if(first.begin(), first.end(), [](const auto& it) { return it.team == 0; });
+    CHECK(first.size() > 800);
+    CHECK(first.size() < 1200);
+    CHECK(static_cast<double>(ofFeed) == Approx(0.75 * static_cast<double>(first.size())).epsilon(0.1));
+}
