Count majorities over a versioned quorum instead of the roster

A member that cannot read the store serves while it hears a majority of the roster it knows. With plain rosters this majority and the one that confirms a change need not intersect: if 4 of 6 members cannot reach the store and are cut off from the other two, their records go after 60 s, the two confirm a withdrawal as the whole roster, and the four go on serving with the withdrawn key without end.

c/quorum now holds the members whose majority counts, and the previous ones. It is replaced only after majorities of both have applied it, and a change needs majorities of both. A stale roster record is removed once a quorum without the member has been confirmed for the isolation time. A quorum that lost its majority is abandoned after 60 s if none of its members is alive, else after 5 min; the bound on withdrawals does not cover members cut off for longer than that.

Ruled out: serialising joins and removals one at a time (each needs a round of gossip and a contended write, a minute for 120 members), and a time limit on serving without the store (refuses all work in a long outage).

--- a/src/lycheeledge/coordination/ConfigurationCache.cpp
+++ b/src/lycheeledge/coordination/ConfigurationCache.cpp
@@ -5,7 +5,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <type_traits>
+#include <utility>
 #include <variant>
 
 namespace lycheeledge {
@@ -48,6 +48,8 @@
     if (entry.modRevision <= applied)
         return false;
     applied = entry.modRevision;
+    if (entry.key == quorumKey)
+        return applyQuorum(entry);
     const auto entity = decodeEntity(entry.key, entry.value);
     if (!entity) {
         LOG(ERROR) << "[membership] malformed entity " << entry.key << " at revision " << entry.modRevision
@@ -61,6 +63,18 @@
     return true;
 }
 
+bool ConfigurationCache::applyQuorum(const StoreEntry& entry)
+{
+    auto quorum = decodeQuorum(entry.value);
+    if (!quorum) {
+        LOG(ERROR) << "[membership] malformed quorum at revision " << entry.modRevision;
+        return false;
+    }
+    m_quorum = std::move(*quorum);
+    m_quorum->revision = entry.modRevision;
+    return false; // not visible in configuration()
+}
+
 void ConfigurationCache::erase(const std::string& key)
 {
     eraseNamed(m_configuration.teams, key, teamKey);
--- a/src/lycheeledge/coordination/ConfigurationCache.h
+++ b/src/lycheeledge/coordination/ConfigurationCache.h
@@ -3,9 +3,11 @@
 
 #include "../state/Configuration.h"
 #include "ConfigurationCodec.h"
+#include "Quorum.h"
 #include "Store.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,12 +31,16 @@
     const Configuration& configuration() const { return m_configuration; }
     /** @brief Highest modification revision applied. Every change up to it is in force. */
     Revision revision() const { return m_configuration.revision; }
+    /** @brief The quorum in force; none before the first one was set. */
+    const std::optional<Quorum>& quorum() const { return m_quorum; }
 
 private:
     bool applyEntry(const StoreEntry& entry);
+    bool applyQuorum(const StoreEntry& entry);
     void erase(const std::string& key);
 
     Configuration m_configuration;
+    std::optional<Quorum> m_quorum;
     std::map<std::string, Revision> m_applied; ///< modification revision for each store key, also of tombstones
 };
 
--- a/src/lycheeledge/coordination/Freshness.cpp
+++ b/src/lycheeledge/coordination/Freshness.cpp
@@ -13,15 +13,17 @@
 
 } // namespace
 
-Freshness::Freshness(MemberId self, std::uint64_t incarnation, Duration isolation)
+Freshness::Freshness(MemberId self, std::uint64_t incarnation, const MembershipTimes& times)
     : m_self(std::move(self))
     , m_incarnation(incarnation)
-    , m_isolation(isolation)
+    , m_isolation(times.isolation)
+    , m_leaseGrace(times.staleAfter / 2)
 {
 }
 
-void Freshness::setRoster(const RosterView& roster)
+void Freshness::setRoster(const RosterView& roster, const std::optional<Quorum>& quorum)
 {
+    m_quorum = quorum;
     std::map<MemberId, Peer> peers;
     m_inRoster = false;
     for (const auto& [id, entry] : roster.entries()) {
@@ -77,16 +79,19 @@
 {
     if (!m_inRoster || !m_currentAt)
         return false;
-    return now - *m_currentAt <= m_isolation || hearsCurrentMajority(now);
+    // A member without a lease is removed from the roster after a while, and changes are then acknowledged without it.
+    const bool keepsRecord = m_leaseEnd && now < *m_leaseEnd + m_leaseGrace;
+    return (keepsRecord && now - *m_currentAt <= m_isolation) || hearsCurrentMajority(now);
 }
 
 bool Freshness::hearsCurrentMajority(TimePoint now) const
 {
-    if (m_highestHeard > m_applied)
+    if (m_highestHeard > m_applied || !m_quorum || !m_quorum->contains(m_self))
         return false;
+    const auto& members = m_quorum->members;
     const auto n = std::count_if(
-        m_peers.begin(), m_peers.end(), [&](const auto& peer) { return heardRecently(peer.first, now); });
-    return 2 * (static_cast<std::size_t>(n) + 1) > m_peers.size() + 1;
+        members.begin(), members.end(), [&](const MemberId& id) { return id == m_self || heardRecently(id, now); });
+    return 2 * static_cast<std::size_t>(n) > members.size();
 }
 
 bool Freshness::heardRecently(const MemberId& member, TimePoint now) const
@@ -105,10 +110,15 @@
 
 bool Freshness::majorityConfirmed(Revision revision) const
 {
-    const auto n = std::count_if(
-        m_peers.begin(), m_peers.end(), [revision](const auto& peer) { return peer.second.applied >= revision; });
-    const std::size_t own = hasConfirmed(m_self, revision) ? 1 : 0;
-    return 2 * (static_cast<std::size_t>(n) + own) > m_peers.size() + 1;
+    return m_quorum && majorityConfirmed(m_quorum->members, revision)
+        && (m_quorum->previous.empty() || majorityConfirmed(m_quorum->previous, revision));
+}
+
+bool Freshness::majorityConfirmed(const std::vector<MemberId>& members, Revision revision) const
+{
+    const auto n = std::count_if(members.begin(), members.end(),
+        [&](const MemberId& id) { return hasConfirmed(id, revision) || (id != m_self && !m_peers.contains(id)); });
+    return 2 * static_cast<std::size_t>(n) > members.size();
 }
 
 std::pair<std::uint64_t, std::uint64_t> Freshness::echoFor(const MemberId& member) const
--- a/src/lycheeledge/coordination/Freshness.h
+++ b/src/lycheeledge/coordination/Freshness.h
@@ -2,15 +2,17 @@
 #pragma once
 
 #include "../state/Time.h"
+#include "MembershipTimes.h"
 #include "PeerMessages.h"
+#include "Quorum.h"
 #include "RosterView.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <utility>
+#include <vector>
 
 namespace lycheeledge {
 
@@ -22,11 +24,12 @@
  */
 class Freshness {
 public:
-    /** @param isolation longest age of the configuration that the process serves with. */
-    Freshness(MemberId self, std::uint64_t incarnation, Duration isolation);
+    Freshness(MemberId self, std::uint64_t incarnation, const MembershipTimes& times);
 
-    /** @brief Takes over a new roster and forgets members that left it or restarted. */
-    void setRoster(const RosterView& roster);
+    /** @brief Takes over a roster and quorum, and forgets members that left the roster or restarted. */
+    void setRoster(const RosterView& roster, const std::optional<Quorum>& quorum);
+    /** @brief The store lease of this process has not ended before `end`. */
+    void setLeaseEnd(TimePoint end) { m_leaseEnd = end; }
     /** @brief A store read that was issued at `issued` was applied up to `applied`. */
     void storeRead(TimePoint issued, Revision applied);
     /** @brief A gossip with this sequence number was sent to all members. */
@@ -39,7 +42,11 @@
     bool heardRecently(const MemberId& member, TimePoint now) const;
     /** @brief Whether the member has applied the revision. */
     bool hasConfirmed(const MemberId& member, Revision revision) const;
-    /** @brief Whether more than half of the roster has applied the revision. */
+    /**
+     * @brief Whether more than half of the quorum, and of the previous one, have applied the revision.
+     *
+     * Members that are not in the roster any more count as well: they serve nothing.
+     */
     bool majorityConfirmed(Revision revision) const;
     /** @brief Incarnation and sequence number to echo to a member; zeros if nothing was received from it. */
     std::pair<std::uint64_t, std::uint64_t> echoFor(const MemberId& member) const;
@@ -56,13 +63,17 @@
 
     std::optional<TimePoint> sentAt(std::uint64_t sequence) const;
     bool hearsCurrentMajority(TimePoint now) const;
+    bool majorityConfirmed(const std::vector<MemberId>& members, Revision revision) const;
 
     const MemberId m_self;
     const std::uint64_t m_incarnation;
     const Duration m_isolation;
+    const Duration m_leaseGrace;
     bool m_inRoster = false; ///< acknowledging a change waits only for members of the roster
     Revision m_applied = 0;
     Revision m_highestHeard = 0; ///< never falls, also when the member that said it leaves
+    std::optional<Quorum> m_quorum;
+    std::optional<TimePoint> m_leaseEnd;
     std::optional<TimePoint> m_currentAt; ///< the configuration was current at this time
     std::map<MemberId, Peer> m_peers; ///< the other members of the roster
     std::deque<std::pair<std::uint64_t, TimePoint>> m_sent; ///< recent gossips of this process, oldest first
--- a/src/lycheeledge/coordination/InForceWaits.cpp
+++ b/src/lycheeledge/coordination/InForceWaits.cpp
@@ -6,10 +6,10 @@
 
 namespace lycheeledge {
 
-InForceWaits::InForceWaits(const RosterView& roster, const Freshness& freshness, Duration isolation)
+InForceWaits::InForceWaits(const RosterView& roster, const Freshness& freshness, const MembershipTimes& times)
     : m_roster(roster)
     , m_freshness(freshness)
-    , m_isolation(isolation)
+    , m_isolation(times.isolationWithDrift())
 {
 }
 
--- a/src/lycheeledge/coordination/InForceWaits.h
+++ b/src/lycheeledge/coordination/InForceWaits.h
@@ -3,6 +3,7 @@
 
 #include "../state/Time.h"
 #include "Freshness.h"
+#include "MembershipTimes.h"
 #include "RosterView.h"
 
 #include <functional>
@@ -22,15 +23,15 @@
 /**
  * @brief Waits until a change is in force.
  *
- * That is when a majority of the roster has confirmed it, and the lease of every member that has not has been gone
- * for longer than the isolation time. The same time must also have passed since the majority was complete: until then a
- * member that has not confirmed may serve on messages that were sent before.
+ * That is when a majority of the quorum has confirmed it, and the lease of every member of the roster that has not has
+ * been gone for longer than the isolation time. The same time must also have passed since the majority was complete:
+ * until then a member that has not confirmed may serve on messages that were sent before.
  */
 class InForceWaits {
 public:
     using Callback = std::function<void(const InForceResult&)>;
 
-    InForceWaits(const RosterView& roster, const Freshness& freshness, Duration isolation);
+    InForceWaits(const RosterView& roster, const Freshness& freshness, const MembershipTimes& times);
 
     void add(Revision revision, TimePoint deadline, Callback done);
     /** @brief Answers the waits that are over. Called after each gossip and read, and periodically. */
@@ -41,7 +42,7 @@
         Revision revision = 0;
         TimePoint deadline;
         Callback done;
-        std::optional<TimePoint> majoritySince; ///< a majority of the roster has confirmed since then
+        std::optional<TimePoint> majoritySince; ///< a majority of the quorum has confirmed since then
     };
 
     std::optional<InForceResult> evaluate(Wait& wait, TimePoint now) const;
--- a/src/lycheeledge/coordination/MemberLease.cpp
+++ b/src/lycheeledge/coordination/MemberLease.cpp
@@ -31,7 +31,7 @@
 
 std::optional<StoreLeaseId> MemberLease::current() const
 {
-    return m_lease && m_runtime.now() < m_leaseEnd ? m_lease : std::nullopt;
+    return m_lease && m_runtime.now() < *m_leaseEnd ? m_lease : std::nullopt;
 }
 
 void MemberLease::renewTick()
@@ -68,7 +68,7 @@
         if (alive.expired() || m_lease != lease)
             return;
         if (remaining.ok()) {
-            m_leaseEnd = std::max(m_leaseEnd, issued + *remaining);
+            m_leaseEnd = std::max(*m_leaseEnd, issued + *remaining);
             return;
         }
         LOG(WARNING) << "[membership] lease not renewed: " << remaining.status();
--- a/src/lycheeledge/coordination/MemberLease.h
+++ b/src/lycheeledge/coordination/MemberLease.h
@@ -34,6 +34,8 @@
 
     /** @brief The lease, unless it may have ended. */
     std::optional<StoreLeaseId> current() const;
+    /** @brief Time before which the lease does not end in the store; none before the first lease. */
+    std::optional<TimePoint> end() const { return m_leaseEnd; }
     /** @brief Whether a later start of this member has taken over its record. */
     bool superseded() const { return m_superseded; }
 
@@ -59,7 +61,7 @@
     Revision m_rosterRevision = 0; ///< modification revision of the roster record as last read; 0 if absent
     bool m_recordPresent = false; ///< the roster record of this incarnation exists
     std::optional<StoreLeaseId> m_lease;
-    TimePoint m_leaseEnd; ///< the lease has not ended in the store before this time
+    std::optional<TimePoint> m_leaseEnd; ///< the last lease has not ended in the store before this time
     TimePoint m_writtenAt; ///< completion of the last write of the records
     Runtime::TimerId m_timer = 0;
     std::shared_ptr<MemberLease*> m_alive = std::make_shared<MemberLease*>(this); ///< expires with this object
--- a/src/lycheeledge/coordination/Membership.cpp
+++ b/src/lycheeledge/coordination/Membership.cpp
@@ -28,9 +28,10 @@
     , m_peers(peers)
     , m_self(std::move(self))
     , m_times(times)
-    , m_freshness(m_self.id, m_self.incarnation, m_times.isolation)
-    , m_waits(m_roster, m_freshness, m_times.isolation)
+    , m_freshness(m_self.id, m_self.incarnation, m_times)
+    , m_waits(m_roster, m_freshness, m_times)
     , m_lease(runtime, store, m_self, m_times, [this] { refresh(); })
+    , m_keeper(store, m_self.id, m_times, m_roster, m_freshness, [this] { refresh(); })
 {
 }
 
@@ -52,9 +53,12 @@
     m_gossipTimer = m_runtime.after(m_times.gossipInterval, [this] { gossipTick(); });
     const TimePoint now = m_runtime.now();
     m_owners.expireClaims(now - m_times.isolation);
+    if (const auto end = m_lease.end())
+        m_freshness.setLeaseEnd(*end);
     if (!m_left)
         gossipNow();
     m_waits.check(now);
+    keepQuorum();
     notifyOwners();
 }
 
@@ -166,57 +170,33 @@
     const TimePoint now = m_runtime.now();
     const bool changed = m_cache.apply(snapshot.ranges[0]);
     m_freshness.storeRead(issued, m_cache.revision());
+    if (const auto end = m_lease.end())
+        m_freshness.setLeaseEnd(*end);
     if (snapshot.revision >= m_snapshotRevision) {
         m_snapshotRevision = snapshot.revision;
         m_roster.update(snapshot.ranges[1], snapshot.ranges[2], now);
-        m_freshness.setRoster(m_roster);
+        m_freshness.setRoster(m_roster, m_cache.quorum());
         m_owners.setRecords(snapshot.ranges[3]);
         const std::string leaseKey = "m/" + m_self.id.value();
         const bool present = std::any_of(snapshot.ranges[2].begin(), snapshot.ranges[2].end(),
             [&](const StoreEntry& entry) { return entry.key == leaseKey; });
         m_lease.checkRecords(m_roster, present, issued);
-        removeStaleMember();
     }
     if (changed) {
         for (const auto& listener : m_configurationListeners)
             listener(m_cache.configuration());
     }
     m_waits.check(now);
+    keepQuorum();
     notifyOwners();
     for (const auto& listener : m_readListeners)
         listener();
 }
 
-void Membership::removeStaleMember()
+void Membership::keepQuorum()
 {
-    if (m_removing || m_lease.superseded() || !m_lease.current())
-        return;
-    // One member removes, to spare the store the attempts of the others.
-    const auto& entries = m_roster.entries();
-    const auto first
-        = std::find_if(entries.begin(), entries.end(), [](const auto& entry) { return !entry.second.leaseGoneSince; });
-    if (first == entries.end() || first->first != m_self.id)
-        return;
-    const TimePoint now = m_runtime.now();
-    const auto stale = std::find_if(entries.begin(), entries.end(),
-        [&](const auto& entry) { return m_roster.leaseGoneFor(entry.first, m_times.staleAfter, now); });
-    if (stale == entries.end())
-        return;
-    const std::string id = stale->first.value();
-    StoreTransaction transaction;
-    transaction.conditions = { { "r/" + id, stale->second.modRevision }, { "m/" + id, 0 } };
-    transaction.erases = { "r/" + id };
-    m_removing = true;
-    const std::weak_ptr<Membership*> alive = m_alive;
-    m_store.commit(std::move(transaction), [this, alive, id](absl::StatusOr<StoreCommit> result) {
-        if (alive.expired())
-            return;
-        m_removing = false;
-        if (result.ok() && result->applied) {
-            LOG(INFO) << "[membership] removed " << id << ", whose lease has ended";
-            refresh();
-        }
-    });
+    if (!m_left && !m_lease.superseded() && m_lease.current() && storeReachable())
+        m_keeper.check(m_cache.quorum(), m_runtime.now());
 }
 
 void Membership::leave(std::function<void()> done)
--- a/src/lycheeledge/coordination/Membership.h
+++ b/src/lycheeledge/coordination/Membership.h
@@ -10,6 +10,7 @@
 #include "MembershipTimes.h"
 #include "OwnerTable.h"
 #include "PeerLink.h"
+#include "QuorumKeeper.h"
 #include "RosterView.h"
 #include "Runtime.h"
 #include "Store.h"
@@ -97,7 +98,7 @@
     void readDone(TimePoint issued, absl::StatusOr<StoreSnapshot> result);
     void apply(TimePoint issued, const StoreSnapshot& snapshot);
     void refreshSoon();
-    void removeStaleMember();
+    void keepQuorum();
     void finishLeaving();
     void leaveReadDone(TimePoint issued, const absl::StatusOr<StoreSnapshot>& result);
     void notifyOwners();
@@ -114,6 +115,7 @@
     Freshness m_freshness;
     InForceWaits m_waits;
     MemberLease m_lease;
+    QuorumKeeper m_keeper;
 
     std::uint64_t m_sequence = 0; ///< of the last gossip sent
     bool m_stopping = false;
@@ -125,7 +127,6 @@
     bool m_readAgain = false;
     bool m_lastReadFailed = false;
     bool m_readPlanned = false;
-    bool m_removing = false;
     TimePoint m_readIssued;
     Revision m_snapshotRevision = 0; ///< of the newest read applied
     std::optional<TimePoint> m_contact; ///< issue of the last read that succeeded
--- a/src/lycheeledge/coordination/RosterView.cpp
+++ b/src/lycheeledge/coordination/RosterView.cpp
@@ -4,7 +4,6 @@
 
 #include <glog/logging.h>
 
-#include <algorithm>
 #include <set>
 #include <string>
 #include <utility>
@@ -46,11 +45,4 @@
     return entry && entry->leaseGoneSince && now - *entry->leaseGoneSince >= duration;
 }
 
-bool RosterView::majorityLeased() const
-{
-    const auto n = std::count_if(
-        m_entries.begin(), m_entries.end(), [](const auto& entry) { return !entry.second.leaseGoneSince; });
-    return 2 * static_cast<std::size_t>(n) > m_entries.size();
-}
-
 } // namespace lycheeledge
--- a/src/lycheeledge/coordination/RosterView.h
+++ b/src/lycheeledge/coordination/RosterView.h
@@ -28,8 +28,6 @@
     std::size_t size() const { return m_entries.size(); }
     /** @brief Whether the member's lease has been gone for at least `duration`. */
     bool leaseGoneFor(const MemberId& member, Duration duration, TimePoint now) const;
-    /** @brief Whether more than half of the roster holds a lease. */
-    bool majorityLeased() const;
 
 private:
     std::map<MemberId, Entry> m_entries;
