--- a/src/lycheeledge/coordination/ConfigurationCache.h
+++ b/src/lycheeledge/coordination/ConfigurationCache.h
@@ -3,9 +3,11 @@
 
 #include "../state/Configuration.h"
 #include "ConfigurationCodec.h"
+#include "Quorum.h"
 #include "Store.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,13 +33,17 @@
     Revision revision() const { return m_configuration.revision; }
     /** @brief Version of an entity, by store key; 0 if it was never read. */
     std::uint64_t versionOf(const std::string& storeKey) const;
+    /** @brief The quorum in force; none before the first one was set. */
+    const std::optional<Quorum>& quorum() const { return m_quorum; }
 
 private:
     bool applyEntry(const StoreEntry& entry);
+    bool applyQuorum(const StoreEntry& entry);
     void erase(const std::string& key);
 
     Configuration m_configuration;
     std::map<std::string, std::uint64_t> m_versions; ///< version of each entity, also of tombstones
+    std::optional<Quorum> m_quorum;
     std::map<std::string, Revision> m_applied; ///< modification revision for each store key, also of tombstones
 };
 
