Add the HTTP server and client, the three adapters and the stand-ins

The daemon needs callers' HTTP, the platform's store and VM list, and the workers. HttpServer wraps RESTinio, HttpClient wraps libcurl; EtcdStore, HttpVmDirectory and HttpWorkerGateway implement the ports of the coordination layer on top of the client.

Choices that follow from faults of the libraries: - curl repeats a request by itself when a reused connection closes before the response. A transaction could then be applied and reported as not applied. The client sends bodies through a read callback that refuses to rewind, so that curl reports the failure instead. - RESTinio's connection limiter loses a slot whenever a peer resets before its connection was accepted. Connections are counted by a state listener, and the limit is enforced in the socket options callback. - RESTinio drops a body over its limit without a response. Bodies up to 1 MB above the limit are read and answered with status 413. - Reads of the store are linearizable: a member derives from a read that its configuration is current, and a serializable read may be stale.

platform_standin and worker_standin implement the same protocols on the event loop.

--- /dev/null
+++ b/src/lycheeledge/protocol/HttpVmDirectory.h
@@ -0,0 +1,42 @@
+// VM list of the platform over HTTP.
+#pragma once
+
+#include "../coordination/VmDirectory.h"
+#include "../transport/HttpClient.h"
+#include "CompletionExecutor.h"
+
+#include <chrono>
+#include <string>
+
+namespace lycheeledge {
+
+struct VmDirectorySettings {
+    std::string baseUrl; ///< the list is read from `<baseUrl>/v1/vms`
+    std::string clientName; ///< sent as `x-client`
+    std::chrono::milliseconds timeout { 2000 };
+
+    bool operator==(const VmDirectorySettings&) const = default;
+};
+
+/** @brief Reads `GET /v1/vms`. `client` and `executor` must outlive this object, and `executor` must outlive `client`.
+ */
+class HttpVmDirectory final : public VmDirectory {
+public:
+    HttpVmDirectory(HttpClient& client, CompletionExecutor& executor, VmDirectorySettings settings);
+
+    void list(Callback done) override;
+
+private:
+    HttpClient& m_client;
+    CompletionExecutor& m_executor;
+    VmDirectorySettings m_settings;
+};
+
+/** @brief Decodes the list. Errors: `INVALID_ARGUMENT`, also for an id that occurs twice. */
+absl::StatusOr<std::vector<WorkerDescription>> decodeVmList(const std::string& body);
+/** @brief Encodes one VM, as an element of the list. */
+std::string encodeVm(const WorkerDescription& vm);
+/** @brief Encodes the list as the platform sends it. */
+std::string encodeVmList(const std::vector<WorkerDescription>& vms);
+
+} // namespace lycheeledge
--- /dev/null
+++ b/standins/SimulatedWorker.h
@@ -0,0 +1,379 @@
+// A simulated worker behind an HTTP server of its own.
+#pragma once
+
+#include "StandinServer.h"
+#include "WorkerModel.h"
+
+#include <lycheeledge/transport/Url.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <deque>
+#include <iterator>
+#include <list>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheeledge::standin {
+
+/** @brief Faults set by `POST /faults`. Fields that a call does not name keep their values. */
+struct WorkerFaults {
+    bool failAll = false; ///< every task that ends fails
+    bool paused = false; ///< calls wait and no task ends until the pause is over
+    bool dropAnswers = false; ///< calls are carried out and get no answer
+    bool corruptResults = false; ///< the last byte of every answer differs from the digest
+    std::int64_t delayMs = 0; ///< answers come late
+};
+
+/** @brief Worker that runs on the loop's thread. */
+class SimulatedWorker {
+public:
+    SimulatedWorker(EventLoop& loop, WorkerDescription description, std::string session)
+        : m_loop(loop)
+        , m_description(std::move(description))
+        , m_model(m_description.id, m_description.capacity, std::move(session))
+    {
+    }
+
+    /** @brief Starts the server. @return the port listened on. */
+    absl::StatusOr<std::uint16_t> start()
+    {
+        HttpServerSettings settings;
+        settings.address = m_description.address.host;
+        settings.port = m_description.address.port;
+        settings.maxBodyBytes = 4 << 20;
+        m_server = std::make_unique<HttpServer>(settings,
+            onLoop(m_loop, [this](const HttpRequest& request, const auto& respond) { handle(request, respond); }));
+        auto port = m_server->start();
+        if (port.ok())
+            m_description.address.port = *port;
+        return port;
+    }
+
+    void stop()
+    {
+        if (m_server)
+            m_server->stop();
+    }
+
+    const WorkerDescription& description() const { return m_description; }
+    bool paused() const { return m_faults.paused; }
+
+private:
+    struct Poll {
+        Epoch epoch = 0;
+        std::string session;
+        std::uint64_t after = 0;
+        HttpServer::Respond respond;
+        Runtime::TimerId timer = 0;
+    };
+
+    static constexpr std::size_t maxPolls = 64;
+    static constexpr std::int64_t maxWaitMs = 60000;
+
+    void handle(const HttpRequest& request, const HttpServer::Respond& respond)
+    {
+        const UrlTarget target = parseTarget(request.target);
+        if (target.path == "/faults")
+            respond(setFaults(request.body));
+        else if (target.path == "/history")
+            respond(showHistory());
+        else if (target.path == "/violations")
+            respond(showViolations());
+        else if (m_faults.paused)
+            m_waiting.emplace_back(request, respond);
+        else
+            serve(request, target, respond);
+        scheduleNext();
+    }
+
+    void serve(const HttpRequest& request, const UrlTarget& target, const HttpServer::Respond& respond)
+    {
+        const TimePoint now = m_loop.now();
+        if (target.path == "/v1/events")
+            waitForEvents(target, respond);
+        else if (target.path == "/v1/result")
+            answer(respond, sendResult(request, target));
+        else if (target.path == "/v1/lease")
+            answer(respond, lease(now, request.body));
+        else if (target.path == "/v1/start")
+            answer(respond, startTask(now, request.body));
+        else if (target.path == "/v1/stop")
+            answer(respond, act(now, TaskAction::Stop, request.body));
+        else if (target.path == "/v1/checkpoint")
+            answer(respond, act(now, TaskAction::Checkpoint, request.body));
+        else if (target.path == "/v1/throttle")
+            answer(respond, act(now, TaskAction::Throttle, request.body));
+        else
+            answer(respond, errorResponse(404, "no such path"));
+        flushPolls();
+    }
+
+    void answer(const HttpServer::Respond& respond, HttpResponse response)
+    {
+        if (m_faults.dropAnswers)
+            m_dropped.push_back(respond);
+        else if (m_faults.delayMs <= 0)
+            respond(std::move(response));
+        else
+            m_loop.after(std::chrono::milliseconds(m_faults.delayMs),
+                [respond, response = std::move(response)] { respond(response); });
+    }
+
+    HttpResponse lease(TimePoint now, const std::string& body)
+    {
+        const auto request = decodeLeaseRequest(body);
+        if (!request.ok())
+            return errorResponse(400, std::string(request.status().message()));
+        return jsonResponse(encodeLeaseReport(m_model.lease(now, *request)));
+    }
+
+    static HttpResponse answerCommand(const CommandAnswer& answer)
+    {
+        return jsonResponse(encodeCommandAnswer(answer), answer.accepted ? 200 : 409);
+    }
+
+    HttpResponse startTask(TimePoint now, const std::string& body)
+    {
+        const auto command = decodeStartCommand(body);
+        if (!command.ok())
+            return errorResponse(400, std::string(command.status().message()));
+        return answerCommand(m_model.start(now, *command));
+    }
+
+    HttpResponse act(TimePoint now, TaskAction action, const std::string& body)
+    {
+        const auto command = decodeActCommand(body);
+        if (!command.ok())
+            return errorResponse(400, std::string(command.status().message()));
+        return answerCommand(m_model.act(now, action, *command));
+    }
+
+    /** @brief Query parameter as a number; 0 if it is absent or malformed. */
+    static std::uint64_t number(const UrlTarget& target, const char* name)
+    {
+        const auto it = target.query.find(name);
+        std::uint64_t result = 0;
+        return it != target.query.end() && absl::SimpleAtoi(it->second, &result) ? result : 0;
+    }
+
+    static std::string text(const UrlTarget& target, const char* name)
+    {
+        const auto it = target.query.find(name);
+        return it == target.query.end() ? std::string() : it->second;
+    }
+
+    void waitForEvents(const UrlTarget& target, const HttpServer::Respond& respond)
+    {
+        Poll poll { number(target, "epoch"), text(target, "session"), number(target, "after"), respond };
+        const auto waitMs = std::min<std::uint64_t>(number(target, "waitMs"), maxWaitMs);
+        if (answerPoll(poll, waitMs == 0 || m_polls.size() >= maxPolls))
+            return;
+        m_polls.push_back(std::move(poll));
+        const auto it = std::prev(m_polls.end());
+        it->timer = m_loop.after(std::chrono::milliseconds(waitMs), [this, it] {
+            answerPoll(*it, true);
+            m_polls.erase(it);
+        });
+    }
+
+    /** @brief Answers a poll if there are events, it is refused, or it must not wait. @return whether it did. */
+    bool answerPoll(const Poll& poll, bool mustAnswer)
+    {
+        auto events = m_model.events(m_loop.now(), poll.epoch, poll.session, poll.after);
+        if (!events.ok()) {
+            answer(poll.respond, errorResponse(409, std::string(events.status().message())));
+            return true;
+        }
+        if (events->finished.empty() && !mustAnswer)
+            return false;
+        if (m_faults.corruptResults) {
+            for (auto& item : events->finished)
+                corrupt(item.task.body);
+        }
+        answer(poll.respond, jsonResponse(encodeEvents(*events)));
+        return true;
+    }
+
+    void flushPolls()
+    {
+        for (auto it = m_polls.begin(); it != m_polls.end();) {
+            const auto current = it++;
+            if (!answerPoll(*current, false))
+                continue;
+            m_loop.cancel(current->timer);
+            m_polls.erase(current);
+        }
+    }
+
+    static void corrupt(std::string& body)
+    {
+        if (!body.empty())
+            body.back() = static_cast<char>(body.back() ^ 1);
+    }
+
+    HttpResponse sendResult(const HttpRequest& request, const UrlTarget& target)
+    {
+        const TaskId id { { TeamId(text(target, "team")), RequestId(text(target, "request")) },
+            static_cast<std::uint32_t>(number(target, "index")), static_cast<std::uint32_t>(number(target, "run")) };
+        const std::string* body = m_model.result(id, text(target, "session"));
+        if (body == nullptr)
+            return errorResponse(404, "no such result");
+        const auto range = request.headers.find("range");
+        if (range == request.headers.end())
+            return { 200, {}, *body };
+        const std::pair<std::string, std::string> ends
+            = absl::StrSplit(absl::StripPrefix(range->second, "bytes="), absl::MaxSplits('-', 1));
+        std::uint64_t first = 0;
+        std::uint64_t last = 0;
+        if (!absl::SimpleAtoi(ends.first, &first) || !absl::SimpleAtoi(ends.second, &last) || first > last
+            || first >= body->size())
+            return errorResponse(416, "range not satisfiable");
+        last = std::min<std::uint64_t>(last, body->size() - 1);
+        HttpResponse response { 206, {}, body->substr(first, last - first + 1) };
+        response.headers["content-range"] = absl::StrCat("bytes ", first, "-", last, "/", body->size());
+        if (m_faults.corruptResults && last == body->size() - 1)
+            corrupt(response.body);
+        return response;
+    }
+
+    HttpResponse setFaults(const std::string& body)
+    {
+        rapidjson::Document document;
+        absl::Status status = parseJson(body.empty() ? "{}" : body, document);
+        if (!status.ok())
+            return errorResponse(400, std::string(status.message()));
+        const JsonFields fields(document, "faults", status);
+        WorkerFaults faults = m_faults;
+        const auto set = [&fields](const char* name, bool& value) {
+            if (fields.has(name))
+                value = fields.boolean(name);
+        };
+        set("failAll", faults.failAll);
+        set("paused", faults.paused);
+        set("dropAnswers", faults.dropAnswers);
+        set("corruptResults", faults.corruptResults);
+        if (fields.has("delayMs"))
+            faults.delayMs = fields.amount("delayMs");
+        const bool restart = fields.boolean("restart");
+        set("leaving", m_description.leaving);
+        if (!status.ok())
+            return errorResponse(400, std::string(status.message()));
+        m_faults = faults;
+        m_model.setFailing(faults.failAll);
+        if (restart)
+            restartWorker();
+        if (!faults.dropAnswers)
+            m_dropped.clear();
+        if (!faults.paused)
+            resume();
+        LOG(INFO) << "[worker] Faults of " << m_description.id << ": " << body;
+        return jsonResponse("{}");
+    }
+
+    void restartWorker()
+    {
+        m_model.restart(m_loop.now(), absl::StrCat(m_description.id.value(), "-", ++m_restarts, "-", m_loop.random()));
+        for (const auto& poll : m_polls)
+            m_loop.cancel(poll.timer);
+        m_polls.clear();
+    }
+
+    void resume()
+    {
+        std::deque<std::pair<HttpRequest, HttpServer::Respond>> waiting;
+        waiting.swap(m_waiting);
+        for (const auto& [request, respond] : waiting)
+            serve(request, parseTarget(request.target), respond);
+        flushPolls();
+    }
+
+    void scheduleNext()
+    {
+        if (m_timer != 0)
+            m_loop.cancel(m_timer);
+        m_timer = 0;
+        const auto next = m_model.nextChange();
+        if (!next || m_faults.paused)
+            return;
+        m_timer = m_loop.after(std::max(Duration::zero(), *next - m_loop.now()), [this] {
+            m_timer = 0;
+            m_model.advance(m_loop.now());
+            flushPolls();
+            scheduleNext();
+        });
+    }
+
+    static std::int64_t microseconds(TimePoint time)
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
+    }
+
+    HttpResponse showHistory()
+    {
+        if (!m_faults.paused)
+            m_model.advance(m_loop.now());
+        rapidjson::StringBuffer buf;
+        JsonWriter writer(buf);
+        writer.StartObject();
+        writeText(writer, "worker", m_description.id.value());
+        writeText(writer, "session", m_model.session());
+        writeInteger(writer, "nowUs", microseconds(m_loop.now()));
+        writer.Key("entries");
+        writer.StartArray();
+        for (const auto& entry : m_model.history()) {
+            writer.StartObject();
+            writeInteger(writer, "timeUs", microseconds(entry.time));
+            writeText(writer, "event", entry.start ? "start" : "end");
+            writeTaskId(writer, "task", entry.task);
+            writeUnsigned(writer, "epoch", entry.epoch);
+            if (!entry.start)
+                writeText(writer, "reason", entry.reason);
+            writer.EndObject();
+        }
+        writer.EndArray();
+        writer.EndObject();
+        return jsonResponse({ buf.GetString(), buf.GetSize() });
+    }
+
+    HttpResponse showViolations() const
+    {
+        rapidjson::StringBuffer buf;
+        JsonWriter writer(buf);
+        writer.StartObject();
+        writeText(writer, "worker", m_description.id.value());
+        writer.Key("violations");
+        writer.StartArray();
+        for (const auto& violation : m_model.violations()) {
+            writer.StartObject();
+            writeInteger(writer, "timeUs", microseconds(violation.time));
+            writeText(writer, "kind", violation.kind);
+            writeTaskId(writer, "task", violation.task);
+            writeText(writer, "message", violation.message);
+            writer.EndObject();
+        }
+        writer.EndArray();
+        writer.EndObject();
+        return jsonResponse({ buf.GetString(), buf.GetSize() });
+    }
+
+    EventLoop& m_loop;
+    WorkerDescription m_description;
+    WorkerModel m_model;
+    WorkerFaults m_faults;
+    std::unique_ptr<HttpServer> m_server;
+    std::list<Poll> m_polls;
+    std::deque<std::pair<HttpRequest, HttpServer::Respond>> m_waiting; // arrived during a pause
+    std::vector<HttpServer::Respond> m_dropped;
+    Runtime::TimerId m_timer = 0;
+    std::uint64_t m_restarts = 0;
+};
+
+} // namespace lycheeledge::standin
--- /dev/null
+++ b/test/support/Awaiter.h
@@ -0,0 +1,49 @@
+// Waits in a test for callbacks of other threads.
+#pragma once
+
+#include <lycheeledge/protocol/CompletionExecutor.h>
+#include <lycheeledge/transport/BoundedRing.h>
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <stdexcept>
+#include <utility>
+
+namespace lycheeledge::test {
+
+// Only bounds a hanging test; no test depends on its length.
+constexpr auto patience = std::chrono::seconds(30);
+
+/** @brief Keeps the values that callbacks deliver until the test takes them. */
+template <typename T> class Awaiter {
+public:
+    void put(T value) { m_values.tryPush(std::move(value)); }
+
+    T take()
+    {
+        auto value = m_values.popUntil(std::chrono::steady_clock::now() + patience);
+        if (!value)
+            throw std::runtime_error("no callback arrived");
+        return std::move(*value);
+    }
+
+    /** @brief Whether a value is there now. */
+    bool empty() const { return m_values.size() == 0; }
+
+private:
+    BoundedRing<T> m_values { 4096 };
+};
+
+/** @brief Executor that runs tasks on the test's thread, inside runOne(). */
+class TestExecutor final : public CompletionExecutor {
+public:
+    void execute(std::function<void()> task) override { m_tasks.put(std::move(task)); }
+    void runOne() { m_tasks.take()(); }
+    bool empty() const { return m_tasks.empty(); }
+
+private:
+    Awaiter<std::function<void()>> m_tasks;
+};
+
+} // namespace lycheeledge::test
--- /dev/null
+++ b/test/transport/HttpTest.cpp
@@ -0,0 +1,274 @@
+// Tests of the HTTP server and client over loopback.
+
+#include "support/Awaiter.h"
+#include "support/RawServer.h"
+
+#include <lycheeledge/transport/HttpClient.h>
+#include <lycheeledge/transport/HttpServer.h>
+
+#include <catch2/catch.hpp>
+
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace lycheeledge;
+using namespace lycheeledge::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpRequest makeRequest(std::string url, std::string body = "")
+{
+    HttpRequest request;
+    request.method = body.empty() ? "GET" : "POST";
+    request.target = std::move(url);
+    request.body = std::move(body);
+    return request;
+}
+
+std::string url(std::uint16_t port, const std::string& path = "/")
+{
+    return "http://127.0.0.1:" + std::to_string(port) + path;
+}
+
+HttpResult call(HttpClient& client, HttpRequest request, std::chrono::milliseconds timeout = 20s)
+{
+    Awaiter<HttpResult> results;
+    client.send(std::move(request), timeout, [&results](HttpResult result) { results.put(std::move(result)); });
+    return results.take();
+}
+
+HttpResult callRaw(const std::string& answer)
+{
+    RawServer server(answer);
+    HttpClient client;
+    return call(client, makeRequest(server.url() + "/", "body"));
+}
+
+HttpServer::Handler echo()
+{
+    return [](HttpRequest request, const HttpServer::Respond& respond) {
+        HttpResponse response;
+        response.headers["x-method"] = request.method;
+        response.headers["x-target"] = request.target;
+        response.headers["x-field"] = request.headers["x-field"];
+        response.body = std::move(request.body);
+        respond(std::move(response));
+    };
+}
+
+} // namespace
+
+TEST_CASE("A request and its response keep method, target, fields and body", "[http]")
+{
+    HttpServer server({}, echo());
+    const auto port = server.start();
+    REQUIRE(port.ok());
+    HttpClient client;
+    std::string body(300000, '\0');
+    for (std::size_t n = 0; n < body.size(); ++n)
+        body[n] = static_cast<char>(n * 7);
+    HttpRequest request = makeRequest(url(*port, "/a/b?c=d"), body);
+    request.headers["x-field"] = "value";
+    const HttpResult result = call(client, request);
+    REQUIRE(result.status.ok());
+    CHECK(result.response.status == 200);
+    CHECK(result.response.headers.at("x-method") == "POST");
+    CHECK(result.response.headers.at("x-target") == "/a/b?c=d");
+    CHECK(result.response.headers.at("x-field") == "value");
+    CHECK(result.response.body == body);
+}
+
+TEST_CASE("Responses may be sent later, from another thread and in another order", "[http]")
+{
+    std::mutex mutex;
+    std::vector<HttpServer::Respond> waiting;
+    HttpServer server({}, [&](const HttpRequest&, const HttpServer::Respond& respond) {
+        const std::lock_guard lock(mutex);
+        waiting.push_back(respond);
+    });
+    const auto port = server.start();
+    REQUIRE(port.ok());
+    HttpClient client;
+    constexpr std::size_t count = 40;
+    Awaiter<HttpResult> results;
+    for (std::size_t n = 0; n < count; ++n)
+        client.send(makeRequest(url(*port)), 20s, [&results](HttpResult result) { results.put(std::move(result)); });
+    const auto end = std::chrono::steady_clock::now() + patience;
+    for (bool complete = false; !complete && std::chrono::steady_clock::now() < end; std::this_thread::sleep_for(1ms)) {
+        const std::lock_guard lock(mutex);
+        complete = waiting.size() == count;
+    }
+    REQUIRE(waiting.size() == count);
+    for (std::size_t n = count; n-- > 0;)
+        waiting[n]({ 200, {}, std::to_string(n) });
+    std::set<std::string> bodies;
+    for (std::size_t n = 0; n < count; ++n)
+        bodies.insert(results.take().response.body);
+    CHECK(bodies.size() == count);
+}
+
+TEST_CASE("A second response to one request is ignored", "[http]")
+{
+    HttpServer server({}, [](const HttpRequest&, const HttpServer::Respond& respond) {
+        respond({ 200, {}, "first" });
+        respond({ 200, {}, "second" });
+    });
+    const auto port = server.start();
+    REQUIRE(port.ok());
+    HttpClient client;
+    CHECK(call(client, makeRequest(url(*port))).response.body == "first");
+    CHECK(call(client, makeRequest(url(*port))).response.body == "first");
+}
+
+TEST_CASE("A request that the handler drops or fails is answered with status 500", "[http]")
+{
+    HttpServer server({}, [](const HttpRequest& request, const HttpServer::Respond&) {
+        if (request.target == "/throw")
+            throw std::runtime_error("handler failure");
+    });
+    const auto port = server.start();
+    REQUIRE(port.ok());
+    HttpClient client;
+    CHECK(call(client, makeRequest(url(*port, "/drop"))).response.status == 500);
+    CHECK(call(client, makeRequest(url(*port, "/throw"))).response.status == 500);
+}
+
+TEST_CASE("A body over the limit of the server is refused", "[http]")
+{
+    HttpServerSettings settings;
+    settings.maxBodyBytes = 1000;
+    HttpServer server(settings, echo());
+    const auto port = server.start();
+    REQUIRE(port.ok());
+    HttpClient client;
+    CHECK(call(client, makeRequest(url(*port), std::string(1000, 'x'))).response.status == 200);
+    CHECK(call(client, makeRequest(url(*port), std::string(1001, 'x'))).response.status == 413);
+    const HttpResult result = call(client, makeRequest(url(*port), std::string(8 << 20, 'x')));
+    CHECK((!result.status.ok() || result.response.status == 413));
+    CHECK_FALSE(result.notSent);
+}
+
+TEST_CASE("A response over the limit of the client is refused", "[http]")
+{
+    HttpServer server({}, [](const HttpRequest&, const HttpServer::Respond& respond) {
+        respond({ 200, {}, std::string(1001, 'x') });
+    });
+    const auto port = server.start();
+    REQUIRE(port.ok());
+    HttpClientSettings settings;
+    settings.maxResponseBytes = 1000;
+    HttpClient client(settings);
+    const HttpResult result = call(client, makeRequest(url(*port)));
+    CHECK(absl::IsResourceExhausted(result.status));
+    CHECK_FALSE(result.notSent);
+}
+
+TEST_CASE("A refused connection counts as not sent", "[http]")
+{
+    std::uint16_t port = 0;
+    {
+        RawServer server("");
+        port = server.port();
+    }
+    HttpClient client;
+    const HttpResult result = call(client, makeRequest(url(port), "body"));
+    CHECK(absl::IsUnavailable(result.status));
+    CHECK(result.notSent);
+}
+
+TEST_CASE("A missing answer is a timeout that does not count as not sent", "[http]")
+{
+    std::vector<HttpServer::Respond> waiting;
+    HttpServer server(
+        {}, [&waiting](const HttpRequest&, const HttpServer::Respond& respond) { waiting.push_back(respond); });
+    const auto port = server.start();
+    REQUIRE(port.ok());
+    HttpClient client;
+    const HttpResult result = call(client, makeRequest(url(*port), "body"), 100ms);
+    CHECK(absl::IsDeadlineExceeded(result.status));
+    CHECK_FALSE(result.notSent);
+    server.stop();
+}
+
+TEST_CASE("Broken responses are reported and never passed on", "[http]")
+{
+    SECTION("connection closed without a response")
+    {
+        const HttpResult result = callRaw("");
+        CHECK(absl::IsUnavailable(result.status));
+        CHECK_FALSE(result.notSent);
+    }
+    SECTION("body shorter than declared")
+    {
+        CHECK(absl::IsDataLoss(callRaw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort").status));
+    }
+    SECTION("chunked body without an end")
+    {
+        CHECK_FALSE(callRaw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n").status.ok());
+    }
+    SECTION("body without a declared length")
+    {
+        CHECK(absl::IsDataLoss(callRaw("HTTP/1.1 200 OK\r\n\r\nbody").status));
+    }
+    SECTION("header cut off") { CHECK_FALSE(callRaw("HTTP/1.1 200 OK\r\nContent-Le").status.ok()); }
+    SECTION("no HTTP") { CHECK_FALSE(callRaw("hello\r\n\r\n").status.ok()); }
+    SECTION("endless header")
+    {
+        std::string answer = "HTTP/1.1 200 OK\r\n";
+        for (int n = 0; n < 3000; ++n)
+            answer += "x-field-" + std::to_string(n) + ": " + std::string(50, 'x') + "\r\n";
+        CHECK(absl::IsResourceExhausted(callRaw(answer + "Content-Length: 0\r\n\r\n").status));
+    }
+}
+
+TEST_CASE("Calls in progress end with CANCELLED when the client is destroyed", "[http]")
+{
+    std::vector<HttpServer::Respond> waiting;
+    HttpServer server(
+        {}, [&waiting](const HttpRequest&, const HttpServer::Respond& respond) { waiting.push_back(respond); });
+    const auto port = server.start();
+    REQUIRE(port.ok());
+    Awaiter<HttpResult> results;
+    {
+        HttpClient client;
+        client.send(makeRequest(url(*port)), 20s, [&results](HttpResult result) { results.put(std::move(result)); });
+    }
+    CHECK(absl::IsCancelled(results.take().status));
+    server.stop();
+}
+
+TEST_CASE("A server that stops accepting finishes the requests in progress", "[http]")
+{
+    Awaiter<HttpServer::Respond> waiting;
+    HttpServer server({}, [&waiting](const HttpRequest&, const HttpServer::Respond& respond) { waiting.put(respond); });
+    const auto port = server.start();
+    REQUIRE(port.ok());
+    HttpClient client;
+    Awaiter<HttpResult> results;
+    client.send(makeRequest(url(*port)), 20s, [&results](HttpResult result) { results.put(std::move(result)); });
+    const auto respond = waiting.take();
+    server.stopAccepting();
+    HttpClient other;
+    HttpResult refused;
+    do
+        refused = call(other, makeRequest(url(*port)), 50ms);
+    while (!refused.notSent);
+    respond({ 200, {}, "done" });
+    const HttpResult result = results.take();
+    CHECK(result.response.body == "done");
+    CHECK(result.response.headers.at("connection") == "close");
+}
+
+TEST_CASE("A port in use is reported", "[http]")
+{
+    HttpServer first({}, echo());
+    const auto port = first.start();
+    REQUIRE(port.ok());
+    HttpServerSettings settings;
+    settings.port = *port;
+    HttpServer second(settings, echo());
+    CHECK(absl::IsUnavailable(second.start().status()));
+}
