Use one digest for keys, and the VM list's whole URL

The settings and the key store computed the digest of a key differently, so that the bootstrap key was refused; found by the first end-to-end run. The form with a separator stays, because plain concatenation is ambiguous.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -82,8 +82,8 @@
 
 writeSettings() {
     local n=$1 salt=00112233445566778899aabbccddeeff digest
-    # The digest covers the hexadecimal salt followed by the secret.
-    digest=$(printf '%s%s' "$salt" "${operatorKey#*.}" | sha256sum | cut -d' ' -f1)
+    # The digest covers the hexadecimal salt, a dot and the secret.
+    digest=$(printf '%s.%s' "$salt" "${operatorKey#*.}" | sha256sum | cut -d' ' -f1)
     cat > "$clusterDir/entry-$n.jsonc" << SETTINGS
 {
     "member": { "id": "entry-$n", "zone": "$(zoneOf "$n")" },
@@ -120,10 +120,4 @@
 platformFlags=()
 workerFlags=()
 
-workerHistories() {
-    local n list=""
-    for ((n = 0; n < workers; ++n)); do
-        list+="${list:+,}127.0.0.1:$((workerPort + n))"
-    done
-    echo "$list"
-}
+workerHistories() { echo "http://127.0.0.1:$workerPort-$((workerPort + workers - 1))"; }
--- a/src/lycheeledge/daemon/EntryProcess.cpp
+++ b/src/lycheeledge/daemon/EntryProcess.cpp
@@ -42,7 +42,7 @@
     VmDirectorySettings directorySettings(const Settings& settings)
     {
         VmDirectorySettings result;
-        result.baseUrl = settings.vmListUrl;
+        result.url = settings.vmListUrl;
         result.clientName = settings.member.value();
         return result;
     }
--- a/src/lycheeledge/protocol/ApiCodec.cpp
+++ b/src/lycheeledge/protocol/ApiCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "ApiCodec.h"
 
+#include "../coordination/SecretDigest.h"
 #include "../transport/Hmac.h"
 #include "JsonObject.h"
 
@@ -341,10 +342,7 @@
 std::string_view toString(WorkPhase phase) { return nameOf(phaseNames, phase); }
 std::string_view toString(KeyRole role) { return role == KeyRole::Operator ? "operator" : "caller"; }
 
-std::string keyDigest(std::string_view salt, std::string_view secret)
-{
-    return sha256Hex(fmt::format("{}{}", salt, secret));
-}
+std::string keyDigest(std::string_view salt, std::string_view secret) { return secretDigest(salt, secret); }
 
 bool keyMatches(const Key& key, std::string_view secret)
 {
--- a/src/lycheeledge/protocol/HttpVmDirectory.cpp
+++ b/src/lycheeledge/protocol/HttpVmDirectory.cpp
@@ -69,7 +69,7 @@
 void HttpVmDirectory::list(Callback done)
 {
     HttpRequest request;
-    request.target = m_settings.baseUrl + "/v1/vms";
+    request.target = m_settings.url;
     if (!m_settings.clientName.empty())
         request.headers["x-client"] = m_settings.clientName;
     m_client.send(std::move(request), m_settings.timeout,
--- a/src/lycheeledge/protocol/HttpVmDirectory.h
+++ b/src/lycheeledge/protocol/HttpVmDirectory.h
@@ -11,7 +11,7 @@
 namespace lycheeledge {
 
 struct VmDirectorySettings {
-    std::string baseUrl; ///< the list is read from `<baseUrl>/v1/vms`
+    std::string url; ///< of the list, for example `http://127.0.0.1:8000/v1/vms`
     std::string clientName; ///< sent as `x-client`
     std::chrono::milliseconds timeout { 2000 };
 
--- a/test/protocol/HttpVmDirectoryTest.cpp
+++ b/test/protocol/HttpVmDirectoryTest.cpp
@@ -40,7 +40,7 @@
     REQUIRE(port.ok());
     HttpClient client;
     VmDirectorySettings settings;
-    settings.baseUrl = "http://127.0.0.1:" + std::to_string(*port);
+    settings.url = "http://127.0.0.1:" + std::to_string(*port) + "/v1/vms";
     settings.timeout = std::chrono::seconds(20);
     HttpVmDirectory directory(client, executor, settings);
     std::optional<absl::StatusOr<std::vector<WorkerDescription>>> result;
