--- a/src/lycheeledge/coordination/CellController.cpp
+++ b/src/lycheeledge/coordination/CellController.cpp
@@ -51,10 +51,7 @@
     return { { .cell = m_cell, .epoch = m_session->epoch, .active = isActive() } };
 }
 
-bool CellController::isActive() const
-{
-    return m_session && m_session->active && m_session->workers.isActive();
-}
+bool CellController::isActive() const { return m_session && m_session->active && m_session->workers.isActive(); }
 
 void CellController::submit(WorkSpec spec, const std::string& traceparent, std::function<void(WorkResult)> done)
 {
@@ -104,8 +101,8 @@
 
 void CellController::activated(const std::vector<VmId>& missing)
 {
-    LOG(INFO) << "[ownership] Cell " << m_cell << " is active with epoch " << m_session->epoch << ", "
-              << missing.size() << " workers missing.";
+    LOG(INFO) << "[ownership] Cell " << m_cell << " is active with epoch " << m_session->epoch << ", " << missing.size()
+              << " workers missing.";
     m_session->scheduler.activate(missing);
     m_session->active = true;
     if (m_changed)
@@ -133,7 +130,7 @@
     m_session->workers.end();
     m_session->journal.abort();
     // Destroyed later, since this may be called from one of the session's own callbacks.
-    m_ports.runtime.post([session = std::move(m_session)] { });
+    m_ports.runtime.post([session = std::move(m_session)] {});
     m_session.reset();
     if (m_changed)
         m_changed();
--- a/src/lycheeledge/daemon/EntryProcess.cpp
+++ b/src/lycheeledge/daemon/EntryProcess.cpp
@@ -145,10 +145,8 @@
     , m_gateway(m_workerClient, m_executor)
     , m_link(linkSettings(m_settings), m_executor)
     , m_membership(m_loop, m_store, m_link,
-          MemberRecord { .id = m_settings.member,
-              .peer = m_settings.peer,
-              .zone = m_settings.zone,
-              .incarnation = incarnation },
+          MemberRecord {
+              .id = m_settings.member, .peer = m_settings.peer, .zone = m_settings.zone, .incarnation = incarnation },
           membershipTimes(m_settings.intervals))
     , m_view(m_membership)
     , m_cell({ m_loop, m_store, m_gateway, m_directory, m_view, m_journalCodec }, m_settings.cell,
--- a/src/lycheeledge/daemon/HttpGateway.cpp
+++ b/src/lycheeledge/daemon/HttpGateway.cpp
@@ -2,7 +2,6 @@
 
 #include "HttpGateway.h"
 
-
 #include <memory>
 #include <utility>
 
@@ -96,8 +95,8 @@
     call->key = bearerKey(request);
     call->traceparent = header(request, "traceparent");
     const bool posted = m_loop.tryPost([this, call, respond] {
-        m_service.call(call,
-            [call, respond](const RpcOutcome& outcome) { respond(outcomeResponse(call->request.id, outcome)); });
+        m_service.call(
+            call, [call, respond](const RpcOutcome& outcome) { respond(outcomeResponse(call->request.id, outcome)); });
     });
     if (!posted) {
         const ApiError overloaded { ErrorKind::Overloaded, "too many calls are waiting", "", RunState::NotRun };
--- a/src/lycheeledge/daemon/RpcService.cpp
+++ b/src/lycheeledge/daemon/RpcService.cpp
@@ -207,6 +207,11 @@
     m_commands.deleteTeam(optionsOf(call), TeamId(textOf(call, "id")), changeReply(done));
 }
 
+Revision RpcService::version(const std::string& storeKey) const
+{
+    return static_cast<Revision>(m_membership.versionOf(storeKey));
+}
+
 void RpcService::getTeam(const RpcCall& call, const Done& done)
 {
     const auto& teams = m_membership.configuration().teams;
@@ -214,14 +219,14 @@
     if (it == teams.end())
         done(ApiError { ErrorKind::NotFound, "no such team", "/id", RunState::NotRun });
     else
-        done(encodeTeam(it->second, m_membership.versionOf(teamKey(it->first))));
+        done(encodeTeam(it->second, version(teamKey(it->first))));
 }
 
 void RpcService::listTeams(const RpcCall&, const Done& done)
 {
     std::vector<std::string> elements;
     for (const auto& [id, team] : m_membership.configuration().teams)
-        elements.push_back(encodeTeam(team, m_membership.versionOf(teamKey(id))));
+        elements.push_back(encodeTeam(team, version(teamKey(id))));
     done(encodeList(elements));
 }
 
@@ -241,7 +246,7 @@
 {
     std::vector<std::string> elements;
     for (const auto& [id, key] : m_membership.configuration().keys)
-        elements.push_back(encodeKey(key, m_membership.versionOf(keyKey(id))));
+        elements.push_back(encodeKey(key, version(keyKey(id))));
     done(encodeList(elements));
 }
 
@@ -259,7 +264,7 @@
 {
     std::vector<std::string> elements;
     for (const auto& [id, queue] : m_membership.configuration().queues)
-        elements.push_back(encodeQueue(queue, m_membership.versionOf(queueKey(id))));
+        elements.push_back(encodeQueue(queue, version(queueKey(id))));
     done(encodeList(elements));
 }
 
@@ -272,7 +277,7 @@
 {
     std::vector<std::string> elements;
     for (const auto& [kind, policy] : m_membership.configuration().policies)
-        elements.push_back(encodePolicy(policy, m_membership.versionOf(policyKey(kind))));
+        elements.push_back(encodePolicy(policy, version(policyKey(kind))));
     done(encodeList(elements));
 }
 
@@ -290,7 +295,7 @@
 {
     std::vector<std::string> elements;
     for (const auto& [vm, drained] : m_membership.configuration().drained)
-        elements.push_back(encodeVm(vm, drained, m_membership.versionOf(drainKey(vm))));
+        elements.push_back(encodeVm(vm, drained, version(drainKey(vm))));
     done(encodeList(elements));
 }
 
--- a/src/lycheeledge/daemon/RpcService.h
+++ b/src/lycheeledge/daemon/RpcService.h
@@ -70,6 +70,7 @@
     void cellOverview(const RpcCall& call, const Done& done);
     void processStatus(const RpcCall& call, const Done& done);
 
+    Revision version(const std::string& storeKey) const;
     bool authorizeQuery(const RpcCall& call, const Done& done) const;
 
     Membership& m_membership;
