Add gang holds, quarantine, overload control and preemption

A gang job is placed only after counting that all of its tasks fit, so that no reservation has to be rolled back. A repeatable gang job with a failed, refused or lost task stops the others and restarts as a whole; one that is not repeatable fails as a whole.

All requests of a team count as one source of failures. With each request as a source of its own, one team's failing requests would quarantine every worker.

Queue rates are measured only while a queue is non-empty; measured over idle time as well, the first burst after a quiet period would be refused.

Only repeatable job tasks outside gangs are preempted, and only if the policy of their kind allows it.

--- a/src/lycheeledge/coordination/CellScheduler.cpp
+++ b/src/lycheeledge/coordination/CellScheduler.cpp
@@ -83,6 +83,13 @@
             return refuse(spec, ErrorKind::NeverFits, *reason, "never_fits", std::move(done));
         if (m_teams.at(spec.id.team).queues.size(spec.kind) >= policy(spec.kind).maxQueuedPerTeam)
             return refuse(spec, ErrorKind::Overloaded, "the team's queue is full", "queue_full", std::move(done));
+        if (spec.kind == WorkKind::Request && spec.deadline > Duration::zero()) {
+            const TeamRecord& team = m_teams.at(spec.id.team);
+            const auto delay = team.requestRate.expectedDelay(m_runtime.now(), team.queues.size(WorkKind::Request));
+            if (delay && arrival + spec.deadline < m_runtime.now() + *delay)
+                return refuse(spec, ErrorKind::Overloaded, "the queue is longer than the deadline allows",
+                    "expected_delay", std::move(done));
+        }
     }
 
     WorkItem& item = create(std::move(spec), std::move(traceparent), arrival);
@@ -206,6 +213,10 @@
             return;
         }
     }
+    if (!item.isJob() && item.team->queues.size(WorkKind::Request) == 0) {
+        item.team->requestRate.reset();
+        item.team->requestRate.begin(m_runtime.now());
+    }
     if (front)
         item.team->queues.pushFront(item);
     else
@@ -293,12 +304,20 @@
         status.phase = WorkPhase::SetAside;
     else if (item.held > 0)
         status.phase = WorkPhase::Running;
+    if (item.queued && item.cause == WaitCause::Capacity)
+        status.reason = "waits for capacity";
+    else if (item.queued && item.cause == WaitCause::Limit)
+        status.reason = "waits for the team's upper limit";
+    else if (item.queued && item.cause == WaitCause::Journal)
+        status.reason = "waits for the job journal";
     if (item.closing)
         status.reason = item.closing->message;
     else if (!item.durable)
         status.reason = "waits for the job journal";
     else if (!m_active)
         status.reason = "waits for a majority of workers";
+    else if (m_health.isFailing(WorkerHealth::sourceOf(item.spec.id, item.isJob())))
+        status.reason = "its tasks fail on workers that run other work well";
     return status;
 }
 
@@ -361,6 +380,8 @@
     view.retries = m_retryCount;
     view.preemptions = m_preemptions;
     view.refusals = m_refusals;
+    if (m_hold.holder())
+        view.holder = m_hold.holder()->spec.id;
     for (const WorkKind kind : { WorkKind::Request, WorkKind::Batch, WorkKind::Service })
         view.waiting[kind] = m_waiting[static_cast<std::size_t>(kind)].overview();
     return view;
--- a/src/lycheeledge/coordination/CellScheduler.h
+++ b/src/lycheeledge/coordination/CellScheduler.h
@@ -4,9 +4,12 @@
 #include "../state/Configuration.h"
 #include "../state/Outcome.h"
 #include "FairShare.h"
+#include "GangHold.h"
 #include "JobJournal.h"
 #include "OutcomeTable.h"
+#include "OverloadControl.h"
 #include "Placement.h"
+#include "Preemption.h"
 #include "Runtime.h"
 #include "SchedulerOverview.h"
 #include "SchedulerSettings.h"
@@ -14,6 +17,7 @@
 #include "UnclaimedTasks.h"
 #include "WaitingTimes.h"
 #include "WorkItem.h"
+#include "WorkerHealth.h"
 #include "WorkerPool.h"
 #include "WorkerTable.h"
 
@@ -138,6 +142,9 @@
     bool placeFrom(TeamRecord& team, bool urgentOnly);
     bool tryPlace(WorkItem& item);
     bool tryPlaceGang(WorkItem& item);
+    bool blocked(WorkItem& item, WaitCause cause);
+    void placed(WorkItem& item);
+    bool journalStalled() const;
     std::optional<WorkerSlot> choose(const WorkItem& item, std::uint32_t index);
     void reserveTask(WorkItem& item, std::uint32_t index, WorkerSlot worker);
     void addReservation(const TaskId& id, const Reservation& reservation);
@@ -146,6 +153,25 @@
     void capacityFreed(WorkerSlot worker);
     void everythingMayFit();
 
+    // Gangs, health, overload and preemption (CellSchedulerPolicies.cpp).
+    void manageHold();
+    void dropHold();
+    void placeHolder();
+    void regroup(WorkItem& item, std::uint32_t index, TimePoint due);
+    void regroupIfEnded(WorkItem& item);
+    void fireRegroups();
+    void noteHealth(const WorkItem& item, WorkerSlot worker, bool succeeded);
+    void setQuarantined(WorkerSlot worker, bool quarantined);
+    void manageProbes();
+    void shedRequests();
+    void preempt();
+    void preemptFor(TeamRecord& team, const WorkItem& waiter, double demandingShares);
+    double targetPart(const TeamRecord& team, double demandingShares) const;
+    double plannedPart(const TeamRecord& team) const;
+    const WorkItem* starvingItem(TeamRecord& team, double demandingShares);
+    void sendPreemptions();
+    void releaseStalledStarts();
+
     // Recovery and workers' reports (CellSchedulerRecovery.cpp).
     void recoverRecord(const JournalRecord& record);
     void claimReported(WorkItem& item);
@@ -191,6 +217,17 @@
     bool m_allDirty = false; ///< any team may have work that fits now
     std::set<TeamId> m_dirtyTeams; ///< teams whose own queue or usage changed
 
+    GangHold m_hold;
+    std::map<std::uint64_t, WorkItem*> m_blockedGangs; ///< gang jobs that are tried again at intervals
+    std::multimap<TimePoint, WorkId> m_regroups; ///< gang jobs whose tasks have all ended, by the end of the backoff
+    WorkerHealth m_health;
+    absl::flat_hash_map<WorkerSlot, std::pair<TaskId, TimePoint>> m_probes;
+    OverloadControl m_overload;
+    Preemption m_preemption;
+    TimePoint m_nextReview; ///< of holds and preemptions
+    std::uint64_t m_nextStartNumber = 1;
+    std::map<std::uint64_t, std::pair<TaskId, TimePoint>> m_startAppends; ///< journal records not yet durable
+
     std::uint64_t m_starts = 0;
     std::uint64_t m_finished = 0;
     std::uint64_t m_retryCount = 0;
--- a/src/lycheeledge/coordination/CellSchedulerDecisions.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerDecisions.cpp
@@ -2,6 +2,8 @@
 
 #include "CellScheduler.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 
 namespace lycheeledge {
@@ -15,6 +17,12 @@
 
     /// Bounds the set of sizes that fit nowhere; it is cleared beyond, which costs only repeated searches.
     constexpr std::size_t maxBlockedSizes = 4096;
+    /// How far work may overtake blocked work of another size in its queue.
+    constexpr std::size_t lookahead = 8;
+    /// A gang job is not tried more often than this.
+    constexpr Duration gangInterval = std::chrono::milliseconds(50);
+    /// Starts that wait this long for the journal keep further ones from taking capacity.
+    constexpr Duration journalPatience = std::chrono::seconds(1);
 
 } // namespace
 
@@ -22,6 +30,7 @@
 {
     if (!m_active || (!m_allDirty && m_dirtyTeams.empty()))
         return;
+    placeHolder();
     auto later = [](const Turn& a, const Turn& b) {
         return laterTurn(a.rank, a.key, a.team->team.id, b.rank, b.key, b.team->team.id);
     };
@@ -72,30 +81,62 @@
 {
     const std::size_t n = urgentOnly ? TeamQueues::urgentClassCount : TeamQueues::classCount;
     for (std::size_t i = 0; i < n; ++i) {
-        const auto& queue = team.queues.queue(i);
-        if (!queue.empty() && tryPlace(*queue.front()))
-            return true;
+        const Resources* blockedSize = nullptr;
+        std::size_t seen = 0;
+        for (WorkItem* item : team.queues.queue(i)) {
+            if (++seen > lookahead)
+                break;
+            if (blockedSize && !item->isGang() && item->spec.perTask == *blockedSize)
+                continue;
+            if (tryPlace(*item))
+                return true;
+            if (!item->isGang())
+                blockedSize = &item->spec.perTask;
+        }
     }
     return false;
 }
 
+bool CellScheduler::blocked(WorkItem& item, WaitCause cause)
+{
+    if (item.cause == WaitCause::None)
+        item.blockedSince = m_runtime.now();
+    item.cause = cause;
+    return false;
+}
+
+void CellScheduler::placed(WorkItem& item)
+{
+    item.cause = WaitCause::None;
+    if (m_hold.holder() == &item)
+        dropHold();
+    if (!item.waiting.empty())
+        return;
+    item.team->queues.remove(item);
+    m_blockedGangs.erase(item.sequence);
+    if (!item.isJob() && item.team->queues.size(WorkKind::Request) == 0)
+        item.team->requestRate.reset();
+}
+
+bool CellScheduler::journalStalled() const
+{
+    return !m_startAppends.empty() && m_runtime.now() - m_startAppends.begin()->second.second >= journalPatience;
+}
+
 bool CellScheduler::tryPlace(WorkItem& item)
 {
-    if (item.spec.allTogether && item.tasks.size() > 1)
+    if (item.isJob() && !item.spec.repeatable && journalStalled())
+        return blocked(item, WaitCause::Journal);
+    if (item.isGang())
         return tryPlaceGang(item);
-    if (!item.team->allows(item.spec.perTask, 1)) {
-        item.reason = "waits for the team's upper limit";
-        return false;
-    }
+    if (!item.team->allows(item.spec.perTask, 1))
+        return blocked(item, WaitCause::Limit);
     const std::uint32_t index = item.waiting.front();
     const auto worker = choose(item, index);
-    if (!worker) {
-        item.reason = "waits for capacity";
-        return false;
-    }
+    if (!worker)
+        return blocked(item, WaitCause::Capacity);
     item.waiting.pop_front();
-    if (item.waiting.empty())
-        item.team->queues.remove(item);
+    placed(item);
     reserveTask(item, index, *worker);
     startTask(item, index);
     return true;
@@ -104,40 +145,35 @@
 bool CellScheduler::tryPlaceGang(WorkItem& item)
 {
     const auto n = static_cast<std::uint32_t>(item.waiting.size());
-    if (!item.team->allows(item.spec.perTask, n)) {
-        item.reason = "waits for the team's upper limit";
+    const TimePoint now = m_runtime.now();
+    if (now < item.nextAttempt)
         return false;
+    if (!item.team->allows(item.spec.perTask, n))
+        return blocked(item, WaitCause::Limit);
+    // Placing one task takes exactly one of the places counted here, so that all tasks find one.
+    if (m_blockedSizes.contains(item.spec.perTask) || !m_workers.fits(item.spec.perTask, n)) {
+        item.nextAttempt = now + gangInterval;
+        m_blockedGangs.emplace(item.sequence, &item);
+        return blocked(item, WaitCause::Capacity);
     }
-    std::vector<std::uint32_t> placed;
-    for (const std::uint32_t index : item.waiting) {
+    const auto indexes = std::exchange(item.waiting, {});
+    placed(item);
+    for (const std::uint32_t index : indexes) {
         const auto worker = choose(item, index);
-        if (!worker)
-            break;
+        CHECK(worker) << "a gang task found no place although all were counted";
         reserveTask(item, index, *worker);
-        placed.push_back(index);
     }
-    if (placed.size() < n) {
-        const bool allDirty = m_allDirty;
-        for (const std::uint32_t index : placed) {
-            releaseTask(item, index);
-            --item.tasks[index].run;
-            setState(item, index, TaskState::Waiting);
-        }
-        m_allDirty = allDirty; // nothing was freed that was not free before
-        item.reason = "waits for capacity for all tasks together";
-        return false;
-    }
-    item.waiting.clear();
-    item.team->queues.remove(item);
-    for (const std::uint32_t index : placed)
+    for (const std::uint32_t index : indexes)
         startTask(item, index);
     return true;
 }
 
 std::optional<WorkerSlot> CellScheduler::choose(const WorkItem& item, std::uint32_t index)
 {
+    const auto backfill
+        = [&] { return m_hold.backfill(m_workers, item.spec.perTask, m_runtime.now(), item.spec.declaredRunTime); };
     if (m_blockedSizes.contains(item.spec.perTask))
-        return std::nullopt;
+        return backfill();
     PlacementRequest request;
     request.kind = item.spec.kind;
     request.size = item.spec.perTask;
@@ -147,13 +183,12 @@
         request.avoid = item.tasks[index].worker;
     if (item.spec.kind == WorkKind::Service)
         request.spread = &item.spread;
-    const auto worker = m_placement->choose(m_workers, request);
-    if (!worker) {
-        if (m_blockedSizes.size() >= maxBlockedSizes)
-            m_blockedSizes.clear();
-        m_blockedSizes.insert(item.spec.perTask);
-    }
-    return worker;
+    if (const auto worker = m_placement->choose(m_workers, request))
+        return worker;
+    if (m_blockedSizes.size() >= maxBlockedSizes)
+        m_blockedSizes.clear();
+    m_blockedSizes.insert(item.spec.perTask);
+    return backfill();
 }
 
 void CellScheduler::reserveTask(WorkItem& item, std::uint32_t index, WorkerSlot worker)
@@ -165,7 +200,12 @@
     ++item.held;
     if (item.spec.kind == WorkKind::Service)
         item.spread.count(m_workers.at(worker), 1);
-    addReservation(item.taskId(index), { worker, item.spec.perTask, item.spec.urgent });
+    addReservation(
+        item.taskId(index), { worker, item.spec.perTask, item.spec.urgent, item.spec.kind == WorkKind::Service });
+    if (m_health.awaitsProbe(worker)) {
+        m_probes.insert_or_assign(worker, std::make_pair(item.taskId(index), m_runtime.now()));
+        setQuarantined(worker, true); // until the probe task has ended
+    }
 }
 
 void CellScheduler::addReservation(const TaskId& id, const Reservation& reservation)
@@ -173,6 +213,7 @@
     if (m_workers.reservation(id))
         return;
     m_workers.reserve(id, reservation);
+    m_hold.refresh(m_workers, reservation.worker);
     TeamRecord& team = m_teams.at(id.work.team);
     team.usage += reservation.size;
     ++team.running;
@@ -190,15 +231,21 @@
     ++m_starts;
     ++item.team->starts;
     item.team->retries.countStart(now);
-    item.reason.clear();
+    if (!item.isJob())
+        item.team->requestRate.countStart(now);
     if (!item.isJob() || item.spec.repeatable)
         return sendStart(item, index);
 
     setState(item, index, TaskState::Journalling);
+    const std::uint64_t number = m_nextStartNumber++;
+    m_startAppends.emplace(number, std::make_pair(item.taskId(index), now));
     m_journal.append(TaskStarting { item.taskId(index) },
-        [this, alive = std::weak_ptr(m_alive), id = item.taskId(index)](const absl::Status& status) {
+        [this, alive = std::weak_ptr(m_alive), id = item.taskId(index), number](const absl::Status& status) {
             if (alive.expired())
                 return;
+            const bool stalled = journalStalled();
+            m_startAppends.erase(number);
+            m_allDirty = m_allDirty || (stalled && !journalStalled());
             WorkItem* item = find(id.work);
             if (!item || item->tasks[id.index].run != id.run || item->tasks[id.index].state != TaskState::Journalling)
                 return; // cancelled, or the worker was lost, before the record was durable
@@ -231,6 +278,8 @@
     if (!entry.placeable())
         return;
     const Resources free = entry.free();
+    if (m_hold.covers(worker))
+        m_allDirty = true; // the holder, or work that ends before the hold, may fit
     if (absl::erase_if(m_blockedSizes, [&](const Resources& size) { return size.fitsIn(free); }) > 0)
         m_allDirty = true;
 }
--- a/src/lycheeledge/coordination/CellSchedulerEnds.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerEnds.cpp
@@ -15,6 +15,8 @@
 
     /// A service task that ran this long starts with a fresh number of attempts.
     constexpr Duration stableRun = std::chrono::minutes(1);
+    /// Interval between reviews of holds and preemptions.
+    constexpr Duration reviewInterval = std::chrono::milliseconds(100);
     /// Delay of a job's retry while the team's retry budget is used up.
     constexpr Duration budgetDelay = std::chrono::seconds(1);
 
@@ -27,6 +29,9 @@
     item.closing = WorkResult { item.spec.id, RunState::NotRun, error, std::move(message), {} };
     item.team->queues.remove(item);
     item.waiting.clear();
+    m_blockedGangs.erase(item.sequence);
+    if (m_hold.holder() == &item)
+        dropHold();
     if (item.held == 0)
         return finishIfEnded(item);
     for (std::uint32_t i = 0; i < item.tasks.size(); ++i) {
@@ -83,6 +88,11 @@
     kept.result = std::move(result);
     m_outcomes.keep(std::move(kept));
 
+    if (job)
+        m_health.forgetSource(item.spec.id);
+    m_blockedGangs.erase(item.sequence);
+    if (m_hold.holder() == &item)
+        dropHold();
     item.team->queues.remove(item);
     m_setAside.erase(item.sequence);
     m_unresolved.erase(item.sequence);
@@ -105,6 +115,8 @@
     item.noteRun(RunState::Run);
     if (item.closing)
         return taskDropped(item, index);
+    if (!finished.succeeded && item.regrouping)
+        return regroup(item, index, m_runtime.now());
     if (!finished.succeeded)
         return taskFailed(item, index, finished.message);
     if (item.isJob()) {
@@ -112,6 +124,7 @@
         ++item.succeeded;
         if (item.tasks.size() > 1)
             m_journal.append(TaskEnded { finished.id, true }, [](const absl::Status&) {});
+        regroupIfEnded(item);
         return finishIfEnded(item);
     }
     if (finished.body.size() != finished.bodyLength) {
@@ -140,6 +153,8 @@
 {
     if (item.closing)
         return taskDropped(item, index);
+    if (item.regrouping)
+        return regroup(item, index, m_runtime.now());
     // Accepted jobs do not fail because workers refuse them.
     if (!item.isJob())
         ++item.tasks[index].attempts;
@@ -152,6 +167,8 @@
     item.noteRun(RunState::Unknown);
     if (item.closing)
         return taskDropped(item, index);
+    if (item.spec.repeatable && item.isGang())
+        return regroup(item, index, m_runtime.now());
     if (item.spec.repeatable && item.isJob())
         return requeue(item, index);
     ++item.tasks[index].attempts;
@@ -175,6 +192,8 @@
         item.failure = WorkResult { item.spec.id, run, error, std::move(message), {} };
     if (item.failure->run == RunState::NotRun)
         item.failure->run = item.run;
+    if (item.isGang()) // the others are of no use alone
+        return close(item, item.failure->error, item.failure->message);
     finishIfEnded(item);
 }
 
@@ -189,6 +208,10 @@
         ++m_refusals["retry_budget"];
         return false;
     }
+    if (item.isGang() && item.spec.repeatable) {
+        regroup(item, index, due);
+        return true;
+    }
     setState(item, index, TaskState::Delayed);
     m_retries.emplace(due, item.taskId(index));
     return true;
@@ -211,11 +234,16 @@
     case CommandOutcome::Accepted:
         setState(*item, id.index, TaskState::Running);
         item->noteRun(RunState::Run);
-        if (item->closing)
+        if (item->isJob() && item->spec.repeatable && !item->isGang()) {
+            item->tasks[id.index].startNumber = m_nextStartNumber++;
+            item->team->preemptible.emplace(item->tasks[id.index].startNumber, id);
+        }
+        if (item->closing || item->regrouping)
             m_pool.act(m_workers.at(item->tasks[id.index].worker).description.id, TaskAction::Stop, id);
         break;
     case CommandOutcome::Refused:
     case CommandOutcome::NotDelivered:
+        noteHealth(*item, item->tasks[id.index].worker, false);
         releaseTask(*item, id.index);
         taskNotRun(*item, id.index, message);
         break;
@@ -234,8 +262,14 @@
     const bool known = item && finished.id.index < item->tasks.size();
     if (ownsRun(item, finished.id)) {
         if (slot == item->tasks[finished.id.index].worker) {
+            const bool preempted = !finished.succeeded && m_preemption.stopped(finished.id);
             releaseTask(*item, finished.id.index);
-            applyFinished(*item, finished);
+            if (!item->closing && !item->regrouping && !preempted)
+                noteHealth(*item, *slot, finished.succeeded);
+            if (preempted && !item->closing)
+                requeue(*item, finished.id.index);
+            else
+                applyFinished(*item, finished);
         }
     } else if (known && item->tasks[finished.id.index].state == TaskState::Unresolved
         && finished.id.run >= item->tasks[finished.id.index].run) {
@@ -260,6 +294,9 @@
     --item.held;
     if (item.spec.kind == WorkKind::Service)
         item.spread.count(m_workers.at(item.tasks[index].worker), -1);
+    if (item.tasks[index].startNumber > 0)
+        item.team->preemptible.erase(std::exchange(item.tasks[index].startNumber, 0));
+    m_preemption.ended(item.taskId(index));
     releaseReservation(item.taskId(index));
 }
 
@@ -274,6 +311,12 @@
     if (reservation->urgent)
         team.urgentUsage -= reservation->size;
     m_dirtyTeams.insert(id.work.team);
+    m_hold.refresh(m_workers, reservation->worker);
+    const auto probe = m_probes.find(reservation->worker);
+    if (probe != m_probes.end() && probe->second.first == id) {
+        m_probes.erase(probe);
+        setQuarantined(reservation->worker, false);
+    }
     capacityFreed(reservation->worker);
 }
 
@@ -284,6 +327,20 @@
     dropEarly(now);
     fireDeadlines();
     fireRetries();
+    fireRegroups();
+    releaseStalledStarts();
+    manageProbes();
+    shedRequests();
+    sendPreemptions();
+    for (const auto& [sequence, item] : m_blockedGangs) {
+        if (now >= item->nextAttempt)
+            m_dirtyTeams.insert(item->spec.id.team);
+    }
+    if (now >= m_nextReview) {
+        m_nextReview = now + reviewInterval;
+        manageHold();
+        preempt();
+    }
     m_outcomes.expire(now);
     m_unclaimed.expire(now);
     schedule();
--- /dev/null
+++ b/src/lycheeledge/coordination/GangHold.cpp
@@ -0,0 +1,111 @@
+// Capacity kept free for one job that needs much of it at once.
+
+#include "GangHold.h"
+
+#include <algorithm>
+
+namespace lycheeledge {
+
+namespace {
+
+    /// Bounds the search for a place to backfill.
+    constexpr std::size_t maxBackfillSearch = 64;
+
+} // namespace
+
+std::vector<GangHold::Part> GangHold::plan(const WorkerTable& workers, const Resources& size, std::uint32_t count)
+{
+    struct Candidate {
+        WorkerSlot worker;
+        std::uint64_t fitNow;
+        std::uint64_t fitLater; ///< once all but services have ended
+        double load;
+    };
+    std::vector<Candidate> candidates;
+    for (WorkerSlot slot = 0; slot < workers.size(); ++slot) {
+        const WorkerEntry& entry = workers.at(slot);
+        if (!entry.placeable())
+            continue;
+        const Resources& capacity = entry.description.capacity;
+        const auto later = tasksThatFit(size, capacity - entry.lasting, count);
+        if (later > 0)
+            candidates.push_back(
+                { slot, tasksThatFit(size, entry.free(), count), later, entry.reserved.dominantShare(capacity) });
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+        return a.fitNow != b.fitNow ? a.fitNow > b.fitNow : a.load < b.load;
+    });
+    std::vector<Part> parts;
+    for (const Candidate& candidate : candidates) {
+        const auto n = static_cast<std::uint32_t>(std::min<std::uint64_t>(candidate.fitLater, count));
+        parts.push_back({ candidate.worker, n });
+        count -= n;
+        if (count == 0)
+            return parts;
+    }
+    return {};
+}
+
+void GangHold::take(WorkerTable& workers, WorkItem& holder, std::vector<Part> parts, TimePoint until)
+{
+    m_holder = &holder;
+    m_until = until;
+    m_parts = std::move(parts);
+    m_readyParts = 0;
+    for (std::size_t i = 0; i < m_parts.size(); ++i) {
+        m_index.emplace(m_parts[i].worker, i);
+        workers.update(
+            m_parts[i].worker, [&](WorkerEntry& entry) { entry.held = holder.spec.perTask * m_parts[i].tasks; });
+        refresh(workers, m_parts[i].worker);
+    }
+}
+
+std::vector<WorkerSlot> GangHold::drop(WorkerTable& workers)
+{
+    std::vector<WorkerSlot> freed;
+    for (const Part& part : m_parts) {
+        workers.update(part.worker, [](WorkerEntry& entry) { entry.held = {}; });
+        freed.push_back(part.worker);
+    }
+    m_holder = nullptr;
+    m_parts.clear();
+    m_index.clear();
+    m_readyParts = 0;
+    return freed;
+}
+
+void GangHold::refresh(const WorkerTable& workers, WorkerSlot worker)
+{
+    const auto it = m_index.find(worker);
+    if (it == m_index.end())
+        return;
+    Part& part = m_parts[it->second];
+    const bool ready = hasRoom(workers, part);
+    if (ready != part.ready) {
+        part.ready = ready;
+        m_readyParts = ready ? m_readyParts + 1 : m_readyParts - 1;
+    }
+}
+
+bool GangHold::hasRoom(const WorkerTable& workers, const Part& part) const
+{
+    const WorkerEntry& entry = workers.at(part.worker);
+    const Resources unreserved = entry.description.capacity - entry.reserved;
+    return entry.placeable() && (m_holder->spec.perTask * part.tasks).fitsIn(unreserved);
+}
+
+std::optional<WorkerSlot> GangHold::backfill(
+    const WorkerTable& workers, const Resources& size, TimePoint now, Duration declaredRunTime) const
+{
+    if (!m_holder || declaredRunTime <= Duration::zero() || now + declaredRunTime > m_until)
+        return std::nullopt;
+    const std::size_t n = std::min(m_parts.size(), maxBackfillSearch);
+    for (std::size_t i = 0; i < n; ++i) {
+        const WorkerEntry& entry = workers.at(m_parts[i].worker);
+        if (entry.placeable() && size.fitsIn(entry.description.capacity - entry.reserved))
+            return m_parts[i].worker;
+    }
+    return std::nullopt;
+}
+
+} // namespace lycheeledge
--- a/src/lycheeledge/coordination/TeamTable.h
+++ b/src/lycheeledge/coordination/TeamTable.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../state/Configuration.h"
+#include "OverloadControl.h"
 #include "RetryPolicy.h"
 #include "TeamQueues.h"
 
@@ -18,6 +19,9 @@
     std::uint32_t running = 0; ///< number of its reservations
     std::uint64_t starts = 0;
     RetryBudget retries;
+    QueueRate requestRate;
+    std::map<std::uint64_t, TaskId> preemptible; ///< running tasks that may be restarted, oldest first
+    std::optional<TimePoint> belowShareSince; ///< it has had blocked work and less than its share since
     TeamQueues queues;
 
     /** @brief Whether `count` more tasks of this size stay within the upper limit. */
--- a/src/lycheeledge/coordination/WorkItem.h
+++ b/src/lycheeledge/coordination/WorkItem.h
@@ -21,6 +21,7 @@
 enum class TaskState {
     Waiting, ///< ready to be placed
     Delayed, ///< waits for its backoff to end
+    Regrouping, ///< of a gang job; waits until all of its tasks have ended, to start with them
     Unresolved, ///< recovered; may run on a worker that has not reported
     Journalling, ///< reserved; its start is being journalled
     Starting, ///< reserved; the start command is on its way
@@ -30,6 +31,9 @@
     Dropped, ///< never to be started, since its work is being closed
 };
 
+/** @brief Why work waits. */
+enum class WaitCause { None, Capacity, Limit, Journal };
+
 /** @brief A task of a piece of work. */
 struct TaskRecord {
     TaskState state = TaskState::Waiting;
@@ -37,6 +41,7 @@
     std::uint32_t attempts = 0; ///< starts that count against the policy's limit
     WorkerSlot worker = 0; ///< of the last start
     TimePoint since; ///< time of the last change of state
+    std::uint64_t startNumber = 0; ///< key among the tasks of its team that may be preempted; 0 for none
     bool journalled = false; ///< `run` was journalled as starting
 };
 
@@ -62,13 +67,20 @@
     std::optional<WorkResult> failure; ///< of the first task that failed for good
     std::optional<WorkResult> closing; ///< no task is started any more; the result once all tasks ended
     std::optional<WorkResult> answer; ///< what `waiters` were told
-    std::string reason; ///< why it waits
+    std::string reason; ///< why it is set aside
+    WaitCause cause = WaitCause::None; ///< result of the last attempt to place it
+    TimePoint blockedSince; ///< valid while `cause` is not None
+    TimePoint nextAttempt; ///< a gang job is not tried before
+    TimePoint nextHold; ///< it gets no hold before
+    bool regrouping = false; ///< a task of the gang ended early and the others are being stopped
+    TimePoint regroupAt; ///< end of the backoff while `regrouping`
     Spread spread;
 
     TeamRecord* team = nullptr;
     bool queued = false;
     std::list<WorkItem*>::iterator queuePosition; ///< valid while `queued`
 
+    bool isGang() const { return spec.allTogether && tasks.size() > 1; }
     bool isJob() const { return spec.kind != WorkKind::Request; }
     std::uint32_t ended() const { return succeeded + failed; }
     /** @brief Adds to what is known about execution. Certainty that it ran outweighs doubt. */
--- a/src/lycheeledge/coordination/WorkerTable.cpp
+++ b/src/lycheeledge/coordination/WorkerTable.cpp
@@ -60,6 +60,8 @@
         return;
     WorkerEntry& entry = m_workers[reservation.worker];
     entry.reserved += reservation.size;
+    if (reservation.lasting)
+        entry.lasting += reservation.size;
     entry.tasks.insert(task);
     refresh(reservation.worker);
 }
@@ -72,6 +74,8 @@
     const Reservation reservation = it->second;
     WorkerEntry& entry = m_workers[reservation.worker];
     entry.reserved -= reservation.size;
+    if (reservation.lasting)
+        entry.lasting -= reservation.size;
     entry.tasks.erase(task);
     m_reservations.erase(it);
     refresh(reservation.worker);
@@ -95,6 +99,21 @@
     return m_zones[zone].tree.find(start, size);
 }
 
+bool WorkerTable::fits(const Resources& size, std::uint64_t count) const
+{
+    for (const Zone& zone : m_zones) {
+        std::size_t start = 0;
+        while (const auto position = zone.tree.find(start, size)) {
+            const std::uint64_t n = tasksThatFit(size, m_workers[zone.slots[*position]].free(), count);
+            if (n >= count)
+                return true;
+            count -= n;
+            start = *position + 1;
+        }
+    }
+    return count == 0;
+}
+
 std::uint64_t WorkerTable::fleetHolds(const Resources& size, std::uint64_t limit) const
 {
     std::uint64_t n = 0;
--- a/src/lycheeledge/coordination/WorkerTable.h
+++ b/src/lycheeledge/coordination/WorkerTable.h
@@ -22,6 +22,7 @@
     WorkerSlot worker = 0;
     Resources size;
     bool urgent = false;
+    bool lasting = false; ///< of a service, which does not end by itself
 };
 
 /** @brief State of a worker. */
@@ -30,6 +31,7 @@
     std::uint32_t zone = 0; ///< index of the zone
     std::size_t zonePosition = 0; ///< index in the zone's tree
     Resources reserved;
+    Resources lasting; ///< part of `reserved` that services have
     Resources held; ///< kept free for the job that has the hold
     Resources used; ///< measured, with a lag
     bool available = false; ///< reported and not lost since
@@ -69,6 +71,8 @@
     std::optional<Reservation> release(const TaskId& task);
     const Reservation* reservation(const TaskId& task) const;
 
+    /** @brief Whether `count` tasks of this size fit now. Stops at the first workers that are enough. */
+    bool fits(const Resources& size, std::uint64_t count) const;
     std::size_t zoneCount() const { return m_zones.size(); }
     std::optional<std::uint32_t> zone(const ZoneId& id) const;
     std::size_t zoneSize(std::uint32_t zone) const { return m_zones[zone].tree.size(); }
