--- a/src/lycheeledge/coordination/StoreJournal.cpp
+++ b/src/lycheeledge/coordination/StoreJournal.cpp
@@ -117,7 +117,8 @@
         if (!records.ok())
             return finishLoad(
                 absl::DataLossError(absl::StrCat("journal value ", sequences[i], ": ", records.status().message())));
-        m_values[sequences[i]] = { *std::move(records), m_runtime.now() };
+        for (auto& record : *records)
+            m_values[sequences[i]].push_back({ std::move(record), m_runtime.now() });
         m_toLoad.erase(sequences[i]);
     }
     loadNext();
@@ -132,8 +133,10 @@
         return done(std::move(status));
     }
     std::vector<JournalRecord> records;
-    for (const auto& [sequence, value] : m_values)
-        records.insert(records.end(), value.records.begin(), value.records.end());
+    for (const auto& [sequence, value] : m_values) {
+        for (const auto& timed : value)
+            records.push_back(timed.record);
+    }
     if (!m_values.empty())
         m_nextSequence = m_values.rbegin()->first + 1;
     LOG(INFO) << "[journal] loaded " << records.size() << " records from " << m_values.size() << " values";
@@ -200,11 +203,11 @@
     if (m_queue.empty())
         return;
     std::vector<PendingRecord> batch;
-    Value value { {}, m_runtime.now() };
+    std::vector<TimedRecord> value;
     std::size_t bytes = 0;
     while (!m_queue.empty() && (batch.empty() || bytes + m_queue.front().bytes <= m_settings.maxValueBytes)) {
         bytes += m_queue.front().bytes;
-        value.records.push_back(m_queue.front().record);
+        value.push_back({ m_queue.front().record, m_runtime.now() });
         batch.push_back(std::move(m_queue.front()));
         m_queue.pop_front();
     }
@@ -217,7 +220,7 @@
     commitStep();
 }
 
-StoreJournal::Step StoreJournal::makeStep(std::map<std::uint64_t, Value> added, std::vector<std::uint64_t> removed)
+StoreJournal::Step StoreJournal::makeStep(JournalValues added, std::vector<std::uint64_t> removed)
 {
     Step step;
     step.transaction.conditions = { { m_epochKey, m_epochRevision }, { m_indexKey, m_indexRevision } };
@@ -231,7 +234,7 @@
     }
     for (const auto& [sequence, value] : added) {
         index.insert(sequence);
-        step.transaction.puts.push_back({ keyOf(sequence), m_codec.encode(value.records), std::nullopt });
+        step.transaction.puts.push_back({ keyOf(sequence), encode(value), std::nullopt });
     }
     step.transaction.puts.push_back({ m_indexKey, encodeJournalIndex(index), std::nullopt });
     step.added = std::move(added);
@@ -239,7 +242,71 @@
     return step;
 }
 
-bool StoreJournal::compact() { return false; }
+std::string StoreJournal::encode(const std::vector<TimedRecord>& records) const
+{
+    std::vector<JournalRecord> plain;
+    plain.reserve(records.size());
+    for (const auto& timed : records)
+        plain.push_back(timed.record);
+    return m_codec.encode(plain);
+}
+
+// Compaction
+
+bool StoreJournal::mayCompact() const
+{
+    return m_values.size() > m_settings.compactAbove && m_nextSequence >= m_compactAfter;
+}
+
+bool StoreJournal::compact()
+{
+    while (mayCompact()) {
+        std::vector<std::uint64_t> window;
+        auto it = m_values.lower_bound(m_compactFrom);
+        for (; it != m_values.end() && window.size() < m_settings.compactValues; ++it)
+            window.push_back(it->first);
+        if (window.size() < m_settings.compactValues) {
+            // The end is reached: start from the oldest again once there are enough new values.
+            m_compactFrom = 0;
+            m_compactAfter = m_nextSequence + m_settings.compactValues;
+        } else if (compactValues(window)) {
+            return true;
+        } else {
+            m_compactFrom = window.back() + 1;
+        }
+    }
+    return false;
+}
+
+bool StoreJournal::compactValues(const std::vector<std::uint64_t>& window)
+{
+    const TimePoint keepSince = m_runtime.now() - m_settings.retention;
+    auto live = liveRecords(m_values, window.front(), window.back(), keepSince);
+    std::vector<std::vector<TimedRecord>> packed;
+    std::size_t total = 0;
+    std::size_t bytes = 0;
+    for (auto& timed : live) {
+        const std::size_t size = m_codec.encode({ timed.record }).size();
+        if (packed.empty() || bytes + size > m_settings.maxValueBytes) {
+            packed.emplace_back();
+            bytes = 0;
+        }
+        bytes += size;
+        total += size;
+        packed.back().push_back(std::move(timed));
+    }
+    // Rewriting many bytes to save few values is not worth the writes.
+    if (packed.size() > window.size() / 2 || total > m_settings.maxCompactedBytes)
+        return false;
+    // The new values take the last keys of the window, so that all records stay in order.
+    JournalValues added;
+    for (std::size_t i = 0; i < packed.size(); ++i)
+        added[window[window.size() - packed.size() + i]] = std::move(packed[i]);
+    m_step = makeStep(std::move(added), window);
+    m_step->proofKey = m_indexKey;
+    m_step->proofValue = m_step->transaction.puts.back().value;
+    return true;
+}
 
 void StoreJournal::commitStep()
 {
@@ -308,7 +375,7 @@
         if (self.expired())
             return;
     }
-    if (!m_queue.empty())
+    if (!m_queue.empty() || mayCompact())
         scheduleWrite();
 }
 
--- a/src/lycheeledge/coordination/StoreJournal.h
+++ b/src/lycheeledge/coordination/StoreJournal.h
@@ -3,6 +3,7 @@
 
 #include "JobJournal.h"
 #include "JournalCodec.h"
+#include "JournalCompaction.h"
 #include "Runtime.h"
 #include "Store.h"
 
@@ -67,17 +68,13 @@
         std::size_t bytes = 0;
         std::function<void(absl::Status)> done;
     };
-    struct Value {
-        std::vector<JournalRecord> records;
-        TimePoint writtenAt; ///< time of loading for values of earlier owners
-    };
     /** @brief The transaction in flight. It is repeated unchanged until its result is known. */
     struct Step {
         StoreTransaction transaction;
         std::string proofKey; ///< holds `proofValue` exactly if the transaction was applied
         std::string proofValue;
         std::vector<PendingRecord> batch; ///< empty for a compaction
-        std::map<std::uint64_t, Value> added;
+        JournalValues added;
         std::vector<std::uint64_t> removed;
     };
 
@@ -93,13 +90,16 @@
 
     void scheduleWrite();
     void write();
+    bool mayCompact() const;
     bool compact();
+    bool compactValues(const std::vector<std::uint64_t>& window);
+    std::string encode(const std::vector<TimedRecord>& records) const;
     void commitStep();
     void committed(const absl::StatusOr<StoreCommit>& result);
     void resolveStep();
     void resolved(const StoreSnapshot& snapshot);
     void finishStep(Revision revision);
-    Step makeStep(std::map<std::uint64_t, Value> added, std::vector<std::uint64_t> removed);
+    Step makeStep(JournalValues added, std::vector<std::uint64_t> removed);
 
     Runtime& m_runtime;
     Store& m_store;
@@ -116,11 +116,11 @@
     std::optional<TimePoint> m_lastWrite;
     Revision m_indexRevision = 0; ///< 0 while the journal has never been written
     std::uint64_t m_nextSequence = 1;
-    std::map<std::uint64_t, Value> m_values; ///< durable values, by sequence number
+    JournalValues m_values; ///< durable values
     std::deque<PendingRecord> m_queue;
     std::optional<Step> m_step;
     std::uint64_t m_compactFrom = 0; ///< values below this were not worth compacting
-    std::uint64_t m_compactAfter = 0; ///< no compaction before this sequence number is reached
+    std::uint64_t m_compactAfter = 0; ///< no compaction is tried before this sequence number is reached
 
     LoadCallback m_loaded;
     std::set<std::uint64_t> m_toLoad;
