--- /dev/null
+++ b/src/lycheeledge/daemon/Metrics.h
@@ -0,0 +1,114 @@
+// Counters, gauges and quantiles, exposed in the Prometheus text format.
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace lycheeledge {
+
+/** @brief Number of events since the start of the process. */
+class Counter {
+public:
+    void add(std::uint64_t n = 1) { m_value.fetch_add(n, std::memory_order_relaxed); }
+    std::uint64_t value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> m_value { 0 };
+};
+
+/** @brief A value that goes up and down. */
+class Gauge {
+public:
+    void set(double value) { m_value.store(value, std::memory_order_relaxed); }
+    double value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<double> m_value { 0 };
+};
+
+/** @brief Distribution of a measured value. */
+class Summary {
+public:
+    struct Snapshot {
+        std::uint64_t count = 0; ///< since the start of the process
+        double sum = 0; ///< since the start of the process
+        double median = 0; ///< quantiles are of the last full window, or of the current one before the first rotation
+        double p90 = 0;
+        double p99 = 0;
+        double max = 0;
+
+        bool operator==(const Snapshot&) const = default;
+    };
+
+    Summary();
+    ~Summary();
+
+    void observe(double value);
+    /** @brief Ends the current window. A window without values leaves quantiles of 0. */
+    void rotate();
+    Snapshot snapshot() const;
+
+private:
+    struct Window;
+
+    mutable std::mutex m_mutex;
+    std::unique_ptr<Window> m_current;
+    std::unique_ptr<Window> m_last; // null before the first rotation
+    std::uint64_t m_count = 0;
+    double m_sum = 0;
+};
+
+/**
+ * @brief All metrics of a process. May be used by several threads.
+ *
+ * The references returned stay valid as long as this object; code on a hot path keeps them.
+ */
+class Metrics {
+public:
+    using Labels = std::map<std::string, std::string>;
+
+    /** @param maxSeries largest number of metrics, labels included; further ones are measured but not exposed. */
+    explicit Metrics(std::size_t maxSeries = 10000);
+
+    /**
+     * @brief Returns the metric, which is created on first use.
+     * @param name of letters, digits, `_` and `:`; other characters become `_`.
+     * @param help one line; the first one given for a name counts.
+     */
+    Counter& counter(std::string_view name, std::string_view help, const Labels& labels = {});
+    Gauge& gauge(std::string_view name, std::string_view help, const Labels& labels = {});
+    Summary& summary(std::string_view name, std::string_view help, const Labels& labels = {});
+
+    /** @brief Starts a new window of all summaries. Called once a minute. */
+    void rotate();
+    /** @brief All metrics in the Prometheus text format, version 0.0.4. */
+    std::string toPrometheus() const;
+
+private:
+    using Series = std::variant<std::unique_ptr<Counter>, std::unique_ptr<Gauge>, std::unique_ptr<Summary>>;
+    struct Family {
+        std::string help;
+        std::map<std::string, Series> series; // by rendered labels, without braces
+    };
+
+    template <typename Metric>
+    Metric& find(std::string_view name, std::string_view help, const Labels& labels, Metric& overflow);
+
+    std::size_t m_maxSeries;
+    mutable std::mutex m_mutex; // guards the maps, not the metrics in them
+    std::map<std::string, Family> m_families;
+    std::size_t m_seriesCount = 0;
+    // Take what would exceed m_maxSeries, or what has a name already used for another type.
+    Counter m_overflowCounter;
+    Gauge m_overflowGauge;
+    Summary m_overflowSummary;
+};
+
+} // namespace lycheeledge
--- a/src/lycheeledge/daemon/Settings.cpp
+++ b/src/lycheeledge/daemon/Settings.cpp
@@ -121,6 +121,7 @@
         settings.logLevel = readLogLevel(section(root, "log"));
         const auto& trace = section(root, "trace");
         settings.traceUrl = detail::string(trace, "exportUrl");
+        settings.traceSampleRatio = detail::number(trace, "sampleRatio", settings.traceSampleRatio);
         settings.maxSpans = static_cast<std::size_t>(
             detail::integer(trace, "maxSpans", static_cast<std::int64_t>(settings.maxSpans)));
         return settings;
--- a/src/lycheeledge/daemon/Settings.h
+++ b/src/lycheeledge/daemon/Settings.h
@@ -61,6 +61,7 @@
     IntervalSettings intervals;
     LogLevel logLevel = LogLevel::Info;
     std::string traceUrl; ///< empty for no export
+    double traceSampleRatio = 0.001; ///< of requests without a trace context of their own
     std::size_t maxSpans = 8192; ///< waiting for export
 
     bool operator==(const Settings&) const = default;
--- a/src/lycheeledge/daemon/SettingsSchemaText.h
+++ b/src/lycheeledge/daemon/SettingsSchemaText.h
@@ -110,6 +110,7 @@
       "additionalProperties": false,
       "properties": {
         "exportUrl": { "$ref": "#/definitions/Url" },
+        "sampleRatio": { "type": "number", "minimum": 0, "maximum": 1, "default": 0.001 },
         "maxSpans": { "type": "integer", "minimum": 16, "maximum": 1048576, "default": 8192 }
       }
     }
