--- a/src/lycheeledge/protocol/PeerCodec.cpp
+++ b/src/lycheeledge/protocol/PeerCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "PeerCodec.h"
 
+#include "BoundedArchive.h"
 #include "Serialization.h"
 
 #include <exception>
@@ -21,14 +22,11 @@
 
     template <typename T> absl::StatusOr<T> decode(std::string_view buf)
     {
-        // cereal reports malformed input by exceptions. A length prefix larger than the input makes it throw
-        // std::length_error or std::bad_alloc, so all of them are caught here.
         try {
-            std::istringstream in(std::string(buf), std::ios::binary);
-            cereal::PortableBinaryInputArchive archive(in);
+            BoundedInputArchive archive(buf);
             T value;
             archive(value);
-            if (in.peek() != std::istringstream::traits_type::eof())
+            if (!archive.atEnd())
                 return absl::InvalidArgumentError("message has trailing bytes");
             return value;
         } catch (const std::exception& e) {
