--- a/test/daemon/SettingsTest.cpp
+++ b/test/daemon/SettingsTest.cpp
@@ -144,3 +144,30 @@
     CHECK(settings.status().code() == absl::StatusCode::kNotFound);
     CHECK(std::string(settings.status().message()).find("/nonexistent/settings.jsonc") == 0);
 }
+
+TEST_CASE("Every setting is documented with its default and range", "[settings]")
+{
+    rapidjson::Document schema;
+    schema.Parse(settingsSchemaText.data(), settingsSchemaText.size());
+    const std::string page = readFile("docs/settings.md");
+    std::size_t count = 0;
+    for (const auto& section : schema["properties"].GetObject()) {
+        if (!section.value.HasMember("properties"))
+            continue;
+        for (const auto& it : section.value["properties"].GetObject()) {
+            const std::string row = std::string("| `") + section.name.GetString() + "." + it.name.GetString() + "` |";
+            INFO(row);
+            const auto at = page.find(row);
+            REQUIRE(at != std::string::npos);
+            const std::string line = page.substr(at, page.find('\n', at) - at);
+            if (it.value.HasMember("default") && it.value["default"].IsInt())
+                CHECK(line.find("| " + std::to_string(it.value["default"].GetInt()) + " |") != std::string::npos);
+            if (it.value.HasMember("minimum") && it.value["minimum"].IsInt() && it.value["maximum"].IsInt())
+                CHECK(line.find(std::to_string(it.value["minimum"].GetInt()) + " to "
+                          + std::to_string(it.value["maximum"].GetInt()))
+                    != std::string::npos);
+            ++count;
+        }
+    }
+    CHECK(count > 30);
+}
