Take over from a silent owner before its store lease ends

Members now report in their gossip whom they have not heard for 1.5 s; an owner that more than half of the roster does not hear is replaced at once. A wrong suspicion is safe, since the workers fence the previous owner. A message that never left, because the connection was not open yet, is now told apart from one that may have been received, so it stays "not run".

Ruled out: a shorter store lease (doubles the store's writes at 120 members), suspicion by a single member (one silent link would make the ownership flap).

--- a/src/lycheeledge/coordination/CellOwnership.cpp
+++ b/src/lycheeledge/coordination/CellOwnership.cpp
@@ -120,7 +120,8 @@
     if (it == order.end())
         return std::nullopt;
     return m_settings.rankDelay * std::distance(order.begin(), it)
-        + (m_view.isClaimedByAnother(m_cell) ? m_settings.claimDelay : Duration::zero());
+        + (m_view.isClaimedByAnother(m_cell) && !m_view.isOwnerSuspected(m_cell) ? m_settings.claimDelay
+                                                                                 : Duration::zero());
 }
 
 void CellOwnership::checkAsCandidate()
@@ -131,7 +132,9 @@
         return acquired(*record);
     }
     const TimePoint now = m_runtime.now();
-    if (m_view.ownerLeaseExists(m_cell)) {
+    // Waiting for the lease of a silent owner to end would leave the cell without one for up to its time to live.
+    const bool suspected = m_view.isOwnerSuspected(m_cell);
+    if (m_view.ownerLeaseExists(m_cell) && !suspected) {
         m_absentSince.reset();
         // A re-acquisition that was delayed in the network may restore the lease record of a given-up epoch.
         if (m_call == Call::None && now >= m_notBefore && record && record->revision == m_endedRevision)
@@ -151,8 +154,9 @@
     const auto previous = m_view.epochRecord(m_cell);
     m_attempt = { (previous ? previous->epoch : 0) + 1, m_view.self(), m_view.incarnation(), m_view.address(), 0 };
     StoreTransaction transaction;
-    transaction.conditions
-        = { { ownerEpochKey(m_cell), previous ? previous->revision : 0 }, { ownerLeaseKey(m_cell), 0 } };
+    transaction.conditions = { { ownerEpochKey(m_cell), previous ? previous->revision : 0 } };
+    if (!m_view.isOwnerSuspected(m_cell))
+        transaction.conditions.push_back({ ownerLeaseKey(m_cell), 0 });
     transaction.puts = { { ownerEpochKey(m_cell), formatEpochRecord(m_attempt), std::nullopt },
         { ownerLeaseKey(m_cell), m_view.self().value(), m_view.storeLease() } };
     m_store.commit(std::move(transaction), guarded(&CellOwnership::takeoverAnswered));
--- a/src/lycheeledge/coordination/CellOwnership.h
+++ b/src/lycheeledge/coordination/CellOwnership.h
@@ -35,8 +35,9 @@
 /**
  * @brief Ownership of one cell, as seen by one member.
  *
- * The store decides: a takeover writes a higher epoch on condition that the previous owner's lease record is absent
- * and that its epoch record is unchanged. Everything else here only determines when to try.
+ * The store decides: a takeover writes a higher epoch on condition that the epoch record is unchanged and that the
+ * previous owner's lease record is absent, or its owner suspected by most members. Everything else here only determines
+ * when to try.
  */
 class CellOwnership {
 public:
--- a/src/lycheeledge/coordination/Membership.cpp
+++ b/src/lycheeledge/coordination/Membership.cpp
@@ -29,6 +29,7 @@
     , m_self(std::move(self))
     , m_times(times)
     , m_freshness(m_self.id, m_self.incarnation, m_times)
+    , m_failures(m_self.id, m_times.silence)
     , m_waits(m_roster, m_freshness, m_times)
     , m_lease(runtime, store, m_self, m_times, [this] { refresh(); })
     , m_keeper(store, m_self.id, m_times, m_roster, m_freshness, [this] { refresh(); })
@@ -62,6 +63,12 @@
     notifyOwners();
 }
 
+void Membership::announce()
+{
+    if (!m_left)
+        gossipNow();
+}
+
 void Membership::gossipNow()
 {
     Gossip message;
@@ -71,6 +78,7 @@
     message.appliedRevision = m_cache.revision();
     message.storeContactAge = storeContactAge();
     message.stopping = m_stopping;
+    message.silent = m_failures.silentMembers(m_runtime.now());
     if (m_ownedCells)
         message.owned = m_ownedCells();
     m_owners.setClaims(m_self.id, m_self.incarnation, message.owned, m_runtime.now());
@@ -95,6 +103,7 @@
             refreshSoon(); // a member that has just joined
         return;
     }
+    m_failures.heard(message.member, message.silent, m_runtime.now());
     m_owners.setClaims(message.member, message.incarnation, message.owned, m_runtime.now());
     m_waits.check(m_runtime.now());
     notifyOwners();
@@ -176,6 +185,7 @@
         m_snapshotRevision = snapshot.revision;
         m_roster.update(snapshot.ranges[1], snapshot.ranges[2], now);
         m_freshness.setRoster(m_roster, m_cache.quorum());
+        m_failures.setRoster(m_roster.members(), now);
         m_owners.setRecords(snapshot.ranges[3]);
         const std::string leaseKey = "m/" + m_self.id.value();
         const bool present = std::any_of(snapshot.ranges[2].begin(), snapshot.ranges[2].end(),
@@ -265,7 +275,7 @@
         const bool stopping = id == m_self.id ? m_stopping : m_freshness.isStopping(id);
         const bool live
             = id == m_self.id || (leasesKnown && !entry.leaseGoneSince) || m_freshness.heardRecently(id, now);
-        if (live && !stopping)
+        if (live && !stopping && !m_failures.isSuspected(id, now))
             members.push_back(id);
     }
     return members;
--- a/src/lycheeledge/coordination/Membership.h
+++ b/src/lycheeledge/coordination/Membership.h
@@ -3,6 +3,7 @@
 
 #include "../state/Configuration.h"
 #include "ConfigurationCache.h"
+#include "FailureDetector.h"
 #include "Freshness.h"
 #include "InForceWaits.h"
 #include "MemberLease.h"
@@ -79,6 +80,10 @@
     const Configuration& configuration() const { return m_cache.configuration(); }
     /** @brief Version of an entity of the configuration, by store key; 0 if it was never read. */
     std::uint64_t versionOf(const std::string& storeKey) const { return m_cache.versionOf(storeKey); }
+    /** @brief Whether most of the roster does not hear the member, so that its cells should be taken over. */
+    bool isSuspected(const MemberId& member) const { return m_failures.isSuspected(member, m_runtime.now()); }
+    /** @brief Gossips at once, after a change that the other members should know soon. */
+    void announce();
     /** @brief Calls `listener` after each change of the owner of a cell. */
     void onOwnersChanged(std::function<void()> listener) { m_ownerListeners.push_back(std::move(listener)); }
     /** @brief Calls `listener` after each change of the configuration. */
@@ -117,6 +122,7 @@
     RosterView m_roster;
     OwnerTable m_owners;
     Freshness m_freshness;
+    FailureDetector m_failures;
     InForceWaits m_waits;
     MemberLease m_lease;
     QuorumKeeper m_keeper;
--- a/src/lycheeledge/coordination/OwnershipView.h
+++ b/src/lycheeledge/coordination/OwnershipView.h
@@ -22,6 +22,8 @@
     virtual bool ownerLeaseExists(const CellId& cell) const = 0;
     /** @brief Whether another member claimed by gossip, recently, to be the active owner of the cell. */
     virtual bool isClaimedByAnother(const CellId& cell) const = 0;
+    /** @brief Whether most members do not hear the owner of the epoch record, so that it need not be waited for. */
+    virtual bool isOwnerSuspected(const CellId& cell) const = 0;
     /** @brief Store lease of this member, or none while it has no live one. */
     virtual std::optional<StoreLeaseId> storeLease() const = 0;
     virtual MemberId self() const = 0;
--- a/src/lycheeledge/coordination/PeerLink.h
+++ b/src/lycheeledge/coordination/PeerLink.h
@@ -10,17 +10,18 @@
 /** @brief Sends messages to other members. Delivery is not guaranteed; messages arrive whole and authenticated. */
 class PeerLink {
 public:
+    /** @param maybeReceived whether the message may have been received. */
+    using SendFailed = std::function<void(bool maybeReceived)>;
+
     virtual ~PeerLink() = default;
 
     /** @brief Sends a gossip datagram to an address. It may be lost. */
     virtual void gossip(const Address& to, const Gossip& message) = 0;
     /**
      * @brief Sends a message over the connection to a member, opening it if needed.
-     * @param failed called once if the connection breaks before the reply to this message's `call` arrived; the
-     * message may have been received.
+     * @param failed called once if the connection breaks before the reply to this message's `call` arrived.
      */
-    virtual void send(const MemberId& to, const Address& address, PeerMessage message, std::function<void()> failed)
-        = 0;
+    virtual void send(const MemberId& to, const Address& address, PeerMessage message, SendFailed failed) = 0;
     /** @brief Answers on the connection on which a message of `to` arrived; dropped if that has closed. */
     virtual void reply(const MemberId& to, PeerMessage message) = 0;
 };
--- a/src/lycheeledge/coordination/RequestRouter.cpp
+++ b/src/lycheeledge/coordination/RequestRouter.cpp
@@ -103,10 +103,12 @@
     message.spec = specToSend(submission);
     message.traceparent = submission.traceparent;
     const std::uint64_t call = submission.call;
-    m_link.send(owner.member, owner.address, std::move(message), [this, key, call] {
+    m_link.send(owner.member, owner.address, std::move(message), [this, key, call](bool maybeReceived) {
         const auto it = m_submissions.find(key);
-        if (it != m_submissions.end() && it->second.call == call)
-            retryLater(key, it->second);
+        if (it == m_submissions.end() || it->second.call != call)
+            return;
+        it->second.maybeReceived = it->second.receivedBefore || maybeReceived;
+        retryLater(key, it->second);
     });
 }
 
@@ -220,7 +222,7 @@
         queryTimeout, [fail] { fail(absl::DeadlineExceededError("the owner of the cell did not answer")); });
     m_queries.emplace(call, std::move(pending));
     m_link.send(owner->member, owner->address, std::move(message),
-        [fail] { fail(absl::UnavailableError("the connection to the owner of the cell broke")); });
+        [fail](bool) { fail(absl::UnavailableError("the connection to the owner of the cell broke")); });
 }
 
 template <typename Reply> void RequestRouter::queryReplied(const Reply& reply)
--- a/src/lycheeledge/coordination/RosterView.cpp
+++ b/src/lycheeledge/coordination/RosterView.cpp
@@ -45,4 +45,13 @@
     return entry && entry->leaseGoneSince && now - *entry->leaseGoneSince >= duration;
 }
 
+std::vector<MemberId> RosterView::members() const
+{
+    std::vector<MemberId> members;
+    members.reserve(m_entries.size());
+    for (const auto& [id, entry] : m_entries)
+        members.push_back(id);
+    return members;
+}
+
 } // namespace lycheeledge
--- a/src/lycheeledge/coordination/RosterView.h
+++ b/src/lycheeledge/coordination/RosterView.h
@@ -25,6 +25,7 @@
 
     const std::map<MemberId, Entry>& entries() const { return m_entries; }
     const Entry* find(const MemberId& member) const;
+    std::vector<MemberId> members() const;
     std::size_t size() const { return m_entries.size(); }
     /** @brief Whether the member's lease has been gone for at least `duration`. */
     bool leaseGoneFor(const MemberId& member, Duration duration, TimePoint now) const;
--- a/src/lycheeledge/daemon/EntryProcess.cpp
+++ b/src/lycheeledge/daemon/EntryProcess.cpp
@@ -121,6 +121,12 @@
         return record && record->leased;
     }
 
+    bool MembershipView::isOwnerSuspected(const CellId& cell) const
+    {
+        const auto record = m_membership.ownerRecord(cell);
+        return record && m_membership.isSuspected(record->owner);
+    }
+
     std::optional<OwnerLocation> MembershipOwners::ownerOf(const CellId& cell) const
     {
         const auto owned = m_cell.ownedCells();
@@ -167,6 +173,7 @@
     m_membership.onConfigurationChanged(
         [this](const Configuration& configuration) { m_cell.applyConfiguration(configuration); });
     m_cell.onChanged([this] {
+        m_membership.announce();
         if (m_cell.isActive())
             m_router.ownerChanged();
         else
--- a/src/lycheeledge/daemon/EntryProcess.h
+++ b/src/lycheeledge/daemon/EntryProcess.h
@@ -53,6 +53,7 @@
         std::optional<EpochRecord> epochRecord(const CellId& cell) const override;
         bool ownerLeaseExists(const CellId& cell) const override;
         bool isClaimedByAnother(const CellId& cell) const override { return m_membership.ownerClaimsActive(cell); }
+        bool isOwnerSuspected(const CellId& cell) const override;
         std::optional<StoreLeaseId> storeLease() const override { return m_membership.storeLease(); }
         MemberId self() const override { return m_membership.self().id; }
         std::uint64_t incarnation() const override { return m_membership.self().incarnation; }
--- a/src/lycheeledge/protocol/AsioPeerLink.cpp
+++ b/src/lycheeledge/protocol/AsioPeerLink.cpp
@@ -73,7 +73,7 @@
     m_transport.sendDatagram(to.host, to.port, sealDatagram(m_settings.secret, encodeGossip(message)));
 }
 
-void AsioPeerLink::send(const MemberId& to, const Address& address, PeerMessage message, std::function<void()> failed)
+void AsioPeerLink::send(const MemberId& to, const Address& address, PeerMessage message, SendFailed failed)
 {
     auto it = m_outgoing.find(to);
     if (it != m_outgoing.end() && m_connections.at(it->second)->address != address) {
@@ -178,8 +178,10 @@
     m_connections.erase(it);
     absl::erase_if(m_outgoing, [id](const auto& entry) { return entry.second == id; });
     absl::erase_if(m_incoming, [id](const auto& entry) { return entry.second == id; });
+    // Messages leave only once both sides are authenticated; until then they wait here.
+    const bool maybeReceived = connection->channel.established();
     for (auto& [call, failed] : connection->calls)
-        failed();
+        failed(maybeReceived);
 }
 
 void AsioPeerLink::transmit(ConnectionId id, Connection& connection, std::string text)
--- a/src/lycheeledge/protocol/AsioPeerLink.h
+++ b/src/lycheeledge/protocol/AsioPeerLink.h
@@ -35,7 +35,7 @@
     void stop();
 
     void gossip(const Address& to, const Gossip& message) override;
-    void send(const MemberId& to, const Address& address, PeerMessage message, std::function<void()> failed) override;
+    void send(const MemberId& to, const Address& address, PeerMessage message, SendFailed failed) override;
     void reply(const MemberId& to, PeerMessage message) override;
 
 private:
@@ -46,7 +46,7 @@
         bool initiator = false;
         Address address; // of the other end, if initiator
         std::deque<std::string> waiting; // encoded messages to send once the channel is established
-        absl::flat_hash_map<std::uint64_t, std::function<void()>> calls; // failure callbacks by call
+        absl::flat_hash_map<std::uint64_t, SendFailed> calls; // failure callbacks by call
     };
 
     Connection& add(ConnectionId id, bool initiator);
--- a/src/lycheeledge/protocol/Serialization.h
+++ b/src/lycheeledge/protocol/Serialization.h
@@ -67,7 +67,7 @@
 template <typename Archive> void serialize(Archive& archive, Gossip& value)
 {
     archive(value.member, value.incarnation, value.sequence, value.appliedRevision, value.storeContactAge, value.owned,
-        value.stopping, value.echoIncarnation, value.echoSequence);
+        value.stopping, value.silent, value.echoIncarnation, value.echoSequence);
 }
 
 template <typename Archive> void serialize(Archive& archive, SubmitMessage& value)
--- a/test/coordination/CellOwnershipTest.cpp
+++ b/test/coordination/CellOwnershipTest.cpp
@@ -28,6 +28,7 @@
     std::optional<EpochRecord> record;
     bool leaseExists = false;
     bool claimed = false;
+    bool suspected = false;
     StoreLeaseId lease = 0;
     std::vector<std::string> log;
     std::unique_ptr<CellOwnership> ownership;
@@ -73,6 +74,7 @@
     std::optional<EpochRecord> epochRecord(const CellId&) const override { return record; }
     bool ownerLeaseExists(const CellId&) const override { return leaseExists; }
     bool isClaimedByAnother(const CellId&) const override { return claimed; }
+    bool isOwnerSuspected(const CellId&) const override { return suspected; }
     std::optional<StoreLeaseId> storeLease() const override { return lease ? std::optional(lease) : std::nullopt; }
     MemberId self() const override { return id; }
     std::uint64_t incarnation() const override { return 7; }
@@ -223,3 +225,25 @@
              R"({"epoch":1,"owner":"a","incarnation":"1","host":"h","port":65536})" })
         CHECK_FALSE(parseEpochRecord(text).ok());
 }
+
+TEST_CASE("A suspected owner is replaced before its lease ends", "[ownership]")
+{
+    Bench bench(3);
+    bench.clock.advance(seconds(5));
+    bench.at(0).runtime.pause();
+    bench.clock.advance(milliseconds(1500));
+    for (std::size_t n = 1; n < 3; ++n)
+        bench.at(n).suspected = true;
+    bench.live = { bench.at(1).id, bench.at(2).id };
+    bench.clock.advance(milliseconds(500));
+    REQUIRE(bench.at(1).log == Log { "acquired 2" });
+    for (std::size_t n = 1; n < 3; ++n)
+        bench.at(n).suspected = false;
+    // The lease record must now live as long as the new owner, although it existed under the old owner's lease.
+    bench.clock.advance(seconds(20));
+    CHECK(bench.at(1).leaseExists);
+    bench.at(0).runtime.resume();
+    bench.clock.advance(seconds(5));
+    CHECK(bench.at(0).log == Log { "acquired 1", "lost 1" });
+    CHECK(bench.owners() == 1);
+}
--- a/test/coordination/RequestRouterTest.cpp
+++ b/test/coordination/RequestRouterTest.cpp
@@ -19,11 +19,11 @@
     struct Sent {
         MemberId to;
         PeerMessage message;
-        std::function<void()> failed;
+        SendFailed failed;
     };
 
     void gossip(const Address&, const Gossip&) override { }
-    void send(const MemberId& to, const Address&, PeerMessage message, std::function<void()> failed) override
+    void send(const MemberId& to, const Address&, PeerMessage message, SendFailed failed) override
     {
         sent.push_back({ to, std::move(message), std::move(failed) });
     }
@@ -130,7 +130,7 @@
     Fixture f;
     f.owners.owner = Fixture::location("a", 1);
     f.submit();
-    f.link.sent[0].failed();
+    f.link.sent[0].failed(true);
     f.runtime.advance(100ms);
     REQUIRE(f.link.sent.size() == 2);
     CHECK(f.link.lastSubmit().spec.attempt == 1); // same owner, which deduplicates
@@ -185,3 +185,15 @@
     f.cell.submitted[0].second(f.success());
     CHECK(std::get<SubmitReply>(f.link.replies[1].second).result == f.success());
 }
+
+TEST_CASE("Work for an owner that cannot be reached stays not run", "[router]")
+{
+    Fixture f;
+    f.owners.owner = Fixture::location("a", 1);
+    f.submit();
+    f.link.sent[0].failed(false);
+    f.owners.owner.reset();
+    f.runtime.advance(13s);
+    REQUIRE(f.results.size() == 1);
+    CHECK(f.results[0].run == RunState::NotRun);
+}
--- a/test/protocol/AsioPeerLinkTest.cpp
+++ b/test/protocol/AsioPeerLinkTest.cpp
@@ -71,7 +71,7 @@
     Node a("a", executor);
     Node b("b", executor);
     bool failed = false;
-    a.link.send(MemberId("b"), b.address, statusMessage(9), [&] { failed = true; });
+    a.link.send(MemberId("b"), b.address, statusMessage(9), [&](bool) { failed = true; });
     REQUIRE(executor.runUntil([&] { return !b.recorder.messages.empty(); }));
     CHECK(b.recorder.senders.front() == MemberId("a"));
     StatusReply reply;
@@ -87,14 +87,21 @@
     RingExecutor executor;
     Node a("a", executor);
     int failures = 0;
+    bool maybeReceived = false;
+    const auto fail = [&](bool maybe) {
+        ++failures;
+        maybeReceived = maybe;
+    };
     {
         Node b("b", executor);
-        a.link.send(MemberId("b"), b.address, statusMessage(1), [&] { ++failures; });
+        a.link.send(MemberId("b"), b.address, statusMessage(1), fail);
         REQUIRE(executor.runUntil([&] { return !b.recorder.messages.empty(); }));
     }
     REQUIRE(executor.runUntil([&] { return failures == 1; }));
-    a.link.send(MemberId("b"), { "127.0.0.1", 1 }, statusMessage(2), [&] { ++failures; });
-    CHECK(executor.runUntil([&] { return failures == 2; }));
+    CHECK(maybeReceived);
+    a.link.send(MemberId("b"), { "127.0.0.1", 1 }, statusMessage(2), fail);
+    REQUIRE(executor.runUntil([&] { return failures == 2; }));
+    CHECK_FALSE(maybeReceived); // nothing listens on that port
 }
 
 TEST_CASE("A member with another secret is not heard", "[peer-link]")
@@ -104,7 +111,7 @@
     Node stranger("x", executor, "wrong");
     Node b("b", executor);
     bool refused = false;
-    stranger.link.send(MemberId("a"), a.address, statusMessage(1), [&] { refused = true; });
+    stranger.link.send(MemberId("a"), a.address, statusMessage(1), [&](bool) { refused = true; });
     REQUIRE(executor.runUntil([&] { return refused; }));
     Gossip gossip;
     gossip.member = MemberId("x");
--- a/test/support/FakeNetwork.h
+++ b/test/support/FakeNetwork.h
@@ -78,7 +78,7 @@
     Link& operator=(const Link&) = delete;
 
     void gossip(const Address& to, const Gossip& message) override { m_network.send(m_address, to, message); }
-    void send(const MemberId&, const Address&, PeerMessage, std::function<void()>) override { }
+    void send(const MemberId&, const Address&, PeerMessage, SendFailed) override { }
     void reply(const MemberId&, PeerMessage) override { }
 
 private:
