Test limits, decoders and fault controls; bound unreadable answers

A worker delivers its outcomes in order, so an answer that can never be read whole blocked all later ones: WorkerSessions repeats the call for as long as it gets DATA_LOSS. After 5 attempts the gateway now reports the task as failed, with "truncated" in its message and without the answer.

Tests found: - the stand-in answered keep-alive and revoke calls that are no JSON object; it refuses them now - the thread sanitizer reported that a test could destroy a ring while the producer was still inside tryPush(); the tests' Awaiter shares it now

A trial with a client that lets curl rewind the body showed the request arriving three times instead of two at a server that closes a kept-alive connection, and the call ending with OK. A test guards against this. Requests without a body that are no GET use a new connection, because nothing is rewound for them.

--- a/src/lycheeledge/protocol/HttpWorkerGateway.cpp
+++ b/src/lycheeledge/protocol/HttpWorkerGateway.cpp
@@ -119,6 +119,7 @@
     : m_client(client)
     , m_executor(executor)
     , m_settings(std::move(settings))
+    , m_unreadable(std::make_shared<UnreadableAnswers>())
 {
 }
 
@@ -130,7 +131,8 @@
         executor.execute([done, report = std::move(report)]() mutable { done(std::move(report)); });
     };
     m_client.send(makePost(url + "/v1/lease", encodeLeaseRequest(request)), m_settings.commandTimeout,
-        [&client = m_client, settings = m_settings, url, id = worker.id, complete](const HttpResult& result) {
+        [&client = m_client, settings = m_settings, unreadable = m_unreadable, url, id = worker.id, complete](
+            const HttpResult& result) {
             auto decoded = interpretLease(result, id);
             if (!decoded.ok()) {
                 complete(decoded.status());
@@ -147,7 +149,8 @@
                 report.finished = std::move(*tasks);
                 complete(std::move(report));
             };
-            std::make_shared<ResultFetcher>(client, settings, url, session, std::move(finished), std::move(fetched))
+            std::make_shared<ResultFetcher>(
+                client, settings, url, session, unreadable, std::move(finished), std::move(fetched))
                 ->run();
         });
 }
@@ -190,7 +193,8 @@
         executor.execute([done, events = std::move(events)]() mutable { done(std::move(events)); });
     };
     m_client.send(std::move(request), waitMs + m_settings.commandTimeout,
-        [&client = m_client, settings = m_settings, url, session, after, complete](const HttpResult& result) {
+        [&client = m_client, settings = m_settings, unreadable = m_unreadable, url, session, after, complete](
+            const HttpResult& result) {
             auto decoded = interpretEvents(result, after);
             if (!decoded.ok()) {
                 complete(decoded.status());
@@ -203,7 +207,7 @@
                     complete(tasks.status());
             };
             std::make_shared<ResultFetcher>(
-                client, settings, url, session, std::move(decoded->finished), std::move(fetched))
+                client, settings, url, session, unreadable, std::move(decoded->finished), std::move(fetched))
                 ->run();
         });
 }
--- a/src/lycheeledge/protocol/HttpWorkerGateway.h
+++ b/src/lycheeledge/protocol/HttpWorkerGateway.h
@@ -6,10 +6,13 @@
 #include "CompletionExecutor.h"
 
 #include <chrono>
+#include <memory>
 #include <string>
 
 namespace lycheeledge {
 
+class UnreadableAnswers;
+
 struct WorkerGatewaySettings {
     std::string scheme = "http";
     std::chrono::milliseconds commandTimeout { 2000 }; ///< for lease, start, stop, checkpoint and throttle
@@ -21,8 +24,11 @@
 };
 
 /**
- * @brief Sends commands to workers. `client` and `executor` must outlive this object, and `executor` must outlive
- * `client`.
+ * @brief Sends commands to workers.
+ *
+ * An answer is checked against its length and digest and read again up to 5 times; then its task is reported as failed,
+ * with a message that begins with "truncated" and without the answer, so that it does not block later ones. `client`
+ * and `executor` must outlive this object, and `executor` must outlive `client`.
  */
 class HttpWorkerGateway final : public WorkerGateway {
 public:
@@ -44,6 +50,7 @@
     HttpClient& m_client;
     CompletionExecutor& m_executor;
     WorkerGatewaySettings m_settings;
+    std::shared_ptr<UnreadableAnswers> m_unreadable; // used on the client's thread
 };
 
 } // namespace lycheeledge
--- a/src/lycheeledge/protocol/ResultFetcher.cpp
+++ b/src/lycheeledge/protocol/ResultFetcher.cpp
@@ -11,12 +11,26 @@
 
 namespace lycheeledge {
 
+bool UnreadableAnswers::failedAgain(const TaskId& task)
+{
+    // Bounds the memory that answers of removed workers take.
+    constexpr std::size_t maxTasks = 10000;
+    if (m_attempts.size() >= maxTasks)
+        m_attempts.clear();
+    if (++m_attempts[task] < limit)
+        return false;
+    m_attempts.erase(task);
+    return true;
+}
+
 ResultFetcher::ResultFetcher(HttpClient& client, WorkerGatewaySettings settings, std::string baseUrl,
-    std::string session, std::vector<WireFinishedTask> finished, Done done)
+    std::string session, std::shared_ptr<UnreadableAnswers> unreadable, std::vector<WireFinishedTask> finished,
+    Done done)
     : m_client(client)
     , m_settings(std::move(settings))
     , m_baseUrl(std::move(baseUrl))
     , m_session(std::move(session))
+    , m_unreadable(std::move(unreadable))
     , m_finished(std::move(finished))
     , m_done(std::move(done))
 {
@@ -24,28 +38,47 @@
 
 void ResultFetcher::run()
 {
-    while (m_next < m_finished.size()) {
+    for (; m_next < m_finished.size(); ++m_next) {
         const WireFinishedTask& item = m_finished[m_next];
-        if (item.bodyPending && !item.acknowledged) {
-            if (item.task.bodyLength > m_settings.maxBodyBytes) {
-                finish(absl::DataLossError("the answer is over the size limit"));
-                return;
-            }
-            if (item.task.body.size() < item.task.bodyLength) {
-                fetchRange();
-                return;
-            }
+        if (item.acknowledged)
+            continue;
+        if (absl::Status status = checkNext(); !status.ok()) {
+            dataLost(status);
+            return;
         }
-        const absl::Status status = item.acknowledged ? absl::OkStatus() : checkBody(item.task);
-        if (!status.ok()) {
-            finish(status);
+        if (item.bodyPending && item.task.body.size() < item.task.bodyLength) {
+            fetchRange();
             return;
         }
-        ++m_next;
+        m_unreadable->readWhole(item.task.id);
     }
     finish(absl::OkStatus());
 }
 
+absl::Status ResultFetcher::checkNext() const
+{
+    const WireFinishedTask& item = m_finished[m_next];
+    if (item.task.bodyLength > m_settings.maxBodyBytes)
+        return absl::DataLossError("the answer is over the size limit");
+    if (item.bodyPending && item.task.body.size() < item.task.bodyLength)
+        return absl::OkStatus();
+    return checkBody(item.task);
+}
+
+void ResultFetcher::dataLost(const absl::Status& status)
+{
+    WireFinishedTask& item = m_finished[m_next];
+    if (!m_unreadable->failedAgain(item.task.id)) {
+        finish(status);
+        return;
+    }
+    item.task.succeeded = false;
+    item.task.message = absl::StrCat("truncated: ", status.message());
+    item.task.body.clear();
+    ++m_next;
+    run();
+}
+
 void ResultFetcher::fetchRange()
 {
     const FinishedTask& task = m_finished[m_next].task;
@@ -62,10 +95,17 @@
 
 void ResultFetcher::rangeReceived(const HttpResult& result)
 {
+    if (absl::IsDataLoss(result.status)) {
+        dataLost(result.status);
+        return;
+    }
     if (!result.status.ok()) {
-        finish(absl::IsDeadlineExceeded(result.status) || absl::IsDataLoss(result.status)
-                ? result.status
-                : absl::UnavailableError(result.status.message()));
+        finish(
+            absl::IsDeadlineExceeded(result.status) ? result.status : absl::UnavailableError(result.status.message()));
+        return;
+    }
+    if (result.response.status == 404) {
+        dataLost(absl::DataLossError("the worker does not have the answer"));
         return;
     }
     if (result.response.status != 206) {
@@ -80,7 +120,7 @@
     const bool fits
         = !part.empty() && part.size() <= std::min<std::uint64_t>(m_settings.rangeBytes, task.bodyLength - first);
     if (!fits || header == result.response.headers.end() || header->second != expected) {
-        finish(absl::DataLossError(absl::StrCat("result: expected range \"", expected, "\" of the answer")));
+        dataLost(absl::DataLossError(absl::StrCat("expected range \"", expected, "\" of the answer")));
         return;
     }
     task.body += part;
--- a/src/lycheeledge/transport/HttpClient.cpp
+++ b/src/lycheeledge/transport/HttpClient.cpp
@@ -293,7 +293,9 @@
         curl_easy_setopt(easy, CURLOPT_READFUNCTION, &readBody);
         curl_easy_setopt(easy, CURLOPT_READDATA, &transfer);
         curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, &refuseRewind);
-        curl_easy_setopt(easy, CURLOPT_SEEKDATA, nullptr);
+        // Without a body there is nothing to rewind, so that only a new connection prevents the repetition.
+        if (transfer.call.request.body.empty())
+            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     }
 
     void collect()
--- a/standins/EtcdWire.h
+++ b/standins/EtcdWire.h
@@ -203,7 +203,9 @@
         const std::int64_t seconds = fields.int64("TTL");
         if (seconds <= 0 || seconds > 1000000 || !fields.ok())
             return etcdError(absl::InvalidArgumentError("etcdserver: too large or missing lease TTL"));
-        const StoreLeaseId id = model.grant(now, seconds);
+        const StoreLeaseId id = model.grant(now, seconds, fields.int64("ID"));
+        if (id == 0 || !fields.ok())
+            return etcdError(absl::InvalidArgumentError("etcdserver: lease already exists"));
         return answerWith([&](JsonWriter& writer) {
             writeHeader(writer, model.revision());
             writeDecimal(writer, "ID", id);
@@ -211,9 +213,11 @@
         });
     }
 
-    inline HttpResponse keepAlive(StoreModel& model, const JsonFields& fields, TimePoint now)
+    inline HttpResponse keepAlive(StoreModel& model, const JsonFields& fields, const absl::Status& error, TimePoint now)
     {
         const StoreLeaseId id = fields.int64("ID");
+        if (!error.ok())
+            return etcdError(error);
         const std::int64_t left = model.keepAlive(now, id);
         HttpResponse response = answerWith([&](JsonWriter& writer) {
             writer.Key("result");
@@ -228,6 +232,16 @@
         return response;
     }
 
+    inline HttpResponse revokeLease(StoreModel& model, const JsonFields& fields, const absl::Status& error)
+    {
+        const StoreLeaseId id = fields.int64("ID");
+        if (!error.ok())
+            return etcdError(error);
+        if (!model.revoke(id))
+            return etcdError(absl::NotFoundError("etcdserver: requested lease not found"));
+        return answerWith([&](JsonWriter& writer) { writeHeader(writer, model.revision()); });
+    }
+
     inline HttpResponse readRange(StoreModel& model, const JsonFields& fields, const absl::Status& error)
     {
         const StoreModel::Range range = readRange(fields);
@@ -266,12 +280,9 @@
     if (path == "/v3/lease/grant")
         return detail::grantLease(model, fields, now);
     if (path == "/v3/lease/keepalive")
-        return detail::keepAlive(model, fields, now);
-    if (path == "/v3/lease/revoke") {
-        if (!model.revoke(fields.int64("ID")))
-            return detail::etcdError(absl::NotFoundError("etcdserver: requested lease not found"));
-        return detail::answerWith([&](JsonWriter& writer) { detail::writeHeader(writer, model.revision()); });
-    }
+        return detail::keepAlive(model, fields, error, now);
+    if (path == "/v3/lease/revoke")
+        return detail::revokeLease(model, fields, error);
     return { 404, {}, "Not Found" };
 }
 
--- a/standins/StoreModel.h
+++ b/standins/StoreModel.h
@@ -95,9 +95,13 @@
         return absl::OkStatus();
     }
 
-    StoreLeaseId grant(TimePoint now, std::int64_t seconds)
+    /** @param id of the lease; 0 lets the store choose it. @return the id, or 0 if it is in use. */
+    StoreLeaseId grant(TimePoint now, std::int64_t seconds, StoreLeaseId id = 0)
     {
-        const StoreLeaseId id = m_nextLease++;
+        if (id == 0)
+            id = m_nextLease++;
+        if (m_leases.count(id) > 0)
+            return 0;
         m_leases[id] = { seconds, now + std::chrono::seconds(seconds), {} };
         return id;
     }
--- a/test/protocol/HttpWorkerGatewayTest.cpp
+++ b/test/protocol/HttpWorkerGatewayTest.cpp
@@ -5,6 +5,7 @@
 #include "support/RawServer.h"
 
 #include <lycheeledge/protocol/HttpWorkerGateway.h>
+#include <lycheeledge/protocol/ResultFetcher.h>
 
 #include <catch2/catch.hpp>
 
@@ -142,7 +143,7 @@
 /** @brief Outcome of a start that is answered by the given raw bytes. */
 CommandOutcome startOver(const std::string& answer)
 {
-    RawServer server(answer);
+    RawServer server({ answer });
     Gateway gateway;
     return gateway.start(describeWorker(server.port()), WorkerFixture::task("r", "{}")).first;
 }
@@ -206,7 +207,30 @@
     const auto bytes = GENERATE(as<std::string>(), "100", "200000");
     const auto task = WorkerFixture::task("r", R"({"runMs":0,"bodyBytes":)" + bytes + "}");
     CHECK(fixture.gateway.start(fixture.description, task).first == CommandOutcome::Accepted);
+    for (int n = 1; n < UnreadableAnswers::limit; ++n)
+        CHECK(absl::IsDataLoss(fixture.gateway.events(fixture.description, task, 0, 20s).status()));
+    // An answer that stays unreadable must not block the later ones.
+    const auto events = fixture.gateway.events(fixture.description, task, 0, 20s);
+    REQUIRE(events.ok());
+    REQUIRE(events->finished.size() == 1);
+    CHECK_FALSE(events->finished[0].succeeded);
+    CHECK(events->finished[0].body.empty());
+    CHECK(events->finished[0].message.rfind("truncated", 0) == 0);
+    CHECK(events->lastSequence == 1);
+}
+
+TEST_CASE("An answer that is read whole in the end is passed on", "[worker-gateway]")
+{
+    WorkerFixture fixture;
+    fixture.setFaults(R"({"corruptResults":true})");
+    const auto task = WorkerFixture::task("r", R"({"runMs":0,"bodyBytes":200000,"seed":3})");
+    CHECK(fixture.gateway.start(fixture.description, task).first == CommandOutcome::Accepted);
     CHECK(absl::IsDataLoss(fixture.gateway.events(fixture.description, task, 0, 20s).status()));
+    CHECK(absl::IsUnavailable(fixture.gateway.lease(fixture.description, WorkerFixture::leaseRequest()).status()));
+    fixture.setFaults(R"({"corruptResults":false})");
+    const auto events = fixture.gateway.events(fixture.description, task, 0, 20s);
+    REQUIRE(events.ok());
+    CHECK(events->finished.at(0).body == expectedBody(200000, 3));
 }
 
 TEST_CASE("An answer over the size limit is DATA_LOSS", "[worker-gateway]")
@@ -291,7 +315,7 @@
     CHECK(startOver("") == CommandOutcome::Unknown);
     std::uint16_t closedPort = 0;
     {
-        RawServer server("");
+        RawServer server({});
         closedPort = server.port();
     }
     Gateway gateway;
@@ -301,7 +325,7 @@
 
 TEST_CASE("Events that are older than the acknowledged ones are refused", "[worker-gateway]")
 {
-    RawServer server(response("200 OK", R"({"events":[],"lastSequence":4})"));
+    RawServer server({ response("200 OK", R"({"events":[],"lastSequence":4})") });
     Gateway gateway;
     const auto task = WorkerFixture::task("r", "{}");
     CHECK(gateway.events(describeWorker(server.port()), task, 4, 0s).ok());
--- a/test/support/Awaiter.h
+++ b/test/support/Awaiter.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <utility>
@@ -18,21 +19,26 @@
 /** @brief Keeps the values that callbacks deliver until the test takes them. */
 template <typename T> class Awaiter {
 public:
-    void put(T value) { m_values.tryPush(std::move(value)); }
+    void put(T value)
+    {
+        // The test may take the value and destroy this object before tryPush() returns.
+        const auto values = m_values;
+        values->tryPush(std::move(value));
+    }
 
     T take()
     {
-        auto value = m_values.popUntil(std::chrono::steady_clock::now() + patience);
+        auto value = m_values->popUntil(std::chrono::steady_clock::now() + patience);
         if (!value)
             throw std::runtime_error("no callback arrived");
         return std::move(*value);
     }
 
     /** @brief Whether a value is there now. */
-    bool empty() const { return m_values.size() == 0; }
+    bool empty() const { return m_values->size() == 0; }
 
 private:
-    BoundedRing<T> m_values { 4096 };
+    std::shared_ptr<BoundedRing<T>> m_values = std::make_shared<BoundedRing<T>>(4096);
 };
 
 /** @brief Executor that runs tasks on the test's thread, inside runOne(). */
--- a/test/support/RawServer.h
+++ b/test/support/RawServer.h
@@ -11,15 +11,19 @@
 #include <thread>
 #include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace lycheeledge::test {
 
-/** @brief Reads a request header on each connection, sends the prepared bytes and closes the connection. */
+/** @brief Sends one prepared answer for each request of a connection, then closes the connection. */
 class RawServer {
 public:
-    /** @param answer sent on each connection; nothing is sent if it is empty. */
-    explicit RawServer(std::string answer)
-        : m_answer(std::move(answer))
+    /**
+     * @param answers for the successive requests of a connection, the same for every connection. After the last one,
+     * or after the first one that is empty, the connection is closed.
+     */
+    explicit RawServer(std::vector<std::string> answers)
+        : m_answers(std::move(answers))
         , m_listener(socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address {};
@@ -45,7 +49,7 @@
 
     std::uint16_t port() const { return m_port; }
     std::string url() const { return "http://127.0.0.1:" + std::to_string(m_port); }
-    /** @brief Connections on which a request arrived. */
+    /** @brief Requests that arrived whole. */
     int requests() const { return m_requests; }
 
 private:
@@ -60,22 +64,51 @@
 
     void serve(int connection)
     {
-        std::string request;
-        char buf[4096];
-        while (request.find("\r\n\r\n") == std::string::npos) {
-            const auto n = recv(connection, buf, sizeof(buf), 0);
-            if (n <= 0)
+        std::string input;
+        for (const auto& answer : m_answers) {
+            if (!readRequest(connection, input))
                 return;
-            request.append(buf, static_cast<std::size_t>(n));
+            ++m_requests;
+            if (answer.empty())
+                break;
+            send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
         }
-        ++m_requests;
-        send(connection, m_answer.data(), m_answer.size(), MSG_NOSIGNAL);
         // Closing with unread input would reset the connection and could drop the answer.
         shutdown(connection, SHUT_WR);
-        while (recv(connection, buf, sizeof(buf), 0) > 0) { }
+        while (readMore(connection, input)) { }
+    }
+
+    static bool readMore(int connection, std::string& input)
+    {
+        char buf[4096];
+        const auto n = recv(connection, buf, sizeof(buf), 0);
+        if (n > 0)
+            input.append(buf, static_cast<std::size_t>(n));
+        return n > 0;
+    }
+
+    /** @brief Reads a request with its body and removes it from `input`. */
+    static bool readRequest(int connection, std::string& input)
+    {
+        const std::string field = "Content-Length: ";
+        std::size_t end = std::string::npos;
+        while ((end = input.find("\r\n\r\n")) == std::string::npos) {
+            if (!readMore(connection, input))
+                return false;
+        }
+        const std::size_t length = input.find(field);
+        std::size_t total = end + 4;
+        if (length < end)
+            total += std::stoul(input.substr(length + field.size()));
+        while (input.size() < total) {
+            if (!readMore(connection, input))
+                return false;
+        }
+        input.erase(0, total);
+        return true;
     }
 
-    std::string m_answer;
+    std::vector<std::string> m_answers;
     int m_listener;
     std::uint16_t m_port = 0;
     std::atomic<int> m_requests { 0 };
--- a/test/transport/HttpTest.cpp
+++ b/test/transport/HttpTest.cpp
@@ -42,7 +42,7 @@
 
 HttpResult callRaw(const std::string& answer)
 {
-    RawServer server(answer);
+    RawServer server({ answer });
     HttpClient client;
     return call(client, makeRequest(server.url() + "/", "body"));
 }
@@ -170,7 +170,7 @@
 {
     std::uint16_t port = 0;
     {
-        RawServer server("");
+        RawServer server({});
         port = server.port();
     }
     HttpClient client;
@@ -224,6 +224,18 @@
     }
 }
 
+TEST_CASE("A request is not repeated when its kept-alive connection breaks", "[http]")
+{
+    // curl repeats requests on reused connections by default; a transaction would then be executed twice.
+    RawServer server({ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "" });
+    HttpClient client;
+    CHECK(call(client, makeRequest(server.url() + "/", "first")).status.ok());
+    const HttpResult result = call(client, makeRequest(server.url() + "/", "second"));
+    CHECK(absl::IsUnavailable(result.status));
+    CHECK_FALSE(result.notSent);
+    CHECK(server.requests() == 2);
+}
+
 TEST_CASE("Calls in progress end with CANCELLED when the client is destroyed", "[http]")
 {
     std::vector<HttpServer::Respond> waiting;
