--- /dev/null
+++ b/bench/http_bench.cpp
@@ -0,0 +1,92 @@
+// Measures calls a second and latencies of the HTTP client and server over loopback, in one process.
+
+#include <lycheeledge/transport/BoundedRing.h>
+#include <lycheeledge/transport/HttpClient.h>
+#include <lycheeledge/transport/HttpServer.h>
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <utility>
+#include <vector>
+
+DEFINE_uint32(seconds, 5, "length of the measurement");
+DEFINE_uint32(in_flight, 64, "calls in progress at any time");
+DEFINE_uint32(body_bytes, 500, "size of the request and of the response");
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/** @brief Keeps a number of calls in progress and notes how long each took. */
+class Load {
+public:
+    Load(std::uint16_t port, Clock::time_point end)
+        : m_end(end)
+    {
+        m_request.method = "POST";
+        m_request.target = "http://127.0.0.1:" + std::to_string(port) + "/";
+        m_request.body = std::string(FLAGS_body_bytes, 'x');
+    }
+
+    /** @return latencies of the successful calls, in microseconds, sorted. */
+    std::vector<double> run()
+    {
+        for (unsigned n = 0; n < FLAGS_in_flight; ++n)
+            sendOne();
+        for (unsigned n = 0; n < FLAGS_in_flight; ++n)
+            m_ended.popUntil(Clock::now() + std::chrono::minutes(1));
+        std::sort(m_latencies.begin(), m_latencies.end());
+        return std::move(m_latencies);
+    }
+
+    std::size_t failures() const { return m_failures; }
+
+private:
+    // Runs on the client's thread but for the first calls.
+    void sendOne()
+    {
+        m_client.send(m_request, std::chrono::seconds(10), [this, start = Clock::now()](const auto& result) {
+            const auto now = Clock::now();
+            if (result.status.ok() && result.response.status == 200)
+                m_latencies.push_back(std::chrono::duration<double, std::micro>(now - start).count());
+            else
+                ++m_failures;
+            if (now < m_end)
+                sendOne();
+            else
+                m_ended.tryPush(true);
+        });
+    }
+
+    Clock::time_point m_end;
+    lycheeledge::HttpRequest m_request;
+    std::vector<double> m_latencies;
+    std::size_t m_failures = 0;
+    lycheeledge::BoundedRing<bool> m_ended { 65536 };
+    lycheeledge::HttpClient m_client;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    lycheeledge::HttpServer server({}, [](lycheeledge::HttpRequest request, const auto& respond) {
+        respond({ 200, {}, std::move(request.body) });
+    });
+    const auto port = server.start();
+    if (!port.ok())
+        return 1;
+    Load load(*port, Clock::now() + std::chrono::seconds(FLAGS_seconds));
+    const auto latencies = load.run();
+    if (latencies.empty())
+        return 1;
+    std::printf("in flight %u, body %u bytes: %.0f calls/s, p50 %.0f us, p99 %.0f us, %zu failures\n", FLAGS_in_flight,
+        FLAGS_body_bytes, static_cast<double>(latencies.size()) / FLAGS_seconds, latencies[latencies.size() / 2],
+        latencies[latencies.size() * 99 / 100], load.failures());
+    return 0;
+}
