--- a/apps/lycheectl.cpp
+++ b/apps/lycheectl.cpp
@@ -1,11 +1,13 @@
 // Command line of operators and callers.
 
 #include "CtlCall.h"
+#include "CtlCommand.h"
 #include "CtlFlags.h"
 #include "CtlOutput.h"
 #include "CtlRequest.h"
 
 #include <lycheeledge/protocol/ApiCodec.h>
+#include <lycheeledge/protocol/JsonObject.h>
 
 #include <fmt/format.h>
 
--- a/standins/LoadRun.h
+++ b/standins/LoadRun.h
@@ -13,7 +13,6 @@
 #include <chrono>
 #include <functional>
 #include <random>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,7 +42,8 @@
     std::uint32_t sendings = 0;
     bool accepted = false; ///< job that was acknowledged
     bool cancelled = false; ///< service whose cancellation was acknowledged
-    bool asking = false; ///< a call about the job is under way
+    bool asking = false; ///< a call about the work is under way
+    bool mayHaveArrived = false; ///< some sending may have reached an owner
     std::size_t entry = 0; ///< index of the address used last
 };
 
@@ -70,7 +70,7 @@
         m_records.reserve(items.size());
         for (auto& item : items)
             m_records.push_back({ std::move(item), LoadEnd::Open, ErrorKind::None, {}, {}, {}, 0, false, false, false,
-                m_random() % m_settings.entries.size() });
+                false, m_random() % m_settings.entries.size() });
     }
 
     /** @brief Offers the plan, waits for the ends, and stops the loop. */
@@ -103,6 +103,7 @@
         if (record.sendings == 0)
             record.submitted = m_loop.now();
         ++record.sendings;
+        record.asking = true;
         const auto& spec = record.item.spec;
         call(record, "work.submit", encodeWorkSpec(spec),
             [this](
@@ -117,19 +118,22 @@
                 { "authorization", "Bearer " + m_settings.keys[record.item.team] } },
             writeRpcRequest(id, method, params) };
         const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.callTimeout);
-        m_client.send(std::move(request), timeout, [this, &record, id, done = std::move(done)](HttpResult result) {
-            m_loop.postCompletion([&record, id, done, result = std::move(result)] {
-                auto response = parseRpcResponse(result.response.body);
-                if (response.ok() && response.id != id)
-                    response
-                        = { id, ApiError { ErrorKind::Internal, "answer to another call", "", RunState::Unknown } };
-                done(record, result, response);
+        // The client may call back after this object is gone, but not after the loop is.
+        m_client.send(
+            std::move(request), timeout, [&loop = m_loop, &record, id, done = std::move(done)](HttpResult result) {
+                loop.postCompletion([&record, id, done, result = std::move(result)] {
+                    auto response = parseRpcResponse(result.response.body);
+                    if (response.ok() && response.id != id)
+                        response
+                            = { id, ApiError { ErrorKind::Internal, "answer to another call", "", RunState::Unknown } };
+                    done(record, result, response);
+                });
             });
-        });
     }
 
     void answered(LoadRecord& record, const HttpResult& http, const RpcResponse& response)
     {
+        record.asking = false;
         if (!http.status.ok() || (!response.ok() && isWorthRepeating(response.error()))) {
             retry(record, http, response);
             return;
@@ -166,10 +170,9 @@
         record.message = http.status.ok() ? response.error().message : std::string(http.status.message());
         record.error = http.status.ok() ? response.error().kind : ErrorKind::Unavailable;
         if (!http.notSent && !refused)
-            m_mayHaveArrived.insert(&record);
+            record.mayHaveArrived = true;
         if (m_loop.now() - record.submitted >= m_settings.giveUp) {
-            const bool wasRefused = m_mayHaveArrived.count(&record) == 0;
-            end(record, wasRefused ? LoadEnd::RefusedNotRun : LoadEnd::Lost, record.message);
+            end(record, record.mayHaveArrived ? LoadEnd::Lost : LoadEnd::RefusedNotRun, record.message);
             return;
         }
         if (!http.notSent)
@@ -229,11 +232,20 @@
         }
         for (auto& record : m_records) {
             if (record.end == LoadEnd::Open)
-                end(record, record.accepted ? LoadEnd::Unfinished : LoadEnd::Lost, record.message);
+                endOpen(record);
         }
         m_loop.stop();
     }
 
+    static void endOpen(LoadRecord& record)
+    {
+        const bool mayHaveArrived = record.mayHaveArrived || record.asking;
+        if (record.accepted)
+            end(record, LoadEnd::Unfinished, record.message);
+        else
+            end(record, mayHaveArrived ? LoadEnd::Lost : LoadEnd::RefusedNotRun, record.message);
+    }
+
     // Services run until they are cancelled; jobs are asked about until they end.
     void ask(LoadRecord& record)
     {
@@ -280,7 +292,6 @@
     LoadRunSettings m_settings;
     std::mt19937_64 m_random;
     std::vector<LoadRecord> m_records; // not resized after construction: callbacks refer to its elements
-    std::set<const LoadRecord*> m_mayHaveArrived; // some sending may have reached an owner
     std::size_t m_next = 0;
     std::uint64_t m_lastId = 0;
     TimePoint m_start;
