--- a/src/lycheeledge/protocol/ApiCodec.h
+++ b/src/lycheeledge/protocol/ApiCodec.h
@@ -57,7 +57,7 @@
 WorkStatus decodeWorkStatus(const rapidjson::Value& value);
 std::string encodeChange(const ChangeResult& change);
 
-/** @brief Entities as listed, with the revision of their last change. Keys are listed without salt and digest. */
+/** @brief Entities as listed, with their versions. Keys are listed without salt and digest. */
 std::string encodeTeam(const Team& team, Revision version);
 std::string encodeKey(const Key& key, Revision version);
 std::string encodeQueue(const Queue& queue, Revision version);
--- a/src/lycheeledge/protocol/ApiSchemaText.h
+++ b/src/lycheeledge/protocol/ApiSchemaText.h
@@ -249,7 +249,7 @@
       "KeyId": { "type": "string", "minLength": 1, "maxLength": 64, "pattern": "^[A-Za-z0-9][A-Za-z0-9_-]*$" },
       "RequestId": { "type": "string", "minLength": 1, "maxLength": 128, "pattern": "^[A-Za-z0-9][A-Za-z0-9_.:-]*$" },
       "IdempotencyKey": { "type": "string", "minLength": 1, "maxLength": 128, "pattern": "^[A-Za-z0-9][A-Za-z0-9_.:-]*$" },
-      "Version": { "description": "Modification revision of the entity; 0 requires that it does not exist.", "type": "integer", "minimum": 0, "maximum": 9007199254740991 },
+      "Version": { "description": "Version of the entity, which grows with each of its changes; as expected version 0 requires that it does not exist.", "type": "integer", "minimum": 0, "maximum": 9007199254740991 },
       "Kind": { "type": "string", "enum": ["request", "batch", "service"] },
       "Size": {
         "type": "object",
--- a/src/lycheeledge/protocol/JsonRpc.cpp
+++ b/src/lycheeledge/protocol/JsonRpc.cpp
@@ -10,6 +10,7 @@
 #include <rapidjson/writer.h>
 
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace lycheeledge {
@@ -43,14 +44,18 @@
         return jsonText(*id);
     }
 
-    std::optional<std::string> unknownMember(const rapidjson::Value& root)
+    /** @brief What is wrong with the fields of a request; empty if nothing is. */
+    std::string checkFields(const rapidjson::Value& root)
     {
+        std::set<std::string_view> names;
         for (const auto& it : root.GetObject()) {
             const std::string_view name(it.name.GetString(), it.name.GetStringLength());
             if (name != "jsonrpc" && name != "id" && name != "method" && name != "params")
-                return std::string(name);
+                return fmt::format("'{}' is an unknown field of a request", name);
+            if (!names.insert(name).second)
+                return fmt::format("'{}' appears twice", name);
         }
-        return std::nullopt;
+        return "";
     }
 
     std::variant<RpcRequest, RpcFailure> readRequest(rapidjson::Document document)
@@ -68,8 +73,8 @@
         };
         if (!isVersion2(document))
             return invalid("'jsonrpc' must be \"2.0\"");
-        if (const auto name = unknownMember(document))
-            return invalid(fmt::format("'{}' is an unknown field of a request", *name));
+        if (auto message = checkFields(document); !message.empty())
+            return invalid(std::move(message));
         RpcRequest request { *id, detail::string(document, "method"), {} };
         if (request.method.empty())
             return invalid("'method' must be a string");
--- a/src/lycheeledge/protocol/JsonSchema.cpp
+++ b/src/lycheeledge/protocol/JsonSchema.cpp
@@ -9,6 +9,8 @@
 #include <rapidjson/writer.h>
 
 #include <mutex>
+#include <set>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -97,6 +99,33 @@
         return fmt::format("violates '{}'", keyword);
     }
 
+    // Parsers disagree on which of two fields with one name counts, so a proxy could check one and we use the other.
+    // The depth is that of a value which the schema accepted; a schema that allows any object is not searched further.
+    std::optional<SchemaViolation> duplicate(const rapidjson::Value& value, const std::string& path, int depth)
+    {
+        if (depth == 0 || !(value.IsObject() || value.IsArray()))
+            return std::nullopt;
+        if (value.IsArray()) {
+            for (rapidjson::SizeType n = 0; n < value.Size(); ++n) {
+                if (auto found = duplicate(value[n], fmt::format("{}/{}", path, n), depth - 1))
+                    return found;
+            }
+            return std::nullopt;
+        }
+        std::set<std::string_view> names;
+        for (const auto& it : value.GetObject()) {
+            const std::string_view name(it.name.GetString(), it.name.GetStringLength());
+            const std::string field = fmt::format("{}/{}", path, name);
+            if (!names.insert(name).second)
+                return SchemaViolation { field, "appears twice" };
+            if (auto found = duplicate(it.value, field, depth - 1))
+                return found;
+        }
+        return std::nullopt;
+    }
+
+    constexpr int maxDepth = 16;
+
 } // namespace
 
 struct JsonSchema::Implementation {
@@ -125,7 +154,7 @@
     const std::lock_guard lock(m_implementation->mutex);
     rapidjson::SchemaValidator validator(m_implementation->compiled);
     if (value.Accept(validator) && validator.IsValid())
-        return std::nullopt;
+        return duplicate(value, "", maxDepth);
 
     const auto pointer = validator.GetInvalidDocumentPointer();
     const auto* found = pointer.Get(value);
--- a/standins/LoadPlan.h
+++ b/standins/LoadPlan.h
@@ -53,7 +53,8 @@
     Duration at {}; ///< after the start of the run
     std::size_t team = 0; ///< index into LoadSettings::teams
     WorkSpec spec;
-    std::string expectedBody; ///< answer of a request
+    std::uint64_t bodySeed = 0; ///< expectedBody() of these two is the answer of a request
+    std::size_t bodyLength = 0;
 
     bool operator==(const LoadItem&) const = default;
 };
@@ -168,8 +169,8 @@
         const std::uint64_t seed = m_random() >> 12; // fits the integers that JSON numbers keep exactly
         const auto length = static_cast<std::size_t>(uniform() * static_cast<double>(m_settings.maxBodyBytes + 1));
         spec.payload = fmt::format(R"({{"runMs":{},"bodyBytes":{},"seed":{}}})", runMs.count(), length, seed);
-        if (spec.kind == WorkKind::Request)
-            item.expectedBody = expectedBody(seed, length);
+        item.bodySeed = seed;
+        item.bodyLength = length;
     }
 
     LoadSettings m_settings;
--- a/standins/LoadRun.h
+++ b/standins/LoadRun.h
@@ -152,7 +152,7 @@
             end(record, LoadEnd::Wrong, "answer to another submission");
         else if (record.item.spec.kind != WorkKind::Request)
             record.accepted = true;
-        else if (result.body != record.item.expectedBody)
+        else if (result.body != expectedBody(record.item.bodySeed, record.item.bodyLength))
             end(record, LoadEnd::Wrong, "the body is not that of this request");
         else
             end(record, LoadEnd::Answered, "");
--- a/test/daemon/SettingsTest.cpp
+++ b/test/daemon/SettingsTest.cpp
@@ -112,6 +112,8 @@
     CHECK(error(replaced("127.0.0.1\", \"port\": 8080", "127.0.1\", \"port\": 8080"))
         == "s.jsonc:4: /listen/address is not an IP number");
     CHECK(error(replaced("\"cell\":", "\"cell\"")).find("s.jsonc:6: malformed JSON") == 0);
+    CHECK(
+        error(replaced("\"port\": 8080", "\"port\": 8080, \"port\": 8081")) == "s.jsonc:4: /listen/port appears twice");
     CHECK(error("{}").find("s.jsonc:1: /member is missing") == 0);
     CHECK(error("").find("s.jsonc:1: malformed JSON") == 0);
     CHECK(error(std::string(1000000, '[')).find("s.jsonc:1: ") == 0);
--- a/test/protocol/ApiSchemaTest.cpp
+++ b/test/protocol/ApiSchemaTest.cpp
@@ -107,6 +107,9 @@
             "/size/cpu is out of range: must be at least 0" },
         { R"({"team":"feed","requestId":"r","kind":"batch","size":{"gpu":1}})", "/size/gpu",
             "/size/gpu is an unknown field" },
+        { submit(R"(,"team":"ads")"), "/team", "/team appears twice" },
+        { R"({"team":"feed","requestId":"r","kind":"batch","size":{"cpu":1,"cpu":100}})", "/size/cpu",
+            "/size/cpu appears twice" },
         { R"({"team":"feed","requestId":"r","kind":"batch","size":[1]})", "/size",
             "/size has the wrong type: expected object, got array" },
     };
--- a/test/protocol/JsonRpcTest.cpp
+++ b/test/protocol/JsonRpcTest.cpp
@@ -56,7 +56,8 @@
              R"({"jsonrpc":"2.0","id":1.5,"method":"team.list"})", R"({"jsonrpc":"1.0","id":1,"method":"team.list"})",
              R"({"jsonrpc":"2.0","id":1})", R"({"jsonrpc":"2.0","id":1,"method":7})",
              R"({"jsonrpc":"2.0","id":1,"method":"team.list","params":[]})",
-             R"({"jsonrpc":"2.0","id":1,"method":"team.list","extra":1})" }) {
+             R"({"jsonrpc":"2.0","id":1,"method":"team.list","extra":1})",
+             R"({"jsonrpc":"2.0","id":1,"method":"team.list","method":"team.delete"})" }) {
         CHECK(refused(body).code == -32600);
         CHECK(refused(body).error.kind == ErrorKind::InvalidArgument);
     }
