Let the load client print its run for history_check

The load client judges lost, doubled, wrong and overlapping work by itself, but not the other guarantees. Capacities are given by a flag, because the workers' history does not contain them. Secrets of keys are left out.

--- a/standins/LoadRun.h
+++ b/standins/LoadRun.h
@@ -1,6 +1,7 @@
 // Offers a plan to the entry processes and follows every submission to its end.
 #pragma once
 
+#include "LoadEvents.h"
 #include "LoadPlan.h"
 
 #include <lycheeledge/daemon/EventLoop.h>
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -54,6 +56,7 @@
     Duration giveUp = std::chrono::seconds(20); ///< time from submission after which an unanswered one is lost
     Duration callTimeout = std::chrono::seconds(8); ///< for one sending
     std::uint64_t seed = 1; ///< of entry choice and backoff
+    bool recordEvents = false;
 
     bool operator==(const LoadRunSettings&) const = default;
 };
@@ -66,6 +69,7 @@
         , m_client(client)
         , m_settings(std::move(settings))
         , m_random(m_settings.seed)
+        , m_events(m_settings.recordEvents)
     {
         m_records.reserve(items.size());
         for (auto& item : items)
@@ -81,7 +85,7 @@
     }
 
     const std::vector<LoadRecord>& records() const { return m_records; }
-    TimePoint startedAt() const { return m_start; }
+    LoadEvents& events() { return m_events; }
 
 private:
     using Answer = std::function<void(LoadRecord&, const HttpResult&, const RpcResponse&)>;
@@ -105,6 +109,11 @@
         ++record.sendings;
         record.asking = true;
         const auto& spec = record.item.spec;
+        const auto expected = spec.kind == WorkKind::Request
+            ? std::optional(expectedBody(record.item.bodySeed, record.item.bodyLength))
+            : std::nullopt;
+        m_events.submitted(
+            m_loop.now(), spec, m_settings.keys[record.item.team], m_settings.entries[record.entry], expected);
         call(record, "work.submit", encodeWorkSpec(spec),
             [this](
                 LoadRecord& it, const HttpResult& http, const RpcResponse& response) { answered(it, http, response); });
@@ -134,6 +143,7 @@
     void answered(LoadRecord& record, const HttpResult& http, const RpcResponse& response)
     {
         record.asking = false;
+        recordAnswer(record, http, response);
         if (!http.status.ok() || (!response.ok() && isWorthRepeating(response.error()))) {
             retry(record, http, response);
             return;
@@ -158,6 +168,25 @@
             end(record, LoadEnd::Answered, "");
     }
 
+    void recordAnswer(const LoadRecord& record, const HttpResult& http, const RpcResponse& response)
+    {
+        const auto& entry = m_settings.entries[record.entry];
+        const auto& id = record.item.spec.id;
+        if (!http.status.ok()) {
+            const auto run = http.notSent ? RunState::NotRun : RunState::Unknown;
+            m_events.answered(m_loop.now(), id, entry, run, ErrorKind::Unavailable, std::nullopt, true);
+        } else if (!response.ok()) {
+            const auto& error = response.error();
+            m_events.answered(m_loop.now(), id, entry, error.run, error.kind, std::nullopt, false);
+        } else {
+            WorkResult result;
+            const auto error = decodeWorkResult(response.result(), result);
+            const bool hasBody = record.item.spec.kind == WorkKind::Request;
+            m_events.answered(m_loop.now(), id, entry, result.run, error ? error->kind : ErrorKind::None,
+                hasBody ? std::optional(result.body) : std::nullopt, false);
+        }
+    }
+
     static bool isWorthRepeating(const ApiError& error)
     {
         return error.kind == ErrorKind::Unavailable || error.kind == ErrorKind::Truncated;
@@ -291,6 +320,7 @@
     HttpClient& m_client;
     LoadRunSettings m_settings;
     std::mt19937_64 m_random;
+    LoadEvents m_events;
     std::vector<LoadRecord> m_records; // not resized after construction: callbacks refer to its elements
     std::size_t m_next = 0;
     std::uint64_t m_lastId = 0;
--- a/standins/load_client.cpp
+++ b/standins/load_client.cpp
@@ -14,6 +14,7 @@
 #include <future>
 #include <iostream>
 #include <optional>
+#include <set>
 #include <sstream>
 
 // NOLINTBEGIN(bugprone-dynamic-static-initializers)
@@ -42,6 +43,10 @@
 DEFINE_int64(call_timeout_ms, 8000, "time to wait for one answer before another address is tried");
 DEFINE_bool(json, false, "print the figures as JSON");
 
+DEFINE_bool(events, false, "print the events of the run as JSON lines for history_check, and the figures to stderr");
+DEFINE_string(
+    worker_capacity, "", "capacity of each worker as CPU:MEMORY:ACCELERATORS:SLOTS:CONNECTIONS, for --events");
+
 // NOLINTEND(bugprone-dynamic-static-initializers)
 
 using namespace lycheeledge;
@@ -138,6 +143,26 @@
     return history;
 }
 
+/** @brief Prints what callers and workers saw. */
+void printEvents(LoadRun& run, const LoadSettings& plan, const LoadHistory& history)
+{
+    auto& events = run.events();
+    for (const auto& team : plan.teams)
+        events.keyGiven(team.key, team.id);
+    std::set<std::string> workers;
+    for (const auto& record : run.records())
+        events.history(history, record.item.spec, workers);
+    const auto amounts = split(FLAGS_worker_capacity, ':');
+    if (amounts.size() == 5) {
+        const Resources capacity { std::stoll(amounts[0]), std::stoll(amounts[1]), std::stoll(amounts[2]),
+            std::stoll(amounts[3]), std::stoll(amounts[4]) };
+        for (const auto& worker : workers)
+            events.workerSeen(worker, capacity);
+    }
+    for (const auto& line : events.lines())
+        std::cout << line << '\n';
+}
+
 int runLoad(const LoadSettings& plan)
 {
     LoadRunSettings settings;
@@ -148,6 +173,7 @@
     settings.giveUp = seconds(FLAGS_give_up_seconds);
     settings.callTimeout = std::chrono::milliseconds(FLAGS_call_timeout_ms);
     settings.seed = plan.seed;
+    settings.recordEvents = FLAGS_events;
     if (settings.entries.empty() || plan.teams.empty() || plan.rate <= 0) {
         std::cerr << "load_client: --entries, --teams and --rate must be given, see --help\n";
         return wrongUsage;
@@ -166,7 +192,9 @@
     const auto workers = expandPorts(FLAGS_workers_history);
     const auto history = readHistory(client, workers);
     const LoadReport report(run.records(), history.value_or(LoadHistory()), history && !workers.empty());
-    std::cout << (FLAGS_json ? report.json() : report.table());
+    if (FLAGS_events)
+        printEvents(run, plan, history.value_or(LoadHistory()));
+    (FLAGS_events ? std::cerr : std::cout) << (FLAGS_json ? report.json() : report.table());
     return report.ok() && history ? 0 : 1;
 }
 
--- a/test/daemon/LoadHistoryTest.cpp
+++ b/test/daemon/LoadHistoryTest.cpp
@@ -2,6 +2,7 @@
 
 #include "../../standins/LoadHistory.h"
 
+#include "../../standins/LoadEvents.h"
 #include "../../standins/LoadPlan.h"
 
 #include <catch2/catch.hpp>
@@ -85,3 +86,42 @@
     CHECK(first.size() < 1200);
     CHECK(static_cast<double>(ofFeed) == Approx(0.75 * static_cast<double>(first.size())).epsilon(0.1));
 }
+
+TEST_CASE("Events are written as the checker of histories reads them, without secrets", "[load-client]")
+{
+    LoadSettings settings;
+    settings.teams = { { TeamId("feed"), "k1.secret", 1 } };
+    settings.label = "t";
+    auto spec = LoadPlanner(settings).plan().front().spec;
+    spec.id = work;
+    spec.perTask = { 1, 2, 3, 4, 5 };
+    spec.repeatable = true;
+    LoadHistory history;
+    REQUIRE(history.add(
+        page({ event("start", 1, "w1", 100), event("end", 1, "w1", 300), event("start", 2, "w2", 400) }), 0));
+    std::set<std::string> workers;
+    LoadEvents events(true);
+    events.keyGiven("k1.secret", TeamId("feed"));
+    events.submitted(TimePoint(std::chrono::microseconds(90)), spec, "k1.secret", "http://e1", "answer");
+    events.answered(TimePoint(std::chrono::microseconds(95)), work, "http://e1", RunState::Unknown,
+        ErrorKind::Unavailable, std::nullopt, true);
+    events.history(history, spec, workers);
+    events.workerSeen("w1", { 10, 20, 30, 40, 50 });
+    const std::string amounts = R"("milliCpu":1,"memoryMb":2,"accelerators":3,"slots":4,"connections":5})";
+    CHECK(events.lines()
+        == std::vector<std::string> { R"({"us":0,"type":"key_given","key":"k1","team":"feed"})",
+            R"({"us":90,"type":"submitted","team":"feed","request":"r1","repeatable":true,"key":"k1","entry":"http://e1",)"
+            R"("expectedBody":")"
+                + sha256Hex("answer") + "\"}",
+            R"({"us":95,"type":"answered","team":"feed","request":"r1","runState":"unknown","error":"unavailable",)"
+            R"("body":"","entry":"http://e1","cut":true})",
+            R"({"us":100,"type":"start","team":"feed","request":"r1","index":0,"run":1,"worker":"w1",)" + amounts,
+            R"({"us":300,"type":"end","team":"feed","request":"r1","index":0,"run":1,"worker":"w1",)" + amounts,
+            R"({"us":400,"type":"start","team":"feed","request":"r1","index":0,"run":2,"worker":"w2",)" + amounts,
+            R"({"us":0,"type":"worker","worker":"w1","milliCpu":10,"memoryMb":20,"accelerators":30,"slots":40,)"
+            R"("connections":50})" });
+    CHECK(workers == std::set<std::string> { "w1", "w2" });
+    LoadEvents off(false);
+    off.keyGiven("k1.secret", TeamId("feed"));
+    CHECK(off.lines().empty());
+}
