--- a/standins/LoadRun.h
+++ b/standins/LoadRun.h
@@ -1,6 +1,7 @@
 // Offers a plan to the entry processes and follows every submission to its end.
 #pragma once
 
+#include "LoadEvents.h"
 #include "LoadPlan.h"
 
 #include <lycheeledge/daemon/EventLoop.h>
@@ -12,8 +13,8 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,7 +44,8 @@
     std::uint32_t sendings = 0;
     bool accepted = false; ///< job that was acknowledged
     bool cancelled = false; ///< service whose cancellation was acknowledged
-    bool asking = false; ///< a call about the job is under way
+    bool asking = false; ///< a call about the work is under way
+    bool mayHaveArrived = false; ///< some sending may have reached an owner
     std::size_t entry = 0; ///< index of the address used last
 };
 
@@ -54,6 +56,7 @@
     Duration giveUp = std::chrono::seconds(20); ///< time from submission after which an unanswered one is lost
     Duration callTimeout = std::chrono::seconds(8); ///< for one sending
     std::uint64_t seed = 1; ///< of entry choice and backoff
+    bool recordEvents = false;
 
     bool operator==(const LoadRunSettings&) const = default;
 };
@@ -66,11 +69,12 @@
         , m_client(client)
         , m_settings(std::move(settings))
         , m_random(m_settings.seed)
+        , m_events(m_settings.recordEvents)
     {
         m_records.reserve(items.size());
         for (auto& item : items)
             m_records.push_back({ std::move(item), LoadEnd::Open, ErrorKind::None, {}, {}, {}, 0, false, false, false,
-                m_random() % m_settings.entries.size() });
+                false, m_random() % m_settings.entries.size() });
     }
 
     /** @brief Offers the plan, waits for the ends, and stops the loop. */
@@ -81,7 +85,7 @@
     }
 
     const std::vector<LoadRecord>& records() const { return m_records; }
-    TimePoint startedAt() const { return m_start; }
+    LoadEvents& events() { return m_events; }
 
 private:
     using Answer = std::function<void(LoadRecord&, const HttpResult&, const RpcResponse&)>;
@@ -103,7 +107,13 @@
         if (record.sendings == 0)
             record.submitted = m_loop.now();
         ++record.sendings;
+        record.asking = true;
         const auto& spec = record.item.spec;
+        const auto expected = spec.kind == WorkKind::Request
+            ? std::optional(expectedBody(record.item.bodySeed, record.item.bodyLength))
+            : std::nullopt;
+        m_events.submitted(
+            m_loop.now(), spec, m_settings.keys[record.item.team], m_settings.entries[record.entry], expected);
         call(record, "work.submit", encodeWorkSpec(spec),
             [this](
                 LoadRecord& it, const HttpResult& http, const RpcResponse& response) { answered(it, http, response); });
@@ -117,19 +127,23 @@
                 { "authorization", "Bearer " + m_settings.keys[record.item.team] } },
             writeRpcRequest(id, method, params) };
         const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.callTimeout);
-        m_client.send(std::move(request), timeout, [this, &record, id, done = std::move(done)](HttpResult result) {
-            m_loop.postCompletion([&record, id, done, result = std::move(result)] {
-                auto response = parseRpcResponse(result.response.body);
-                if (response.ok() && response.id != id)
-                    response
-                        = { id, ApiError { ErrorKind::Internal, "answer to another call", "", RunState::Unknown } };
-                done(record, result, response);
+        // The client may call back after this object is gone, but not after the loop is.
+        m_client.send(
+            std::move(request), timeout, [&loop = m_loop, &record, id, done = std::move(done)](HttpResult result) {
+                loop.postCompletion([&record, id, done, result = std::move(result)] {
+                    auto response = parseRpcResponse(result.response.body);
+                    if (response.ok() && response.id != id)
+                        response
+                            = { id, ApiError { ErrorKind::Internal, "answer to another call", "", RunState::Unknown } };
+                    done(record, result, response);
+                });
             });
-        });
     }
 
     void answered(LoadRecord& record, const HttpResult& http, const RpcResponse& response)
     {
+        record.asking = false;
+        recordAnswer(record, http, response);
         if (!http.status.ok() || (!response.ok() && isWorthRepeating(response.error()))) {
             retry(record, http, response);
             return;
@@ -148,12 +162,31 @@
             end(record, LoadEnd::Wrong, "answer to another submission");
         else if (record.item.spec.kind != WorkKind::Request)
             record.accepted = true;
-        else if (result.body != record.item.expectedBody)
+        else if (result.body != expectedBody(record.item.bodySeed, record.item.bodyLength))
             end(record, LoadEnd::Wrong, "the body is not that of this request");
         else
             end(record, LoadEnd::Answered, "");
     }
 
+    void recordAnswer(const LoadRecord& record, const HttpResult& http, const RpcResponse& response)
+    {
+        const auto& entry = m_settings.entries[record.entry];
+        const auto& id = record.item.spec.id;
+        if (!http.status.ok()) {
+            const auto run = http.notSent ? RunState::NotRun : RunState::Unknown;
+            m_events.answered(m_loop.now(), id, entry, run, ErrorKind::Unavailable, std::nullopt, true);
+        } else if (!response.ok()) {
+            const auto& error = response.error();
+            m_events.answered(m_loop.now(), id, entry, error.run, error.kind, std::nullopt, false);
+        } else {
+            WorkResult result;
+            const auto error = decodeWorkResult(response.result(), result);
+            const bool hasBody = record.item.spec.kind == WorkKind::Request;
+            m_events.answered(m_loop.now(), id, entry, result.run, error ? error->kind : ErrorKind::None,
+                hasBody ? std::optional(result.body) : std::nullopt, false);
+        }
+    }
+
     static bool isWorthRepeating(const ApiError& error)
     {
         return error.kind == ErrorKind::Unavailable || error.kind == ErrorKind::Truncated;
@@ -166,10 +199,9 @@
         record.message = http.status.ok() ? response.error().message : std::string(http.status.message());
         record.error = http.status.ok() ? response.error().kind : ErrorKind::Unavailable;
         if (!http.notSent && !refused)
-            m_mayHaveArrived.insert(&record);
+            record.mayHaveArrived = true;
         if (m_loop.now() - record.submitted >= m_settings.giveUp) {
-            const bool wasRefused = m_mayHaveArrived.count(&record) == 0;
-            end(record, wasRefused ? LoadEnd::RefusedNotRun : LoadEnd::Lost, record.message);
+            end(record, record.mayHaveArrived ? LoadEnd::Lost : LoadEnd::RefusedNotRun, record.message);
             return;
         }
         if (!http.notSent)
@@ -229,11 +261,20 @@
         }
         for (auto& record : m_records) {
             if (record.end == LoadEnd::Open)
-                end(record, record.accepted ? LoadEnd::Unfinished : LoadEnd::Lost, record.message);
+                endOpen(record);
         }
         m_loop.stop();
     }
 
+    static void endOpen(LoadRecord& record)
+    {
+        const bool mayHaveArrived = record.mayHaveArrived || record.asking;
+        if (record.accepted)
+            end(record, LoadEnd::Unfinished, record.message);
+        else
+            end(record, mayHaveArrived ? LoadEnd::Lost : LoadEnd::RefusedNotRun, record.message);
+    }
+
     // Services run until they are cancelled; jobs are asked about until they end.
     void ask(LoadRecord& record)
     {
@@ -279,8 +320,8 @@
     HttpClient& m_client;
     LoadRunSettings m_settings;
     std::mt19937_64 m_random;
+    LoadEvents m_events;
     std::vector<LoadRecord> m_records; // not resized after construction: callbacks refer to its elements
-    std::set<const LoadRecord*> m_mayHaveArrived; // some sending may have reached an owner
     std::size_t m_next = 0;
     std::uint64_t m_lastId = 0;
     TimePoint m_start;
