Add TLS to the HTTP server and client

HttpServerSettings takes the paths of a certificate and a key, and reloadCertificate() reads them again without a restart. The certificate is chosen when a client hello arrives: RESTinio prepares the sockets of the next four connections in advance, and these would still present the old one if only the server's context changed. HttpClientSettings takes a file of trusted authorities; a failed verification counts as not sent.

RESTinio's TLS handshake has no timeout, and its state listener hears of a connection only after the handshake. The server replaces that function: a handshake must be complete within readTimeout, and connections count against the limit from their start.

--- a/src/lycheeledge/transport/HttpClient.cpp
+++ b/src/lycheeledge/transport/HttpClient.cpp
@@ -120,6 +120,8 @@
         switch (code) {
         case CURLE_COULDNT_RESOLVE_HOST:
         case CURLE_COULDNT_CONNECT:
+        case CURLE_SSL_CONNECT_ERROR:
+        case CURLE_PEER_FAILED_VERIFICATION:
         case CURLE_URL_MALFORMAT:
         case CURLE_UNSUPPORTED_PROTOCOL:
             return true;
@@ -184,8 +186,8 @@
 
 struct HttpClient::Implementation {
     explicit Implementation(HttpClientSettings given)
-        : settings(given)
-        , ring(given.maxWaiting)
+        : settings(std::move(given))
+        , ring(settings.maxWaiting)
     {
         initializeCurl();
         multi = curl_multi_init();
@@ -267,6 +269,8 @@
         curl_easy_setopt(
             easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(timeout, settings.connectTimeout).count()));
         curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
+        if (!settings.caPath.empty())
+            curl_easy_setopt(easy, CURLOPT_CAINFO, settings.caPath.c_str());
         curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE, static_cast<curl_off_t>(settings.maxResponseBytes));
         curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, transfer.error);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &writeBody);
@@ -340,7 +344,7 @@
 };
 
 HttpClient::HttpClient(HttpClientSettings settings)
-    : m_implementation(std::make_unique<Implementation>(settings))
+    : m_implementation(std::make_unique<Implementation>(std::move(settings)))
 {
 }
 
--- a/src/lycheeledge/transport/HttpClient.h
+++ b/src/lycheeledge/transport/HttpClient.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace lycheeledge {
 
@@ -15,6 +16,7 @@
     std::size_t maxConnectionsPerHost = 64;
     std::size_t maxResponseBytes = 64 << 20;
     std::chrono::milliseconds connectTimeout { 1000 };
+    std::string caPath; ///< PEM file with the trusted authorities for HTTPS; empty for those of the system
 
     bool operator==(const HttpClientSettings&) const = default;
 };
--- a/src/lycheeledge/transport/HttpServer.cpp
+++ b/src/lycheeledge/transport/HttpServer.cpp
@@ -3,11 +3,13 @@
 #include "HttpServer.h"
 
 #include "BoundedRing.h"
+#include "TlsCertificate.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <glog/logging.h>
 #include <restinio/all.hpp>
+#include <restinio/tls.hpp>
 
 #include <atomic>
 #include <exception>
@@ -35,6 +37,9 @@
     /** @brief Open connections, by id. Used only on the server's thread. */
     class ConnectionCounter {
     public:
+        /** @brief Notes a connection before its TLS handshake, of which RESTinio does not tell the listener. */
+        void begin(restinio::connection_id_t id) { m_open.insert(id); }
+
         void state_changed(const restinio::connection_state::notice_t& notice) noexcept // NOLINT
         {
             if (std::holds_alternative<restinio::connection_state::accepted_t>(notice.cause()))
@@ -49,11 +54,51 @@
         std::unordered_set<restinio::connection_id_t> m_open;
     };
 
+    using RequestHandler = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+
     struct Traits : public restinio::single_thread_traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
-                        std::function<restinio::request_handling_status_t(restinio::request_handle_t)>> {
+                        RequestHandler> {
+        using connection_state_listener_t = ConnectionCounter; // NOLINT
+    };
+
+    struct TlsTraits : public restinio::single_thread_tls_traits_t<restinio::asio_timer_manager_t,
+                           restinio::null_logger_t, RequestHandler> {
         using connection_state_listener_t = ConnectionCounter; // NOLINT
     };
 
+    /** @brief What the TLS handshakes of a server's thread need to know. */
+    struct HandshakeContext {
+        ConnectionCounter* counter = nullptr;
+        std::chrono::milliseconds timeout {};
+    };
+    thread_local HandshakeContext handshakeContext;
+
+    /**
+     * @brief Replaces RESTinio's function of this name, which has no timeout for the handshake, so that silent peers
+     * would hold their connections forever. Found by the compiler because it fits TlsTraits better.
+     */
+    template <typename StartRead, typename Failed>
+    void prepare_connection_and_start_read(restinio::impl::tls_socket_t& socket, // NOLINT
+        restinio::impl::connection_t<TlsTraits>& connection, StartRead startRead, Failed failed)
+    {
+        handshakeContext.counter->begin(connection.connection_id());
+        const auto timer = std::make_shared<asio::steady_timer>(socket.get_executor(), handshakeContext.timeout);
+        const auto alive = connection.shared_from_this();
+        timer->async_wait([&socket, alive](const asio::error_code& ec) {
+            asio::error_code ignored;
+            if (!ec)
+                socket.lowest_layer().close(ignored);
+        });
+        socket.async_handshake(asio::ssl::stream_base::server,
+            [timer, alive, startRead = std::move(startRead), failed = std::move(failed)](const asio::error_code& ec) {
+                timer->cancel();
+                if (ec)
+                    failed(ec);
+                else
+                    startRead();
+            });
+    }
+
     HttpRequest convertRequest(const restinio::request_t& request)
     {
         HttpRequest result;
@@ -150,16 +195,45 @@
 
 } // namespace
 
-struct HttpServer::Implementation {
-    using Server = restinio::http_server_t<Traits>;
+namespace {
+
+    /** @brief RESTinio server of either kind. */
+    class Listener {
+    public:
+        virtual ~Listener() = default;
+
+        virtual void open() = 0;
+        virtual void close() = 0;
+    };
+
+    template <typename ServerTraits> class ListenerOf final : public Listener {
+    public:
+        ListenerOf(asio::io_context& context, restinio::server_settings_t<ServerTraits> settings)
+            : m_server(restinio::external_io_context(context), std::move(settings))
+        {
+        }
+
+        void open() override { m_server.open_sync(); }
+        void close() override { m_server.close_sync(); }
+
+    private:
+        restinio::http_server_t<ServerTraits> m_server;
+    };
+
+} // namespace
 
+struct HttpServer::Implementation {
     Implementation(HttpServerSettings given, Handler callback)
         : settings(std::move(given))
         , handler(std::move(callback))
+        , certificate(settings.certificatePath, settings.keyPath)
         , core(std::make_shared<Core>(settings.maxConnections))
+        , counter(std::make_shared<ConnectionCounter>())
     {
     }
 
+    bool usesTls() const { return !settings.certificatePath.empty(); }
+
     restinio::request_handling_status_t handle(const restinio::request_handle_t& request)
     {
         if (request->header().connection() == restinio::http_connection_header_t::upgrade)
@@ -181,11 +255,9 @@
         return restinio::request_accepted();
     }
 
-    restinio::server_settings_t<Traits> makeServerSettings(std::uint16_t& boundPort)
+    template <typename ServerTraits> restinio::server_settings_t<ServerTraits> makeServerSettings(std::uint16_t& port)
     {
-        restinio::server_settings_t<Traits> result;
-        const auto counter = std::make_shared<ConnectionCounter>();
-        const std::size_t limit = settings.maxConnections;
+        restinio::server_settings_t<ServerTraits> result;
         result.address(settings.address)
             .port(settings.port)
             .protocol(asio::ip::make_address(settings.address).is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4())
@@ -204,11 +276,11 @@
                                           .max_field_count(maxFields)
                                           .max_body_size(settings.maxBodyBytes + bodyLimitMargin))
             .acceptor_post_bind_hook(
-                [&boundPort](asio::ip::tcp::acceptor& acceptor) { boundPort = acceptor.local_endpoint().port(); })
+                [&port](asio::ip::tcp::acceptor& acceptor) { port = acceptor.local_endpoint().port(); })
             // RESTinio's own connection limiter loses a slot whenever a peer resets before it was accepted, so the
             // limit is enforced here: the exception closes the new socket.
-            .socket_options_setter([counter, limit](restinio::socket_options_t& options) {
-                if (counter->count() >= limit)
+            .socket_options_setter([open = counter, limit = settings.maxConnections](auto& options) {
+                if (open->count() >= limit)
                     throw std::runtime_error("too many connections");
                 options.set_option(asio::ip::tcp::no_delay(true));
             })
@@ -216,10 +288,29 @@
         return result;
     }
 
+    /** @brief Creates the server and binds it. @return the port. Throws what RESTinio and Asio throw. */
+    std::uint16_t open()
+    {
+        std::uint16_t port = 0;
+        if (usesTls()) {
+            auto context = std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+            certificate.install(context->native_handle());
+            auto serverSettings = makeServerSettings<TlsTraits>(port);
+            serverSettings.tls_context(std::move(context));
+            listener = std::make_unique<ListenerOf<TlsTraits>>(core->context, std::move(serverSettings));
+        } else {
+            listener = std::make_unique<ListenerOf<Traits>>(core->context, makeServerSettings<Traits>(port));
+        }
+        listener->open();
+        return port;
+    }
+
     HttpServerSettings settings;
     Handler handler;
+    TlsCertificate certificate;
     std::shared_ptr<Core> core;
-    std::unique_ptr<Server> server;
+    std::shared_ptr<ConnectionCounter> counter; // used only on the server's thread
+    std::unique_ptr<Listener> listener;
     std::thread thread;
 };
 
@@ -235,23 +326,32 @@
     auto& impl = *m_implementation;
     if (!impl.core)
         return absl::UnavailableError("the server was stopped");
+    if (impl.usesTls()) {
+        if (absl::Status status = impl.certificate.load(); !status.ok())
+            return status;
+    }
     std::uint16_t port = 0;
     try {
-        impl.server = std::make_unique<Implementation::Server>(
-            restinio::external_io_context(impl.core->context), impl.makeServerSettings(port));
-        impl.server->open_sync();
+        port = impl.open();
     } catch (const std::exception& ex) {
-        impl.server.reset();
+        impl.listener.reset();
         return absl::UnavailableError(
             absl::StrCat("cannot listen on ", impl.settings.address, ":", impl.settings.port, ": ", ex.what()));
     }
-    impl.thread = std::thread([core = impl.core] {
+    impl.thread = std::thread([core = impl.core, counter = impl.counter, timeout = impl.settings.readTimeout] {
+        handshakeContext = { counter.get(), timeout };
         const auto guard = asio::make_work_guard(core->context);
         core->context.run();
     });
     return port;
 }
 
+absl::Status HttpServer::reloadCertificate()
+{
+    auto& impl = *m_implementation;
+    return impl.usesTls() ? impl.certificate.load() : absl::FailedPreconditionError("the server does not use TLS");
+}
+
 void HttpServer::stopAccepting()
 {
     auto& impl = *m_implementation;
@@ -259,7 +359,7 @@
     if (!impl.thread.joinable())
         return;
     impl.core->closing = true;
-    asio::post(impl.core->context, [server = impl.server.get()] { server->close_sync(); });
+    asio::post(impl.core->context, [listener = impl.listener.get()] { listener->close(); });
 }
 
 void HttpServer::stop()
@@ -271,7 +371,7 @@
     impl.core->context.stop();
     impl.thread.join();
     impl.core->pending.clear();
-    impl.server.reset();
+    impl.listener.reset();
     // The connections are owned by operations of the I/O context and close with it.
     impl.core.reset();
 }
--- a/src/lycheeledge/transport/HttpServer.h
+++ b/src/lycheeledge/transport/HttpServer.h
@@ -21,6 +21,8 @@
     std::size_t maxConnections = 4096;
     std::chrono::milliseconds readTimeout { 10000 }; ///< for a whole request
     std::chrono::milliseconds handleTimeout { 120000 }; ///< until the handler must have responded
+    std::string certificatePath; ///< PEM file with the certificate chain; empty for HTTP without TLS
+    std::string keyPath; ///< PEM file with the key of the certificate
 
     bool operator==(const HttpServerSettings&) const = default;
 };
@@ -38,8 +40,18 @@
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
 
-    /** @brief Binds and starts the thread. @return the port listened on. Errors: `UNAVAILABLE` if it is in use. */
+    /**
+     * @brief Binds and starts the thread. @return the port listened on.
+     *
+     * Errors: `UNAVAILABLE` if the port is in use, `INVALID_ARGUMENT` if the certificate or key cannot be used.
+     */
     absl::StatusOr<std::uint16_t> start();
+    /**
+     * @brief Reads the certificate and the key again; new connections use them. May be called from any thread.
+     *
+     * Errors: `INVALID_ARGUMENT` if they cannot be used (the earlier ones stay), `FAILED_PRECONDITION` without TLS.
+     */
+    absl::Status reloadCertificate();
     /** @brief Stops accepting connections; requests in progress continue. */
     void stopAccepting();
     /** @brief Closes all connections and joins the thread. */
