--- a/src/lycheeledge/daemon/EntryProcess.cpp
+++ b/src/lycheeledge/daemon/EntryProcess.cpp
@@ -159,10 +159,12 @@
           cellSettings(m_settings))
     , m_owners(m_membership, m_cell)
     , m_router(m_loop, m_link, m_owners, m_cell, { .self = m_settings.member, .cell = m_settings.cell })
+    , m_telemetry(m_settings, m_loop, m_platformClient)
     , m_authenticator(m_membership, bootstrapKey(m_settings))
     , m_commands(m_loop, m_store, m_membership)
-    , m_service(m_membership, m_authenticator, m_commands, m_router, m_cell)
-    , m_http(m_loop, m_service, m_settings.limits.maxBodyBytes, [this] { return metricsText(); })
+    , m_service(m_loop, m_telemetry, m_membership, m_authenticator, m_commands, m_router, m_cell)
+    , m_http(m_loop, m_service, m_settings.limits.maxBodyBytes,
+          [this] { return m_telemetry.metricsText(m_membership, m_cell, m_router, m_http.callsInProgress()); })
     , m_server(serverSettings(m_settings), [this](HttpRequest request, const HttpServer::Respond& respond) {
         m_http.handle(std::move(request), respond);
     })
@@ -192,6 +194,7 @@
     m_loop.post([this] {
         m_membership.start();
         m_cell.start();
+        m_telemetry.start();
         m_http.setReady(true);
     });
     return absl::OkStatus();
@@ -253,19 +256,4 @@
     m_loop.after(toMilliseconds(std::chrono::seconds(2)), [this] { m_loop.stop(); });
 }
 
-std::string EntryProcess::metricsText() const
-{
-    std::string text;
-    const auto line = [&text](const char* name, auto value) {
-        text += std::string("lycheeledge_") + name + " " + std::to_string(value) + "\n";
-    };
-    line("calls_in_progress", m_http.callsInProgress());
-    line("submissions_pending", m_router.pendingSubmissions());
-    line("configuration_revision", m_membership.configuration().revision);
-    line("configuration_fresh", m_membership.isFresh() ? 1 : 0);
-    line("store_contact_age_seconds", std::chrono::duration<double>(m_membership.storeContactAge()).count());
-    line("cell_active", m_cell.isActive() ? 1 : 0);
-    return text;
-}
-
 } // namespace lycheeledge
--- a/src/lycheeledge/daemon/EntryProcess.h
+++ b/src/lycheeledge/daemon/EntryProcess.h
@@ -18,6 +18,7 @@
 #include "HttpGateway.h"
 #include "RpcService.h"
 #include "Settings.h"
+#include "Telemetry.h"
 
 #include <absl/status/status.h>
 
@@ -108,7 +109,6 @@
     void handOver();
     void drain();
     void leave();
-    std::string metricsText() const;
 
     Settings m_settings;
     EventLoop m_loop;
@@ -125,6 +125,7 @@
     CellController m_cell;
     detail::MembershipOwners m_owners;
     RequestRouter m_router;
+    Telemetry m_telemetry;
     Authenticator m_authenticator;
     OperatorCommands m_commands;
     RpcService m_service;
--- a/src/lycheeledge/daemon/RpcService.cpp
+++ b/src/lycheeledge/daemon/RpcService.cpp
@@ -83,9 +83,11 @@
 
 } // namespace
 
-RpcService::RpcService(Membership& membership, const Authenticator& authenticator, OperatorCommands& commands,
-    RequestRouter& router, const CellController& cell)
-    : m_membership(membership)
+RpcService::RpcService(Runtime& runtime, Telemetry& telemetry, Membership& membership,
+    const Authenticator& authenticator, OperatorCommands& commands, RequestRouter& router, const CellController& cell)
+    : m_runtime(runtime)
+    , m_telemetry(telemetry)
+    , m_membership(membership)
     , m_authenticator(authenticator)
     , m_commands(commands)
     , m_router(router)
@@ -121,19 +123,29 @@
 
 void RpcService::call(const std::shared_ptr<const RpcCall>& call, const Done& done)
 {
+    const Done answer = measured(call->request.method, done);
     const auto it = methods().find(call->request.method);
     if (it == methods().end()) {
-        done(ApiError { ErrorKind::NotFound, "no such method", "", RunState::NotRun });
+        answer(ApiError { ErrorKind::NotFound, "no such method", "", RunState::NotRun });
         return;
     }
     if (it->second.forOperators) {
         const auto operatorKey = m_authenticator.authenticateOperator(call->key);
         if (!operatorKey.ok()) {
-            done(ApiError { operatorKey.error, operatorKey.message, "", RunState::NotRun });
+            answer(ApiError { operatorKey.error, operatorKey.message, "", RunState::NotRun });
             return;
         }
     }
-    (this->*it->second.handler)(*call, done);
+    (this->*it->second.handler)(*call, answer);
+}
+
+RpcService::Done RpcService::measured(const std::string& method, const Done& done)
+{
+    return [this, method, done, start = m_runtime.now()](const RpcOutcome& outcome) {
+        const auto* error = std::get_if<ApiError>(&outcome);
+        m_telemetry.callFinished(method, toString(error ? error->kind : ErrorKind::None), m_runtime.now() - start);
+        done(outcome);
+    };
 }
 
 void RpcService::submitWork(const RpcCall& call, const Done& done)
@@ -162,7 +174,9 @@
     if (!identity.ok() || identity.identity.team != authorization.team)
         spec.id.request = outsiderRequest(spec);
     spec.id.team = authorization.team;
-    m_router.submit(std::move(spec), call.traceparent, [done, shown](WorkResult result) {
+    const OpenSpan span = m_telemetry.startSpan("entry", call.traceparent);
+    m_router.submit(std::move(spec), span.traceparent(), [this, done, shown, span](WorkResult result) {
+        m_telemetry.endSpan(span, result.message);
         result.id = shown;
         if (result.ok())
             done(encodeWorkResult(result));
--- a/src/lycheeledge/daemon/RpcService.h
+++ b/src/lycheeledge/daemon/RpcService.h
@@ -8,6 +8,7 @@
 #include "../coordination/RequestRouter.h"
 #include "../protocol/ApiCodec.h"
 #include "../protocol/JsonRpc.h"
+#include "Telemetry.h"
 
 #include <functional>
 #include <map>
@@ -33,8 +34,8 @@
 public:
     using Done = std::function<void(RpcOutcome)>;
 
-    RpcService(Membership& membership, const Authenticator& authenticator, OperatorCommands& commands,
-        RequestRouter& router, const CellController& cell);
+    RpcService(Runtime& runtime, Telemetry& telemetry, Membership& membership, const Authenticator& authenticator,
+        OperatorCommands& commands, RequestRouter& router, const CellController& cell);
 
     /** @param call accepted by ApiSchema. @param done called once. */
     void call(const std::shared_ptr<const RpcCall>& call, const Done& done);
@@ -71,8 +72,12 @@
     void processStatus(const RpcCall& call, const Done& done);
 
     Revision version(const std::string& storeKey) const;
+    /** Counts the call when it is answered. */
+    Done measured(const std::string& method, const Done& done);
     bool authorizeQuery(const RpcCall& call, const Done& done) const;
 
+    Runtime& m_runtime;
+    Telemetry& m_telemetry;
     Membership& m_membership;
     const Authenticator& m_authenticator;
     OperatorCommands& m_commands;
