--- a/src/lycheeledge/coordination/InForceWaits.h
+++ b/src/lycheeledge/coordination/InForceWaits.h
@@ -36,6 +36,7 @@
     void add(Revision revision, TimePoint deadline, Callback done);
     /** @brief Answers the waits that are over. Called after each gossip and read, and periodically. */
     void check(TimePoint now);
+    bool empty() const { return m_waits.empty(); }
 
 private:
     struct Wait {
--- a/src/lycheeledge/coordination/Membership.cpp
+++ b/src/lycheeledge/coordination/Membership.cpp
@@ -37,7 +37,7 @@
 
 Membership::~Membership()
 {
-    for (const auto timer : { m_gossipTimer, m_readTimer, m_planTimer })
+    for (const auto timer : { m_gossipTimer, m_readTimer, m_planTimer, m_leaveTimer })
         m_runtime.cancel(timer);
 }
 
@@ -186,6 +186,9 @@
         for (const auto& listener : m_configurationListeners)
             listener(m_cache.configuration());
     }
+    // The process that took an operator's call does not wait for its next gossip, so that the change spreads at once.
+    if (changed && !m_waits.empty())
+        gossipNow();
     m_waits.check(now);
     keepQuorum();
     notifyOwners();
@@ -219,7 +222,7 @@
             return;
         }
         LOG(WARNING) << "[membership] member record not deleted: " << status;
-        m_planTimer = m_runtime.after(leaveRetryInterval, [this] {
+        m_leaveTimer = m_runtime.after(leaveRetryInterval, [this] {
             m_leaveRetry = true;
             startRead();
         });
--- a/src/lycheeledge/coordination/Membership.h
+++ b/src/lycheeledge/coordination/Membership.h
@@ -140,6 +140,7 @@
     Runtime::TimerId m_gossipTimer = 0;
     Runtime::TimerId m_readTimer = 0;
     Runtime::TimerId m_planTimer = 0;
+    Runtime::TimerId m_leaveTimer = 0;
     std::shared_ptr<Membership*> m_alive = std::make_shared<Membership*>(this); ///< expires with this object
 };
 
--- a/src/lycheeledge/coordination/OwnerTable.cpp
+++ b/src/lycheeledge/coordination/OwnerTable.cpp
@@ -30,10 +30,10 @@
 void OwnerTable::setRecords(const std::vector<StoreEntry>& entries)
 {
     std::map<CellId, OwnerRecord> records;
-    std::map<CellId, std::string> holders;
+    std::set<CellId> leased;
     for (const auto& entry : entries) {
-        if (const auto leased = cellOf(entry.key, leaseSuffix)) {
-            holders.emplace(*leased, entry.value);
+        if (const auto held = cellOf(entry.key, leaseSuffix)) {
+            leased.insert(*held);
             continue;
         }
         const auto cell = cellOf(entry.key, epochSuffix);
@@ -46,10 +46,8 @@
         record->epochRevision = entry.modRevision;
         records.emplace(*cell, std::move(*record));
     }
-    for (auto& [cell, record] : records) {
-        const auto it = holders.find(cell);
-        record.leased = it != holders.end() && it->second == record.owner.value();
-    }
+    for (auto& [cell, record] : records)
+        record.leased = leased.contains(cell);
     m_records = std::move(records);
 }
 
--- a/test/coordination/MembershipTest.cpp
+++ b/test/coordination/MembershipTest.cpp
@@ -86,3 +86,24 @@
     cluster.advance(4s);
     CHECK(cluster[0].membership.ownerOf(cell)->id == MemberId("m1"));
 }
+
+// Guards against a late datagram that brings back a claim which its sender has given up.
+TEST_CASE("Reordered gossip does not bring back a claim", "[membership]")
+{
+    Cluster cluster(2);
+    cluster.advance(3s);
+    const CellId cell("central");
+    bool active = true;
+    cluster[1].membership.setOwnedCells([&] { return std::vector { OwnedCell { cell, 5, active } }; });
+    cluster.network.duplicatePercent = 50;
+    cluster.network.delayMin = 1ms;
+    cluster.network.delayMax = 2s;
+    cluster.advance(5s);
+    CHECK(cluster[0].membership.ownerOf(cell));
+    active = false;
+    int changes = 0;
+    cluster[0].membership.onOwnersChanged([&changes] { ++changes; });
+    cluster.advance(5s);
+    CHECK_FALSE(cluster[0].membership.ownerOf(cell));
+    CHECK(changes == 1);
+}
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -28,7 +28,7 @@
         membership.start();
     }
 
-    PausableRuntime runtime;
+    ProcessRuntime runtime;
     FakeStore::Port store;
     FakeNetwork::Link link;
     Membership membership;
--- a/test/support/FakeNetwork.h
+++ b/test/support/FakeNetwork.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "ManualRuntime.h"
-#include "PausableRuntime.h"
+#include "ProcessRuntime.h"
 
 #include <lycheeledge/coordination/PeerLink.h>
 
@@ -65,7 +65,7 @@
 /** @brief Link of one process. Only gossip is simulated. */
 class FakeNetwork::Link final : public PeerLink {
 public:
-    Link(FakeNetwork& network, Address address, PausableRuntime& process, std::function<void(const Gossip&)> receiver)
+    Link(FakeNetwork& network, Address address, ProcessRuntime& process, std::function<void(const Gossip&)> receiver)
         : m_network(network)
         , m_address(std::move(address))
     {
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "ManualRuntime.h"
-#include "PausableRuntime.h"
+#include "ProcessRuntime.h"
 
 #include <lycheeledge/coordination/Store.h>
 
@@ -165,7 +165,7 @@
 /** @brief Connection of one process to the store. */
 class FakeStore::Port final : public Store {
 public:
-    Port(FakeStore& store, PausableRuntime& process)
+    Port(FakeStore& store, ProcessRuntime& process)
         : m_store(store)
         , m_process(process)
     {
@@ -257,7 +257,7 @@
     }
 
     FakeStore& m_store;
-    PausableRuntime& m_process;
+    ProcessRuntime& m_process;
     bool m_cut = false;
     int m_loseAnswers = 0;
     int m_loseCommits = 0;
--- a/test/support/PausableRuntime.h
+++ b/test/support/ProcessRuntime.h
@@ -16,13 +16,13 @@
  *
  * The clock goes on during a pause, as that of a stopped operating system process does.
  */
-class PausableRuntime final : public Runtime {
+class ProcessRuntime final : public Runtime {
 public:
-    explicit PausableRuntime(ManualRuntime& base)
+    explicit ProcessRuntime(ManualRuntime& base)
         : m_base(base)
     {
     }
-    ~PausableRuntime() override { *m_alive = false; }
+    ~ProcessRuntime() override { *m_alive = false; }
 
     TimePoint now() const override { return m_base.now(); }
 
@@ -55,7 +55,7 @@
         if (m_paused)
             m_backlog.push_back(std::move(task));
         else
-            task();
+            run(task);
     }
 
     void pause() { m_paused = true; }
@@ -64,13 +64,23 @@
     {
         m_paused = false;
         for (auto backlog = std::exchange(m_backlog, {}); !backlog.empty(); backlog.pop_front())
-            backlog.front()();
+            run(backlog.front());
     }
 
+    /** @brief Called after each task, for checks that must hold at any moment. */
+    std::function<void()> afterTask;
+
     /** @brief False once the process is gone. */
     std::shared_ptr<const bool> alive() const { return m_alive; }
 
 private:
+    void run(const std::function<void()>& task)
+    {
+        task();
+        if (afterTask)
+            afterTask();
+    }
+
     void fire(TimerId timer)
     {
         if (auto node = m_timers.extract(timer))
