--- a/src/lycheeledge/coordination/ConfigurationCache.cpp
+++ b/src/lycheeledge/coordination/ConfigurationCache.cpp
@@ -5,6 +5,8 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -25,29 +27,75 @@
         std::visit(Visitor { to }, value);
     }
 
-    template <typename Map, typename KeyOf> void eraseNamed(Map& entities, const std::string& key, KeyOf keyOf)
+    template <typename Map, typename KeyOf> bool eraseNamed(Map& entities, const std::string& key, KeyOf keyOf)
     {
-        std::erase_if(entities, [&](const auto& entity) { return keyOf(entity.first) == key; });
+        return std::erase_if(entities, [&](const auto& entity) { return keyOf(entity.first) == key; }) > 0;
+    }
+
+    // A withdrawn key and an unknown one are refused alike, so neither needs to stay for good.
+    bool isRetired(const ConfigurationEntity& entity)
+    {
+        const auto* key = entity.value ? std::get_if<Key>(&*entity.value) : nullptr;
+        return !entity.value || (key && key->withdrawn);
     }
 
 } // namespace
 
-bool ConfigurationCache::apply(const std::vector<StoreEntry>& entries)
+bool ConfigurationCache::apply(const std::vector<StoreEntry>& entries, TimePoint now)
 {
     bool changed = false;
     for (const auto& entry : entries) {
-        changed |= applyEntry(entry);
+        changed |= applyEntry(entry, now);
         m_configuration.revision = std::max(m_configuration.revision, entry.modRevision);
     }
     return changed;
 }
 
-bool ConfigurationCache::applyEntry(const StoreEntry& entry)
+bool ConfigurationCache::applyAll(const std::vector<StoreEntry>& entries, Revision snapshot, TimePoint now)
+{
+    bool changed = apply(entries, now);
+    std::set<std::string_view> present;
+    for (const auto& entry : entries)
+        present.insert(entry.key);
+    for (auto it = m_applied.begin(); it != m_applied.end();) {
+        if (it->second.revision > snapshot || present.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        changed |= erase(it->first);
+        it = m_applied.erase(it);
+    }
+    return changed;
+}
+
+std::vector<ConfigurationCache::EntityRevision> ConfigurationCache::retiredBefore(
+    TimePoint before, std::size_t keep) const
+{
+    std::vector<EntityRevision> retired;
+    for (const auto& [key, applied] : m_applied) {
+        if (applied.retired)
+            retired.emplace_back(key, applied.revision);
+    }
+    std::sort(retired.begin(), retired.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    retired.resize(retired.size() - std::min(keep, retired.size()));
+    std::erase_if(retired, [&](const auto& entity) { return m_applied.at(entity.first).at > before; });
+    return retired;
+}
+
+void ConfigurationCache::forget(const std::vector<std::string>& keys)
+{
+    for (const auto& key : keys) {
+        erase(key);
+        m_applied.erase(key);
+    }
+}
+
+bool ConfigurationCache::applyEntry(const StoreEntry& entry, TimePoint now)
 {
-    Revision& applied = m_applied[entry.key];
-    if (entry.modRevision <= applied)
+    Applied& applied = m_applied[entry.key];
+    if (entry.modRevision <= applied.revision)
         return false;
-    applied = entry.modRevision;
+    applied = { entry.modRevision, false, now };
     if (entry.key == quorumKey)
         return applyQuorum(entry);
     const auto entity = decodeEntity(entry.key, entry.value);
@@ -56,6 +104,7 @@
                    << "; the previous value stays in force";
         return false;
     }
+    applied.retired = isRetired(*entity);
     if (entity->value)
         store(m_configuration, *entity->value);
     else
@@ -75,13 +124,11 @@
     return false; // not visible in configuration()
 }
 
-void ConfigurationCache::erase(const std::string& key)
+bool ConfigurationCache::erase(const std::string& key)
 {
-    eraseNamed(m_configuration.teams, key, teamKey);
-    eraseNamed(m_configuration.keys, key, keyKey);
-    eraseNamed(m_configuration.queues, key, queueKey);
-    eraseNamed(m_configuration.policies, key, policyKey);
-    eraseNamed(m_configuration.drained, key, drainKey);
+    return eraseNamed(m_configuration.teams, key, teamKey) || eraseNamed(m_configuration.keys, key, keyKey)
+        || eraseNamed(m_configuration.queues, key, queueKey) || eraseNamed(m_configuration.policies, key, policyKey)
+        || eraseNamed(m_configuration.drained, key, drainKey);
 }
 
 } // namespace lycheeledge
--- a/src/lycheeledge/coordination/ConfigurationCache.h
+++ b/src/lycheeledge/coordination/ConfigurationCache.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../state/Configuration.h"
+#include "../state/Time.h"
 #include "ConfigurationCodec.h"
 #include "Quorum.h"
 #include "Store.h"
@@ -9,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lycheeledge {
@@ -25,7 +27,12 @@
      * @brief Applies the entities of one read. `entries` holds every entity changed since revision(), as of one store
      * revision. @return whether the configuration changed.
      */
-    bool apply(const std::vector<StoreEntry>& entries);
+    bool apply(const std::vector<StoreEntry>& entries, TimePoint now);
+    /**
+     * @brief Applies all entities that existed at `snapshot` and forgets the others, which were collected.
+     * @return whether the configuration changed.
+     */
+    bool applyAll(const std::vector<StoreEntry>& entries, Revision snapshot, TimePoint now);
 
     /** @brief The configuration in force. The reference stays valid; its content changes in apply(). */
     const Configuration& configuration() const { return m_configuration; }
@@ -34,14 +41,28 @@
     /** @brief The quorum in force; none before the first one was set. */
     const std::optional<Quorum>& quorum() const { return m_quorum; }
 
+    /** @brief Store key and modification revision of an entity. */
+    using EntityRevision = std::pair<std::string, Revision>;
+    /** @brief Tombstones and withdrawn keys that have been known since `before`, oldest first, without the last `keep`.
+     */
+    std::vector<EntityRevision> retiredBefore(TimePoint before, std::size_t keep) const;
+    /** @brief Forgets retired entities that were deleted from the store. */
+    void forget(const std::vector<std::string>& keys);
+
 private:
-    bool applyEntry(const StoreEntry& entry);
+    struct Applied {
+        Revision revision = 0; ///< modification revision
+        bool retired = false; ///< tombstone or withdrawn key
+        TimePoint at;
+    };
+
+    bool applyEntry(const StoreEntry& entry, TimePoint now);
     bool applyQuorum(const StoreEntry& entry);
-    void erase(const std::string& key);
+    bool erase(const std::string& key);
 
     Configuration m_configuration;
     std::optional<Quorum> m_quorum;
-    std::map<std::string, Revision> m_applied; ///< modification revision for each store key, also of tombstones
+    std::map<std::string, Applied> m_applied; ///< by store key, also tombstones
 };
 
 } // namespace lycheeledge
--- a/src/lycheeledge/coordination/Membership.cpp
+++ b/src/lycheeledge/coordination/Membership.cpp
@@ -32,6 +32,7 @@
     , m_waits(m_roster, m_freshness, m_times)
     , m_lease(runtime, store, m_self, m_times, [this] { refresh(); })
     , m_keeper(store, m_self.id, m_times, m_roster, m_freshness, [this] { refresh(); })
+    , m_retired(store, m_cache)
 {
 }
 
@@ -135,16 +136,17 @@
     m_reading = true;
     m_readAgain = false;
     m_readIssued = m_runtime.now();
-    std::vector<StoreRange> ranges { { std::string(configurationPrefix), m_cache.revision() + 1 }, { "r/" }, { "m/" },
-        { "o/" } };
+    const bool full = !m_fullReadAt || m_readIssued - *m_fullReadAt >= RetiredEntities::fullReadInterval;
+    const Revision since = full ? 0 : m_cache.revision() + 1;
+    std::vector<StoreRange> ranges { { std::string(configurationPrefix), since }, { "r/" }, { "m/" }, { "o/" } };
     const std::weak_ptr<Membership*> alive = m_alive;
-    m_store.read(std::move(ranges), [this, alive, issued = m_readIssued](absl::StatusOr<StoreSnapshot> result) {
+    m_store.read(std::move(ranges), [this, alive, full, issued = m_readIssued](absl::StatusOr<StoreSnapshot> result) {
         if (!alive.expired())
-            readDone(issued, std::move(result));
+            readDone(issued, full, std::move(result));
     });
 }
 
-void Membership::readDone(TimePoint issued, absl::StatusOr<StoreSnapshot> result)
+void Membership::readDone(TimePoint issued, bool full, absl::StatusOr<StoreSnapshot> result)
 {
     const bool latest = issued == m_readIssued;
     if (latest)
@@ -160,15 +162,18 @@
     }
     m_lastReadFailed = false;
     m_contact = m_contact ? std::max(*m_contact, issued) : issued;
-    apply(issued, *result);
+    apply(issued, full, *result);
     if (latest && m_readAgain)
         startRead();
 }
 
-void Membership::apply(TimePoint issued, const StoreSnapshot& snapshot)
+void Membership::apply(TimePoint issued, bool full, const StoreSnapshot& snapshot)
 {
     const TimePoint now = m_runtime.now();
-    const bool changed = m_cache.apply(snapshot.ranges[0]);
+    const auto& entities = snapshot.ranges[0];
+    const bool changed = full ? m_cache.applyAll(entities, snapshot.revision, now) : m_cache.apply(entities, now);
+    if (full)
+        m_fullReadAt = issued;
     m_freshness.storeRead(issued, m_cache.revision());
     if (const auto end = m_lease.end())
         m_freshness.setLeaseEnd(*end);
@@ -198,8 +203,10 @@
 
 void Membership::keepQuorum()
 {
-    if (!m_left && !m_lease.superseded() && m_lease.current() && storeReachable())
-        m_keeper.check(m_cache.quorum(), m_runtime.now());
+    if (m_left || m_lease.superseded() || !m_lease.current() || !storeReachable() || !m_keeper.isTurn(m_cache.quorum()))
+        return;
+    m_keeper.check(m_cache.quorum(), m_runtime.now());
+    m_retired.check(m_runtime.now());
 }
 
 void Membership::leave(std::function<void()> done)
--- a/src/lycheeledge/coordination/Membership.h
+++ b/src/lycheeledge/coordination/Membership.h
@@ -11,6 +11,7 @@
 #include "OwnerTable.h"
 #include "PeerLink.h"
 #include "QuorumKeeper.h"
+#include "RetiredEntities.h"
 #include "RosterView.h"
 #include "Runtime.h"
 #include "Store.h"
@@ -95,8 +96,8 @@
     void gossipNow();
     void readTick();
     void startRead();
-    void readDone(TimePoint issued, absl::StatusOr<StoreSnapshot> result);
-    void apply(TimePoint issued, const StoreSnapshot& snapshot);
+    void readDone(TimePoint issued, bool full, absl::StatusOr<StoreSnapshot> result);
+    void apply(TimePoint issued, bool full, const StoreSnapshot& snapshot);
     void refreshSoon();
     void keepQuorum();
     void finishLeaving();
@@ -116,6 +117,7 @@
     InForceWaits m_waits;
     MemberLease m_lease;
     QuorumKeeper m_keeper;
+    RetiredEntities m_retired;
 
     std::uint64_t m_sequence = 0; ///< of the last gossip sent
     bool m_stopping = false;
@@ -129,6 +131,7 @@
     bool m_readPlanned = false;
     TimePoint m_readIssued;
     Revision m_snapshotRevision = 0; ///< of the newest read applied
+    std::optional<TimePoint> m_fullReadAt; ///< issue of the last read of all entities that succeeded
     std::optional<TimePoint> m_contact; ///< issue of the last read that succeeded
 
     std::function<std::vector<OwnedCell>()> m_ownedCells;
--- a/src/lycheeledge/coordination/QuorumKeeper.cpp
+++ b/src/lycheeledge/coordination/QuorumKeeper.cpp
@@ -22,7 +22,7 @@
 
 void QuorumKeeper::check(const std::optional<Quorum>& quorum, TimePoint now)
 {
-    if (m_writing || !isTurn(quorum))
+    if (m_writing)
         return;
     auto members = wanted(now);
     if (!quorum)
--- a/src/lycheeledge/coordination/QuorumKeeper.h
+++ b/src/lycheeledge/coordination/QuorumKeeper.h
@@ -30,11 +30,12 @@
     QuorumKeeper(const QuorumKeeper&) = delete;
     QuorumKeeper& operator=(const QuorumKeeper&) = delete;
 
-    /** @brief Starts the next change that is due. Called after each read and gossip, while this member is leased. */
+    /** @brief Whether this member is the one that acts. */
+    bool isTurn(const std::optional<Quorum>& quorum) const;
+    /** @brief Starts the next change that is due. Called periodically while it is this member's turn. */
     void check(const std::optional<Quorum>& quorum, TimePoint now);
 
 private:
-    bool isTurn(const std::optional<Quorum>& quorum) const;
     std::vector<MemberId> wanted(TimePoint now) const;
     bool isAbandoned(const Quorum& quorum, TimePoint now) const;
     bool lacksMajority(const std::vector<MemberId>& members, Duration goneFor, TimePoint now) const;
--- a/test/coordination/ConfigurationCacheTest.cpp
+++ b/test/coordination/ConfigurationCacheTest.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+const TimePoint start { std::chrono::hours(1) };
+
 StoreEntry teamEntry(double share, Revision revision, std::uint64_t version)
 {
     const Team team { TeamId("feed"), share, Resources { 1000, 2000, 1, 2, 3 }, 7 };
@@ -38,9 +40,9 @@
 TEST_CASE("An older revision of an entity does not replace a newer one", "[configuration]")
 {
     ConfigurationCache cache;
-    CHECK(cache.apply({ teamEntry(2, 10, 2) }));
-    CHECK_FALSE(cache.apply({ teamEntry(1, 9, 1) }));
-    CHECK_FALSE(cache.apply({ teamEntry(3, 10, 2) }));
+    CHECK(cache.apply({ teamEntry(2, 10, 2) }, start));
+    CHECK_FALSE(cache.apply({ teamEntry(1, 9, 1) }, start));
+    CHECK_FALSE(cache.apply({ teamEntry(3, 10, 2) }, start));
     CHECK(cache.configuration().teams.at(TeamId("feed")).share == 2);
     CHECK(cache.revision() == 10);
 }
@@ -48,24 +50,51 @@
 TEST_CASE("A deleted entity does not come back with a late read", "[configuration]")
 {
     ConfigurationCache cache;
-    cache.apply({ teamEntry(2, 10, 1) });
-    CHECK(cache.apply({ { "c/team/feed", encodeEntity({ 2, std::nullopt, {} }), 12 } }));
-    CHECK_FALSE(cache.apply({ teamEntry(2, 10, 1) }));
+    cache.apply({ teamEntry(2, 10, 1) }, start);
+    CHECK(cache.apply({ { "c/team/feed", encodeEntity({ 2, std::nullopt, {} }), 12 } }, start));
+    CHECK_FALSE(cache.apply({ teamEntry(2, 10, 1) }, start));
     CHECK(cache.configuration().teams.empty());
 }
 
 TEST_CASE("A malformed entity leaves the previous value in force", "[configuration]")
 {
     ConfigurationCache cache;
-    cache.apply({ teamEntry(2, 10, 1) });
+    cache.apply({ teamEntry(2, 10, 1) }, start);
     const std::vector<std::string> malformed { "", "{", "[]", "{\"version\":1,\"history\":[]}",
         "{\"version\":1,\"history\":[],\"value\":{\"share\":-1,\"maxRunningTasks\":0}}",
         "{\"version\":1,\"history\":[],\"value\":{\"share\":\"x\",\"maxRunningTasks\":0}}" };
     Revision revision = 11;
     for (const auto& json : malformed) {
-        CHECK_FALSE(cache.apply({ { "c/team/feed", json, revision } }));
+        CHECK_FALSE(cache.apply({ { "c/team/feed", json, revision } }, start));
         CHECK(cache.configuration().teams.at(TeamId("feed")).share == 2);
         CHECK(cache.revision() == revision++); // otherwise every later read would return it again
     }
-    CHECK_FALSE(cache.apply({ { "c/unknown/x", "{}", 90 } }));
+    CHECK_FALSE(cache.apply({ { "c/unknown/x", "{}", 90 } }, start));
+}
+
+// Guards against entities that come back, or stay for good, at a process that missed their deletion.
+TEST_CASE("A full read forgets entities that were collected, but not newer ones", "[configuration]")
+{
+    ConfigurationCache cache;
+    const StoreEntry gone { "c/queue/q", encodeEntity({ 1, Queue { QueueId("q"), TeamId("feed"), true }, {} }), 8 };
+    const StoreEntry newer { "c/vm/v", encodeEntity({ 1, DrainMark { VmId("v") }, {} }), 30 };
+    cache.apply({ gone, newer, teamEntry(2, 10, 2) }, start);
+    CHECK(cache.applyAll({ teamEntry(2, 10, 2) }, 20, start));
+    CHECK(cache.configuration().queues.empty());
+    CHECK(cache.configuration().drained.size() == 1);
+    CHECK(cache.configuration().teams.size() == 1);
+    CHECK(cache.revision() == 30);
+}
+
+TEST_CASE("Old tombstones and withdrawn keys are retired, the latest ones excepted", "[configuration]")
+{
+    ConfigurationCache cache;
+    const Key key { KeyId("k"), TeamId("feed"), KeyRole::Caller, "aa", "bb", true };
+    cache.apply(
+        { { "c/key/k", encodeEntity({ 2, key, {} }), 5 }, { "c/vm/v", encodeEntity({ 2, {}, {} }), 6 } }, start);
+    cache.apply({ teamEntry(2, 7, 1), { "c/vm/w", encodeEntity({ 2, {}, {} }), 8 } }, start + std::chrono::hours(1));
+    using Retired = std::vector<ConfigurationCache::EntityRevision>;
+    CHECK(cache.retiredBefore(start, 0) == Retired { { "c/key/k", 5 }, { "c/vm/v", 6 } });
+    CHECK(cache.retiredBefore(start, 2) == Retired { { "c/key/k", 5 } });
+    CHECK(cache.retiredBefore(start - std::chrono::seconds(1), 0).empty());
 }
--- a/test/coordination/MembershipTest.cpp
+++ b/test/coordination/MembershipTest.cpp
@@ -107,3 +107,22 @@
     CHECK_FALSE(cluster[0].membership.ownerOf(cell));
     CHECK(changes == 1);
 }
+
+// Guards against a store, and a first read, that grow with every entity that ever existed.
+TEST_CASE("Old tombstones are deleted from the store and from the memory of all members", "[membership]")
+{
+    Cluster cluster(2);
+    cluster.advance(3s);
+    constexpr std::size_t extra = 60;
+    for (std::size_t i = 0; i < RetiredEntities::kept + extra; ++i)
+        cluster.store.put("c/vm/v" + std::to_string(i), encodeEntity({ 2, std::nullopt, {} }));
+    cluster.store.put("c/vm/drained", encodeEntity({ 1, DrainMark { VmId("drained") }, {} }));
+    cluster.advance(2h);
+    CHECK(cluster.store.contains("c/vm/v0"));
+    cluster.advance(5min);
+    CHECK_FALSE(cluster.store.contains("c/vm/v0"));
+    CHECK_FALSE(cluster.store.contains("c/vm/v" + std::to_string(extra - 1)));
+    CHECK(cluster.store.contains("c/vm/v" + std::to_string(extra)));
+    for (const auto& process : cluster.processes)
+        CHECK(process->membership.configuration().drained.size() == 1);
+}
