--- a/src/lycheeledge/coordination/Membership.cpp
+++ b/src/lycheeledge/coordination/Membership.cpp
@@ -33,12 +33,13 @@
     , m_waits(m_roster, m_freshness, m_times)
     , m_lease(runtime, store, m_self, m_times, [this] { refresh(); })
     , m_keeper(store, m_self.id, m_times, m_roster, m_freshness, [this] { refresh(); })
+    , m_retired(store, m_cache)
 {
 }
 
 Membership::~Membership()
 {
-    for (const auto timer : { m_gossipTimer, m_readTimer, m_planTimer })
+    for (const auto timer : { m_gossipTimer, m_readTimer, m_planTimer, m_leaveTimer })
         m_runtime.cancel(timer);
 }
 
@@ -144,16 +145,17 @@
     m_reading = true;
     m_readAgain = false;
     m_readIssued = m_runtime.now();
-    std::vector<StoreRange> ranges { { std::string(configurationPrefix), m_cache.revision() + 1 }, { "r/" }, { "m/" },
-        { "o/" } };
+    const bool full = !m_fullReadAt || m_readIssued - *m_fullReadAt >= RetiredEntities::fullReadInterval;
+    const Revision since = full ? 0 : m_cache.revision() + 1;
+    std::vector<StoreRange> ranges { { std::string(configurationPrefix), since }, { "r/" }, { "m/" }, { "o/" } };
     const std::weak_ptr<Membership*> alive = m_alive;
-    m_store.read(std::move(ranges), [this, alive, issued = m_readIssued](absl::StatusOr<StoreSnapshot> result) {
+    m_store.read(std::move(ranges), [this, alive, full, issued = m_readIssued](absl::StatusOr<StoreSnapshot> result) {
         if (!alive.expired())
-            readDone(issued, std::move(result));
+            readDone(issued, full, std::move(result));
     });
 }
 
-void Membership::readDone(TimePoint issued, absl::StatusOr<StoreSnapshot> result)
+void Membership::readDone(TimePoint issued, bool full, absl::StatusOr<StoreSnapshot> result)
 {
     const bool latest = issued == m_readIssued;
     if (latest)
@@ -169,15 +171,18 @@
     }
     m_lastReadFailed = false;
     m_contact = m_contact ? std::max(*m_contact, issued) : issued;
-    apply(issued, *result);
+    apply(issued, full, *result);
     if (latest && m_readAgain)
         startRead();
 }
 
-void Membership::apply(TimePoint issued, const StoreSnapshot& snapshot)
+void Membership::apply(TimePoint issued, bool full, const StoreSnapshot& snapshot)
 {
     const TimePoint now = m_runtime.now();
-    const bool changed = m_cache.apply(snapshot.ranges[0]);
+    const auto& entities = snapshot.ranges[0];
+    const bool changed = full ? m_cache.applyAll(entities, snapshot.revision, now) : m_cache.apply(entities, now);
+    if (full)
+        m_fullReadAt = issued;
     m_freshness.storeRead(issued, m_cache.revision());
     if (const auto end = m_lease.end())
         m_freshness.setLeaseEnd(*end);
@@ -196,6 +201,9 @@
         for (const auto& listener : m_configurationListeners)
             listener(m_cache.configuration());
     }
+    // The process that took an operator's call does not wait for its next gossip, so that the change spreads at once.
+    if (changed && !m_waits.empty())
+        gossipNow();
     m_waits.check(now);
     keepQuorum();
     notifyOwners();
@@ -205,8 +213,10 @@
 
 void Membership::keepQuorum()
 {
-    if (!m_left && !m_lease.superseded() && m_lease.current() && storeReachable())
-        m_keeper.check(m_cache.quorum(), m_runtime.now());
+    if (m_left || m_lease.superseded() || !m_lease.current() || !storeReachable() || !m_keeper.isTurn(m_cache.quorum()))
+        return;
+    m_keeper.check(m_cache.quorum(), m_runtime.now());
+    m_retired.check(m_runtime.now());
 }
 
 void Membership::leave(std::function<void()> done)
@@ -229,7 +239,7 @@
             return;
         }
         LOG(WARNING) << "[membership] member record not deleted: " << status;
-        m_planTimer = m_runtime.after(leaveRetryInterval, [this] {
+        m_leaveTimer = m_runtime.after(leaveRetryInterval, [this] {
             m_leaveRetry = true;
             startRead();
         });
--- a/src/lycheeledge/coordination/Membership.h
+++ b/src/lycheeledge/coordination/Membership.h
@@ -12,6 +12,7 @@
 #include "OwnerTable.h"
 #include "PeerLink.h"
 #include "QuorumKeeper.h"
+#include "RetiredEntities.h"
 #include "RosterView.h"
 #include "Runtime.h"
 #include "Store.h"
@@ -104,8 +105,8 @@
     void gossipNow();
     void readTick();
     void startRead();
-    void readDone(TimePoint issued, absl::StatusOr<StoreSnapshot> result);
-    void apply(TimePoint issued, const StoreSnapshot& snapshot);
+    void readDone(TimePoint issued, bool full, absl::StatusOr<StoreSnapshot> result);
+    void apply(TimePoint issued, bool full, const StoreSnapshot& snapshot);
     void refreshSoon();
     void keepQuorum();
     void finishLeaving();
@@ -126,6 +127,7 @@
     InForceWaits m_waits;
     MemberLease m_lease;
     QuorumKeeper m_keeper;
+    RetiredEntities m_retired;
 
     std::uint64_t m_sequence = 0; ///< of the last gossip sent
     bool m_stopping = false;
@@ -139,6 +141,7 @@
     bool m_readPlanned = false;
     TimePoint m_readIssued;
     Revision m_snapshotRevision = 0; ///< of the newest read applied
+    std::optional<TimePoint> m_fullReadAt; ///< issue of the last read of all entities that succeeded
     std::optional<TimePoint> m_contact; ///< issue of the last read that succeeded
 
     std::function<std::vector<OwnedCell>()> m_ownedCells;
@@ -150,6 +153,7 @@
     Runtime::TimerId m_gossipTimer = 0;
     Runtime::TimerId m_readTimer = 0;
     Runtime::TimerId m_planTimer = 0;
+    Runtime::TimerId m_leaveTimer = 0;
     std::shared_ptr<Membership*> m_alive = std::make_shared<Membership*>(this); ///< expires with this object
 };
 
--- a/test/coordination/MembershipTest.cpp
+++ b/test/coordination/MembershipTest.cpp
@@ -86,3 +86,43 @@
     cluster.advance(4s);
     CHECK(cluster[0].membership.ownerOf(cell)->id == MemberId("m1"));
 }
+
+// Guards against a late datagram that brings back a claim which its sender has given up.
+TEST_CASE("Reordered gossip does not bring back a claim", "[membership]")
+{
+    Cluster cluster(2);
+    cluster.advance(3s);
+    const CellId cell("central");
+    bool active = true;
+    cluster[1].membership.setOwnedCells([&] { return std::vector { OwnedCell { cell, 5, active } }; });
+    cluster.network.duplicatePercent = 50;
+    cluster.network.delayMin = 1ms;
+    cluster.network.delayMax = 2s;
+    cluster.advance(5s);
+    CHECK(cluster[0].membership.ownerOf(cell));
+    active = false;
+    int changes = 0;
+    cluster[0].membership.onOwnersChanged([&changes] { ++changes; });
+    cluster.advance(5s);
+    CHECK_FALSE(cluster[0].membership.ownerOf(cell));
+    CHECK(changes == 1);
+}
+
+// Guards against a store, and a first read, that grow with every entity that ever existed.
+TEST_CASE("Old tombstones are deleted from the store and from the memory of all members", "[membership]")
+{
+    Cluster cluster(2);
+    cluster.advance(3s);
+    constexpr std::size_t extra = 60;
+    for (std::size_t i = 0; i < RetiredEntities::kept + extra; ++i)
+        cluster.store.put("c/vm/v" + std::to_string(i), encodeEntity({ 2, std::nullopt, {} }));
+    cluster.store.put("c/vm/drained", encodeEntity({ 1, DrainMark { VmId("drained") }, {} }));
+    cluster.advance(2h);
+    CHECK(cluster.store.contains("c/vm/v0"));
+    cluster.advance(5min);
+    CHECK_FALSE(cluster.store.contains("c/vm/v0"));
+    CHECK_FALSE(cluster.store.contains("c/vm/v" + std::to_string(extra - 1)));
+    CHECK(cluster.store.contains("c/vm/v" + std::to_string(extra)));
+    for (const auto& process : cluster.processes)
+        CHECK(process->membership.configuration().drained.size() == 1);
+}
