Test concurrent validation of calls

rapidjson keeps the state of a pattern match in the compiled schema, so JsonSchema locks. The test would fail or be reported by the thread sanitizer without the lock; ApiSchemaTest and MetricsTest pass under it (compiled by themselves).

--- a/test/protocol/ApiSchemaTest.cpp
+++ b/test/protocol/ApiSchemaTest.cpp
@@ -5,8 +5,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <fstream>
 #include <sstream>
+#include <thread>
+#include <vector>
 
 using namespace lycheeledge;
 
@@ -150,3 +153,26 @@
     CHECK(failure->id == "7");
     CHECK(failure->error.run == RunState::NotRun);
 }
+
+TEST_CASE("Threads may check calls at the same time", "[api-schema]")
+{
+    // rapidjson keeps the state of a pattern match in the compiled schema; without a lock results would be wrong.
+    rapidjson::Document good;
+    good.Parse(submit("").c_str());
+    rapidjson::Document bad;
+    bad.Parse(submit(R"(,"zone":"a/b")").c_str());
+    std::atomic<int> wrong { 0 };
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (int n = 0; n < 4; ++n)
+        threads.emplace_back([&] {
+            for (int i = 0; i < 2000; ++i) {
+                const bool goodAccepted = !api().checkParams("work.submit", good);
+                const bool badAccepted = !api().checkParams("work.submit", bad);
+                wrong += goodAccepted && !badAccepted ? 0 : 1;
+            }
+        });
+    for (auto& thread : threads)
+        thread.join();
+    CHECK(wrong == 0);
+}
