--- a/src/lycheeledge/daemon/Settings.cpp
+++ b/src/lycheeledge/daemon/Settings.cpp
@@ -106,12 +106,15 @@
         settings.member = MemberId(detail::string(section(root, "member"), "id"));
         settings.zone = ZoneId(detail::string(section(root, "member"), "zone"));
         settings.listen = readAddress(section(root, "listen"));
+        settings.certificatePath = detail::string(section(root, "listen"), "certificatePath");
+        settings.keyPath = detail::string(section(root, "listen"), "keyPath");
         settings.peer = readAddress(section(root, "peer"));
         settings.cell = CellId(detail::string(section(root, "cell"), "id"));
         for (const auto& zone : section(root, "cell")["zones"].GetArray())
             settings.cellZones.emplace_back(zone.GetString());
         settings.storeUrl = detail::string(section(root, "platform"), "storeUrl");
         settings.vmListUrl = detail::string(section(root, "platform"), "vmListUrl");
+        settings.caPath = detail::string(section(root, "platform"), "caPath");
         settings.clusterSecret = detail::string(root, "clusterSecret");
         const auto& key = section(root, "bootstrapKey");
         settings.bootstrapKey = { KeyId(detail::string(key, "id", "bootstrap")), TeamId(), KeyRole::Operator,
@@ -144,6 +147,8 @@
             return SchemaViolation { "/peer/address", "is not an IP number" };
         if (settings.listen.port == settings.peer.port && settings.listen.host == settings.peer.host)
             return SchemaViolation { "/peer/port", "must differ from /listen/port on the same address" };
+        if (settings.certificatePath.empty() != settings.keyPath.empty())
+            return SchemaViolation { "/listen", "must have both certificatePath and keyPath, or neither" };
         if (t.isolation < 2 * t.gossip)
             return SchemaViolation { "/intervals/isolationMs", "must be at least twice gossipMs" };
         if (t.isolation <= t.freshnessRead)
--- a/src/lycheeledge/daemon/Settings.h
+++ b/src/lycheeledge/daemon/Settings.h
@@ -50,11 +50,14 @@
     MemberId member;
     ZoneId zone;
     Address listen; ///< for callers and operators, HTTP
+    std::string certificatePath; ///< of the listener; empty for HTTP without TLS
+    std::string keyPath;
     Address peer; ///< for other members, the same port for UDP and TCP
     CellId cell;
     std::vector<ZoneId> cellZones; ///< zones whose workers belong to the cell
     std::string storeUrl;
     std::string vmListUrl;
+    std::string caPath; ///< authorities trusted for HTTPS to the platform; empty for those of the system
     std::string clusterSecret; ///< authenticates messages between members
     Key bootstrapKey; ///< operator's key that needs no entry in the store
     LimitSettings limits;
--- a/src/lycheeledge/daemon/SettingsSchemaText.h
+++ b/src/lycheeledge/daemon/SettingsSchemaText.h
@@ -26,7 +26,9 @@
       "required": ["address", "port"],
       "properties": {
         "address": { "$ref": "#/definitions/IpAddress" },
-        "port": { "$ref": "#/definitions/Port" }
+        "port": { "$ref": "#/definitions/Port" },
+        "certificatePath": { "$ref": "#/definitions/Path" },
+        "keyPath": { "$ref": "#/definitions/Path" }
       }
     },
     "peer": {
@@ -53,7 +55,8 @@
       "required": ["storeUrl", "vmListUrl"],
       "properties": {
         "storeUrl": { "$ref": "#/definitions/Url" },
-        "vmListUrl": { "$ref": "#/definitions/Url" }
+        "vmListUrl": { "$ref": "#/definitions/Url" },
+        "caPath": { "$ref": "#/definitions/Path" }
       }
     },
     "clusterSecret": { "type": "string", "minLength": 32, "maxLength": 256 },
@@ -118,6 +121,7 @@
   "definitions": {
     "Id": { "type": "string", "minLength": 1, "maxLength": 64, "pattern": "^[A-Za-z0-9][A-Za-z0-9_.-]*$" },
     "IpAddress": { "type": "string", "minLength": 2, "maxLength": 45, "pattern": "^[0-9a-fA-F.:]+$" },
+    "Path": { "type": "string", "minLength": 1, "maxLength": 4096 },
     "Port": { "type": "integer", "minimum": 1, "maximum": 65535 },
     "Url": { "type": "string", "minLength": 8, "maxLength": 512, "pattern": "^https?://[^ ]+$" }
   }
--- a/test/daemon/SettingsTest.cpp
+++ b/test/daemon/SettingsTest.cpp
@@ -119,6 +119,18 @@
     CHECK(error(std::string(1000000, '[')).find("s.jsonc:1: ") == 0);
 }
 
+TEST_CASE("A certificate needs its key", "[settings]")
+{
+    CHECK(error(replaced("\"port\": 8080", "\"port\": 8080, \"certificatePath\": \"c.pem\""))
+        == "s.jsonc:4: /listen must have both certificatePath and keyPath, or neither");
+    const auto settings = parseSettings(
+        replaced("\"port\": 8080", "\"port\": 8080, \"certificatePath\": \"c.pem\", \"keyPath\": \"k.pem\""),
+        "s.jsonc");
+    REQUIRE(settings.ok());
+    CHECK(settings->certificatePath == "c.pem");
+    CHECK(settings->keyPath == "k.pem");
+}
+
 TEST_CASE("Intervals that would break a guarantee are refused", "[settings]")
 {
     auto withIntervals = [](const std::string& text) { return replaced("\"gossipMs\": 100", text); };
