--- a/src/lycheeledge/coordination/ConfigurationCache.cpp
+++ b/src/lycheeledge/coordination/ConfigurationCache.cpp
@@ -104,7 +104,7 @@
                    << "; the previous value stays in force";
         return false;
     }
-    m_versions[entry.key] = entity->version;
+    applied.version = entity->version;
     applied.retired = isRetired(*entity);
     if (entity->value)
         store(m_configuration, *entity->value);
@@ -115,8 +115,8 @@
 
 std::uint64_t ConfigurationCache::versionOf(const std::string& storeKey) const
 {
-    const auto it = m_versions.find(storeKey);
-    return it == m_versions.end() ? 0 : it->second;
+    const auto it = m_applied.find(storeKey);
+    return it == m_applied.end() ? 0 : it->second.version;
 }
 
 bool ConfigurationCache::applyQuorum(const StoreEntry& entry)
--- a/src/lycheeledge/coordination/ConfigurationCache.h
+++ b/src/lycheeledge/coordination/ConfigurationCache.h
@@ -56,6 +56,7 @@
         Revision revision = 0; ///< modification revision
         bool retired = false; ///< tombstone or withdrawn key
         TimePoint at;
+        std::uint64_t version = 0; ///< of the entity
     };
 
     bool applyEntry(const StoreEntry& entry, TimePoint now);
@@ -63,7 +64,6 @@
     bool erase(const std::string& key);
 
     Configuration m_configuration;
-    std::map<std::string, std::uint64_t> m_versions; ///< version of each entity, also of tombstones
     std::optional<Quorum> m_quorum;
     std::map<std::string, Applied> m_applied; ///< by store key, also tombstones
 };
--- a/src/lycheeledge/daemon/RpcService.cpp
+++ b/src/lycheeledge/daemon/RpcService.cpp
@@ -121,9 +121,11 @@
     return table;
 }
 
-void RpcService::call(const std::shared_ptr<const RpcCall>& call, const Done& done)
+void RpcService::call(const std::shared_ptr<RpcCall>& call, const Done& done)
 {
-    const Done answer = measured(call->request.method, done);
+    const auto observedCall = m_telemetry.calls().begin(call->request.method, call->traceparent, m_runtime.now());
+    call->traceparent = formatTraceparent(observedCall.context);
+    const Done answer = observed(observedCall, TeamId(textOf(*call, "team")), done);
     const auto it = methods().find(call->request.method);
     if (it == methods().end()) {
         answer(ApiError { ErrorKind::NotFound, "no such method", "", RunState::NotRun });
@@ -139,11 +141,11 @@
     (this->*it->second.handler)(*call, answer);
 }
 
-RpcService::Done RpcService::measured(const std::string& method, const Done& done)
+RpcService::Done RpcService::observed(const ObservedCall& call, const TeamId& team, const Done& done)
 {
-    return [this, method, done, start = m_runtime.now()](const RpcOutcome& outcome) {
+    return [this, call, team, done](const RpcOutcome& outcome) {
         const auto* error = std::get_if<ApiError>(&outcome);
-        m_telemetry.callFinished(method, toString(error ? error->kind : ErrorKind::None), m_runtime.now() - start);
+        m_telemetry.calls().end(call, error ? error->kind : ErrorKind::None, team, m_runtime.now());
         done(outcome);
     };
 }
@@ -174,9 +176,7 @@
     if (!identity.ok() || identity.identity.team != authorization.team)
         spec.id.request = outsiderRequest(spec);
     spec.id.team = authorization.team;
-    const OpenSpan span = m_telemetry.startSpan("entry", call.traceparent);
-    m_router.submit(std::move(spec), span.traceparent(), [this, done, shown, span](WorkResult result) {
-        m_telemetry.endSpan(span, result.message);
+    m_router.submit(std::move(spec), call.traceparent, [done, shown](WorkResult result) {
         result.id = shown;
         if (result.ok())
             done(encodeWorkResult(result));
--- a/src/lycheeledge/daemon/RpcService.h
+++ b/src/lycheeledge/daemon/RpcService.h
@@ -23,7 +23,7 @@
 struct RpcCall {
     RpcRequest request;
     std::string key; ///< `<key id>.<secret>`; empty for none
-    std::string traceparent; ///< W3C trace context; empty for none
+    std::string traceparent; ///< W3C trace context; replaced by that of this call's own span
 };
 
 /** @brief Outcome of a call: the result as JSON text, or an error. */
@@ -38,7 +38,7 @@
         OperatorCommands& commands, RequestRouter& router, const CellController& cell);
 
     /** @param call accepted by ApiSchema. @param done called once. */
-    void call(const std::shared_ptr<const RpcCall>& call, const Done& done);
+    void call(const std::shared_ptr<RpcCall>& call, const Done& done);
     /** @brief Refuses new work as not run, for a planned stop. */
     void stopAccepting() { m_stopping = true; }
 
@@ -72,8 +72,8 @@
     void processStatus(const RpcCall& call, const Done& done);
 
     Revision version(const std::string& storeKey) const;
-    /** Counts the call when it is answered. */
-    Done measured(const std::string& method, const Done& done);
+    /** Counts the call, and ends its span, when it is answered. */
+    Done observed(const ObservedCall& call, const TeamId& team, const Done& done);
     bool authorizeQuery(const RpcCall& call, const Done& done) const;
 
     Runtime& m_runtime;
--- a/src/lycheeledge/daemon/Telemetry.cpp
+++ b/src/lycheeledge/daemon/Telemetry.cpp
@@ -12,29 +12,33 @@
 
 namespace {
 
-    constexpr double newTraceRatio = 0.01; // callers that want a trace send a sampled traceparent
     constexpr Duration flushInterval = std::chrono::seconds(1);
     constexpr Duration rotateInterval = std::chrono::minutes(1);
 
+    SpanExporterSettings exporterSettings(const Settings& settings)
+    {
+        SpanExporterSettings result;
+        result.url = settings.traceUrl;
+        result.member = settings.member.value();
+        result.maxSpans = settings.maxSpans;
+        result.wallClockOffset = currentWallClockOffset();
+        return result;
+    }
+
     double seconds(Duration value) { return std::chrono::duration<double>(value).count(); }
 
 } // namespace
 
 Telemetry::Telemetry(const Settings& settings, Runtime& runtime, HttpClient& client)
     : m_runtime(runtime)
-    , m_source([&runtime] { return runtime.random(); }, newTraceRatio)
+    , m_source([&runtime] { return runtime.random(); }, settings.traceSampleRatio)
+    , m_exporter(exporterSettings(settings),
+          [&client](HttpRequest request, std::chrono::milliseconds timeout, HttpClient::Done done) {
+              client.send(std::move(request), timeout, std::move(done));
+          })
+    , m_calls(m_metrics, m_source, m_exporter)
+    , m_exports(!settings.traceUrl.empty())
 {
-    if (settings.traceUrl.empty())
-        return;
-    SpanExporterSettings exporter;
-    exporter.url = settings.traceUrl;
-    exporter.member = settings.member.value();
-    exporter.maxSpans = settings.maxSpans;
-    exporter.wallClockOffset = currentWallClockOffset();
-    m_exporter = std::make_unique<SpanExporter>(
-        exporter, [&client](HttpRequest request, std::chrono::milliseconds timeout, HttpClient::Done done) {
-            client.send(std::move(request), timeout, std::move(done));
-        });
 }
 
 void Telemetry::start()
@@ -46,8 +50,9 @@
 void Telemetry::flush()
 {
     m_runtime.after(flushInterval, [this] { flush(); });
-    if (m_exporter)
-        m_exporter->flush();
+    // Without an export URL the oldest spans are dropped from the bounded buffer.
+    if (m_exports)
+        m_exporter.flush();
 }
 
 void Telemetry::rotate()
@@ -56,40 +61,6 @@
     m_metrics.rotate();
 }
 
-OpenSpan Telemetry::startSpan(std::string name, std::string_view traceparent)
-{
-    const auto parent = parseTraceparent(traceparent);
-    return { .context = m_source.next(parent),
-        .parentSpanId = parent ? parent->spanId : std::string(),
-        .name = std::move(name),
-        .start = m_runtime.now() };
-}
-
-void Telemetry::endSpan(const OpenSpan& span, std::string_view error)
-{
-    if (!m_exporter)
-        return;
-    m_exporter->record({ .context = span.context,
-        .parentSpanId = span.parentSpanId,
-        .name = span.name,
-        .start = span.start,
-        .end = m_runtime.now(),
-        .attributes = {},
-        .error = std::string(error) });
-}
-
-void Telemetry::callFinished(std::string_view method, std::string_view error, Duration duration)
-{
-    m_metrics
-        .counter("lycheeledge_calls_total", "Calls answered.",
-            { { "method", std::string(method) }, { "error", std::string(error) } })
-        .add();
-    m_metrics
-        .summary(
-            "lycheeledge_call_seconds", "Time from receipt to answer of a call.", { { "method", std::string(method) } })
-        .observe(seconds(duration));
-}
-
 std::string Telemetry::metricsText(
     const Membership& membership, const CellController& cell, const RequestRouter& router, std::size_t callsInProgress)
 {
--- a/test/support/ProcessRuntime.h
+++ b/test/support/ProcessRuntime.h
@@ -1,29 +1,23 @@
-// Runtime of one process of a simulated deployment.
+// Runtime of one simulated process, which a test can pause.
 #pragma once
 
-#include <lycheeledge/coordination/Runtime.h>
+#include "ManualRuntime.h"
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <utility>
 
 namespace lycheeledge::test {
 
 /**
- * @brief Shares the clock of another runtime, but can be paused as a process can: its tasks wait until it resumes.
+ * @brief Runtime of one process. While paused, due timers and deliveries pile up; resume() runs them in order.
  *
- * Tasks are dropped once the object is destroyed, as those of a process that died.
+ * The clock goes on during a pause, as that of a stopped operating system process does.
  */
 class ProcessRuntime final : public Runtime {
 public:
-<<<<<<<< HEAD:test/support/PausableRuntime.h
-    explicit PausableRuntime(Runtime& runtime)
-        : m_runtime(runtime)
-        , m_state(std::make_shared<State>())
-    {
-    }
-========
     explicit ProcessRuntime(ManualRuntime& base)
         : m_base(base)
     {
@@ -31,52 +25,39 @@
     ~ProcessRuntime() override { *m_alive = false; }
 
     TimePoint now() const override { return m_base.now(); }
->>>>>>>> membership:test/support/ProcessRuntime.h
 
-    TimePoint now() const override { return m_runtime.now(); }
     TimerId after(Duration delay, std::function<void()> task) override
     {
-        return m_runtime.after(delay, wrap(std::move(task)));
-    }
-    void cancel(TimerId timer) override { m_runtime.cancel(timer); }
-    void post(std::function<void()> task) override { m_runtime.post(wrap(std::move(task))); }
-    std::uint64_t random() override { return m_runtime.random(); }
-
-    void pause() { m_state->paused = true; }
-    void resume()
-    {
-        m_state->paused = false;
-        for (auto& task : std::exchange(m_state->waiting, {}))
-            m_runtime.post(std::move(task));
+        const TimerId timer = m_next++;
+        m_timers.emplace(timer, std::move(task));
+        m_base.after(delay, [this, alive = m_alive, timer] {
+            if (*alive)
+                deliver([this, timer] { fire(timer); });
+        });
+        return timer;
     }
-    bool isPaused() const { return m_state->paused; }
 
-private:
-    struct State {
-        bool paused = false;
-        std::deque<std::function<void()>> waiting;
-    };
+    void cancel(TimerId timer) override { m_timers.erase(timer); }
 
-    std::function<void()> wrap(std::function<void()> task)
+    void post(std::function<void()> task) override
     {
-        return [state = std::weak_ptr<State>(m_state), task = std::move(task)]() mutable { run(state, task); };
+        m_base.post([this, alive = m_alive, task = std::move(task)] {
+            if (*alive)
+                deliver(task);
+        });
     }
 
-    static void run(const std::weak_ptr<State>& weak, const std::function<void()>& task)
+    std::uint64_t random() override { return m_base.random(); }
+
+    /** @brief Runs `task` now, or on resume(). */
+    void deliver(std::function<void()> task)
     {
-        const auto state = weak.lock();
-        if (!state)
-            return;
-        if (state->paused)
-            state->waiting.push_back([weak, task] { run(weak, task); });
+        if (m_paused)
+            m_backlog.push_back(std::move(task));
         else
             run(task);
     }
 
-<<<<<<<< HEAD:test/support/PausableRuntime.h
-    Runtime& m_runtime;
-    std::shared_ptr<State> m_state;
-========
     void pause() { m_paused = true; }
 
     void resume()
@@ -112,7 +93,6 @@
     TimerId m_next = 1;
     bool m_paused = false;
     std::deque<std::function<void()>> m_backlog;
->>>>>>>> membership:test/support/ProcessRuntime.h
 };
 
 } // namespace lycheeledge::test
