Remove dead workers that were only journalled, and end the epoch at once

A worker that died between the journalling of its session and its next report stayed in the set for good and counted against every majority. Its wait now starts with the journalling.

Timers that found the majority lapsed were dropped, while the epoch ended only at the next check. If a removal restored the majority in between, the worker was never renewed again. The epoch now ends when the lapse is found.

--- a/src/lycheeledge/coordination/WorkerSession.cpp
+++ b/src/lycheeledge/coordination/WorkerSession.cpp
@@ -186,12 +186,19 @@
         m_mayRunUntil = std::max(m_mayRunUntil, until);
 }
 
+void WorkerSession::sessionJournalled()
+{
+    // From here on the worker counts in the majority, so it must be removed if it is not heard of again.
+    m_mayRunTasks = m_mayRunTasks || m_state == State::Opened;
+    renew();
+}
+
 void WorkerSession::check()
 {
     const TimePoint now = m_runtime.now();
     if (m_state == State::Available && m_acceptedAt && now - *m_acceptedAt >= m_settings.controllerLease)
         becomeUnreachable();
-    const bool isWaiting = m_mayRunTasks && (m_state == State::Connecting || m_state == State::Unreachable);
+    const bool isWaiting = m_mayRunTasks && m_state != State::Available;
     if (!isWaiting || m_requestsInFlight > 0 || now < m_mayRunUntil)
         return;
     LOG(WARNING) << "[worker] " << id() << " is lost: all of its leases have ended";
--- a/src/lycheeledge/coordination/WorkerSession.h
+++ b/src/lycheeledge/coordination/WorkerSession.h
@@ -25,7 +25,7 @@
     virtual ~WorkerSessionHost() = default;
 
     /** @brief Whether the epoch certainly holds now; nothing is sent otherwise. */
-    virtual bool epochHolds() const = 0;
+    virtual bool epochHolds() = 0;
     /** @brief Whether the worker's session is durable in the journalled set. */
     virtual bool isJournalled(const VmId& worker, const std::string& session) const = 0;
     /** @brief The worker accepted the epoch with a session that is not journalled. Called at each acceptance. */
@@ -63,6 +63,8 @@
 
     /** @brief Sends a lease request now. Further ones follow by themselves. */
     void renew();
+    /** @brief Notes that the session has become durable in the journalled set, and asks for a full report. */
+    void sessionJournalled();
     /** @brief Starts to poll for finished tasks, now and whenever the worker becomes available. */
     void startEvents();
     /** @brief Notes that the owner became active: the previous owner's tasks may run until `until`. */
@@ -137,7 +139,7 @@
     State m_state = State::Connecting;
     std::string m_session;
     bool m_open = false; ///< `m_session` was accepted under this epoch
-    bool m_mayRunTasks = false; ///< tasks of this or the previous owner may run until `m_mayRunUntil`
+    bool m_mayRunTasks = false; ///< tasks of this or the previous owner may run, or be started soon
     TimePoint m_mayRunUntil; ///< when all leases that requests so far may have granted have ended
     std::optional<TimePoint> m_acceptedAt; ///< when the last accepted request was sent
     int m_failures = 0; ///< requests without an answer since the last accepted one
--- a/src/lycheeledge/coordination/WorkerSessions.cpp
+++ b/src/lycheeledge/coordination/WorkerSessions.cpp
@@ -91,22 +91,24 @@
     return now < m_majorityUntil || hasMajorityAt(now);
 }
 
-bool WorkerSessions::epochHolds() const
+bool WorkerSessions::epochHolds()
 {
     // A process that resumes after a pause must notice the end of its epoch before it renews any lease: a worker that
     // the next owner has not reached would accept the renewal.
-    if (m_active)
-        return isActive();
-    return !m_ended && m_runtime.now() - m_startedAt < m_settings.recoveryLimit;
+    if (m_active && !isActive())
+        loseEpoch("no majority of the workers accepts it");
+    else if (!m_active && m_runtime.now() - m_startedAt >= m_settings.recoveryLimit)
+        loseEpoch("no majority of the workers could be reached");
+    return !m_ended;
 }
 
 void WorkerSessions::check()
 {
     m_runtime.after(m_settings.checkInterval, guarded([this] { check(); }));
+    if (!epochHolds())
+        return;
     if (!m_active)
         checkRecovery();
-    else if (!isActive())
-        return loseEpoch("no majority of the workers accepts it");
     const TimePoint ahead = m_runtime.now() + 2 * m_settings.checkInterval;
     m_majorityUntil = m_active && hasMajorityAt(ahead) ? ahead : m_runtime.now();
     for (auto it = m_sessions.begin(); m_active && it != m_sessions.end();) {
@@ -119,11 +121,8 @@
 void WorkerSessions::checkRecovery()
 {
     const TimePoint now = m_runtime.now();
-    if (!hasMajorityAt(now)) {
-        if (now - m_startedAt >= m_settings.recoveryLimit)
-            loseEpoch("no majority of the workers could be reached");
+    if (!hasMajorityAt(now))
         return;
-    }
     std::vector<VmId> missing;
     for (const auto& [worker, session] : m_workers.workers()) {
         const auto it = m_sessions.find(worker);
@@ -203,8 +202,9 @@
 void WorkerSessions::journalChange(WorkerSet::Change change, JournalRecord record)
 {
     const VmId worker = change.worker;
+    if (!change.session)
+        m_majorityUntil = m_runtime.now(); // a worker that joins has just accepted, so only removals need a new count
     m_workers.beginChange(std::move(change));
-    m_majorityUntil = m_runtime.now();
     m_journal.append(
         std::move(record), [self = std::weak_ptr<WorkerSessions*>(m_self), worker](const absl::Status& status) {
             const auto alive = self.lock();
@@ -220,7 +220,7 @@
     m_workers.finishChange();
     const auto it = m_sessions.find(worker);
     if (it != m_sessions.end() && !m_workers.isChanging(worker))
-        it->second->renew();
+        it->second->sessionJournalled();
 }
 
 void WorkerSessions::epochAccepted(WorkerSession& /*worker*/)
--- a/src/lycheeledge/coordination/WorkerSessions.h
+++ b/src/lycheeledge/coordination/WorkerSessions.h
@@ -49,7 +49,8 @@
     /** @brief Whether a majority of the workers accepted the epoch within the last controller lease. */
     bool isActive() const;
 
-    /** @brief Ends the epoch: no command is sent and no callback is called any more. */
+    /** @brief Ends the epoch: no command is sent and no callback is called any more. This object may be destroyed then,
+     * but not from within a callback other than `lost`. */
     void end();
 
     void start(const VmId& worker, const TaskId& task, const Resources& size, const std::string& payload,
@@ -57,7 +58,7 @@
     void act(const VmId& worker, TaskAction action, const TaskId& task) override;
 
 private:
-    bool epochHolds() const override;
+    bool epochHolds() override;
     bool isJournalled(const VmId& worker, const std::string& session) const override;
     void sessionOpened(WorkerSession& worker) override;
     void epochAccepted(WorkerSession& worker) override;
--- a/test/coordination/CellOwnershipTest.cpp
+++ b/test/coordination/CellOwnershipTest.cpp
@@ -77,6 +77,10 @@
     Bench bench(1);
     bench.clock.advance(milliseconds(100));
     bench.at(0).store.faults = { fault };
+    while (!bench.leaseExists())
+        bench.clock.advance(milliseconds(1));
+    bench.clock.advance(milliseconds(20));
+    CHECK((bench.at(0).log.size() == 1 || fault == CommitFault::DelayRequest)); // which shows by the next read
     bench.clock.advance(seconds(10));
     CHECK(bench.at(0).log == Log { "acquired 1" });
     CHECK(bench.leaseExists());
@@ -95,18 +99,47 @@
 
 TEST_CASE("After a store outage the owner acquires the lease again with the same epoch", "[ownership]")
 {
+    // The owner is not the preferred member, which would take over if it did not wait for the owner.
     Bench bench(3);
+    bench.at(0).runtime.pause();
+    bench.clock.advance(seconds(5));
+    bench.at(0).runtime.resume();
     bench.clock.advance(seconds(5));
     bench.store.isDown = true;
-    bench.clock.advance(seconds(60));
+    bench.clock.advance(milliseconds(60500)); // the preferred member renews its store lease first
     CHECK(bench.owners() == 1);
     bench.store.isDown = false;
     bench.clock.advance(seconds(20));
-    CHECK(bench.at(0).log == Log { "acquired 1" });
+    CHECK(bench.at(1).log == Log { "acquired 1" });
     CHECK(bench.leaseExists());
     CHECK(bench.owners() == 1);
 }
 
+TEST_CASE("A candidate with an outdated view takes over neither a leased cell nor with a used epoch", "[ownership]")
+{
+    Bench bench(2);
+    bench.at(1).runtime.pause();
+    bench.at(1).readsStore = false;
+    bench.at(1).liveOverride = { bench.at(1).id };
+    bench.clock.advance(seconds(5));
+    bench.at(1).runtime.resume();
+    SECTION("the owner's lease record exists")
+    {
+        bench.at(1).readsStore = true;
+        bench.at(1).leaseOverride = false;
+        bench.clock.advance(seconds(10));
+    }
+    SECTION("the owner resigned")
+    {
+        bench.at(0).sessions.reset();
+        bench.at(0).ownership->resign();
+        bench.at(0).runtime.pause();
+        bench.clock.advance(seconds(10));
+    }
+    CHECK(bench.at(0).log == Log { "acquired 1" });
+    CHECK(bench.at(1).log.empty());
+}
+
 TEST_CASE("An owner that is cut off from the store is replaced although it claims to be active", "[ownership]")
 {
     Bench bench(2);
--- a/test/coordination/WorkerSessionsTest.cpp
+++ b/test/coordination/WorkerSessionsTest.cpp
@@ -300,18 +300,38 @@
     Bench bench(3);
     bench.owner().startTask("w1", "a");
     bench.clock.advance(milliseconds(10));
+    bench.owner().gateway.link("w1").losesAnswers = true;
+    bench.owner().startTask("w1", "b");
+    bench.clock.advance(milliseconds(100));
+    bench.owner().gateway.link("w1").losesAnswers = false;
     bench.owner().log.clear();
     bench.journal.isDown = true;
     bench.fleet.at("w1").restart();
     bench.clock.advance(seconds(2));
+    CHECK(bench.owner().outcomes.at("b") == CommandOutcome::Unknown);
     CHECK(bench.owner().log == Log { "lost w1" });
     bench.journal.flush();
     bench.clock.advance(seconds(2));
     CHECK(bench.owner().log == Log { "lost w1", "available w1" });
-    CHECK(std::get<WorkerRemoved>(bench.journal.records.at(3)).unknownTasks == std::vector { taskNamed("a") });
+    CHECK(std::get<WorkerRemoved>(bench.journal.records.at(3)).unknownTasks
+        == std::vector { taskNamed("a"), taskNamed("b") });
     CHECK(std::get<WorkerJoined>(bench.journal.records.at(4)).session == "w1#2");
 }
 
+TEST_CASE("A worker that is never heard of again after it was journalled leaves the set", "[worker-sessions]")
+{
+    // It would count against every majority of this and later owners.
+    Bench bench(3);
+    bench.journal.isDown = true;
+    bench.fleet.add(bench.clock, "w4");
+    bench.clock.advance(seconds(2));
+    bench.cut(bench.owner(), { "w4" });
+    bench.journal.flush();
+    bench.clock.advance(seconds(40));
+    CHECK(std::get<WorkerRemoved>(bench.journal.records.back()).worker == VmId("w4"));
+    CHECK(bench.owner().log.size() == 3);
+}
+
 TEST_CASE("A majority must hold for every set that a successor may find", "[worker-sessions]")
 {
     // Two removals in one journal value: the successor may find three workers, of which two are a majority.
--- a/test/support/SimulatedMember.h
+++ b/test/support/SimulatedMember.h
@@ -59,7 +59,9 @@
     FakeWorkerGateway gateway;
     MemberId id;
     int taskCount;
+    bool readsStore = true; ///< otherwise its view stays as it is
     std::optional<std::vector<MemberId>> liveOverride;
+    std::optional<bool> leaseOverride;
     std::vector<std::string> log;
     std::optional<TimePoint> activeAt;
     std::unique_ptr<CellOwnership> ownership;
@@ -76,11 +78,17 @@
     void renew()
     {
         runtime.after(std::chrono::seconds(2), [this] { renew(); });
-        if (m_lease != 0) {
-            store.renewLease(
-                m_lease, [this](const auto& left) { m_lease = absl::IsNotFound(left.status()) ? 0 : m_lease; });
-            return;
-        }
+        if (m_lease == 0)
+            return grant();
+        store.renewLease(m_lease, [this](const auto& left) {
+            if (absl::IsNotFound(left.status()))
+                grant();
+        });
+    }
+
+    void grant()
+    {
+        m_lease = 0;
         store.grantLease(std::chrono::seconds(6), [this](const auto& granted) {
             m_lease = granted.ok() ? *granted : 0;
             if (m_lease != 0)
@@ -91,6 +99,8 @@
     void read()
     {
         runtime.after(std::chrono::seconds(1), [this] { read(); });
+        if (!readsStore)
+            return;
         store.read({ { ownerEpochKey(simulatedCell), 0, true }, { ownerLeaseKey(simulatedCell), 0, true }, { "m/" } },
             [this](const auto& snapshot) {
                 if (!snapshot.ok())
@@ -109,7 +119,7 @@
 
     std::vector<MemberId> liveMembers() const override { return liveOverride.value_or(m_live); }
     std::optional<EpochRecord> epochRecord(const CellId&) const override { return m_record; }
-    bool ownerLeaseExists(const CellId&) const override { return m_leaseExists; }
+    bool ownerLeaseExists(const CellId&) const override { return leaseOverride.value_or(m_leaseExists); }
     bool isClaimedByAnother(const CellId&) const override
     {
         return std::any_of(m_members.begin(), m_members.end(), [this](const auto& member) {
