Check the scheduler's guarantees over random histories

Faults found and fixed by the histories: - a journalled start went to a worker that had become unreachable; - holds used workers that had become unreachable; - a gang job that was regrouping was placed in parts, or never again; - gang tasks were counted for a probing worker, which takes only one; - run numbers were used twice after a takeover, so that workers ignored starts; - a late report released the reservation of a run elsewhere with the same id; - a job closed before it was durable was said not to have run, although its submission could still become durable; - a team's tasks on missing workers did not count against its upper limit; they now count as the whole capacity of these workers, and teams with a limit on the number of tasks start nothing until all workers have reported; - retries waiting for their backoff were dropped when a late report came.

--- a/src/lycheeledge/coordination/CellScheduler.cpp
+++ b/src/lycheeledge/coordination/CellScheduler.cpp
@@ -134,6 +134,10 @@
         m_outcomes.forget(spec.id);
         return false;
     }
+    if (const auto ending = m_endingJobs.find(spec.id); ending != m_endingJobs.end() && !kept->accepted) {
+        ending->second.push_back(std::move(done));
+        return true;
+    }
     postResult(std::move(done), kept->accepted ? acceptedResult(spec.id) : kept->result);
     return true;
 }
@@ -198,7 +202,7 @@
 
 void CellScheduler::enqueue(WorkItem& item, bool front)
 {
-    if (item.queued || item.closing || item.setAside || !item.durable || item.waiting.empty())
+    if (item.queued || item.closing || item.regrouping || item.setAside || !item.durable || item.waiting.empty())
         return;
     if (m_active && fleetKnown()) {
         if (auto reason = neverFits(item.spec)) {
--- a/src/lycheeledge/coordination/CellScheduler.h
+++ b/src/lycheeledge/coordination/CellScheduler.h
@@ -118,6 +118,7 @@
     void close(WorkItem& item, ErrorKind error, std::string message);
     void finishIfEnded(WorkItem& item);
     void finish(WorkItem& item, WorkResult result);
+    void journalEnd(WorkItem& item, const WorkResult& result);
     void applyFinished(WorkItem& item, const FinishedTask& task);
     void taskFailed(WorkItem& item, std::uint32_t index, const std::string& message);
     void taskNotRun(WorkItem& item, std::uint32_t index, const std::string& message);
@@ -130,6 +131,7 @@
     void setState(WorkItem& item, std::uint32_t index, TaskState state);
     void releaseTask(WorkItem& item, std::uint32_t index);
     void releaseReservation(const TaskId& id);
+    void releaseOn(std::optional<WorkerSlot> worker, const TaskId& id);
     void tick();
     void fireDeadlines();
     void dropEarly(TimePoint now);
@@ -145,12 +147,14 @@
     bool blocked(WorkItem& item, WaitCause cause);
     void placed(WorkItem& item);
     bool journalStalled() const;
+    bool withinLimit(const WorkItem& item, std::uint32_t count) const;
     std::optional<WorkerSlot> choose(const WorkItem& item, std::uint32_t index);
     void reserveTask(WorkItem& item, std::uint32_t index, WorkerSlot worker);
     void addReservation(const TaskId& id, const Reservation& reservation);
     void startTask(WorkItem& item, std::uint32_t index);
     void sendStart(WorkItem& item, std::uint32_t index);
     void capacityFreed(WorkerSlot worker);
+    void pruneFreedSizes();
     void everythingMayFit();
 
     // Gangs, health, overload and preemption (CellSchedulerPolicies.cpp).
@@ -181,6 +185,8 @@
     void loseTask(const TaskId& id);
     void setWorkerFlags(WorkerSlot slot, bool available, bool reachable);
     void resolveTasks();
+    void missingChanged();
+    void applyReported(WorkItem& item, const FinishedTask& task);
     void reportRunning(WorkerSlot slot, const RunningTask& task);
     void dropAbsent(WorkerSlot slot, const LeaseReport& report);
 
@@ -193,6 +199,8 @@
 
     bool m_active = false;
     std::set<VmId> m_missing; ///< journalled workers without a report
+    std::map<VmId, Resources> m_journalledCapacity; ///< of the workers of the journalled set
+    std::optional<Resources> m_missingCapacity; ///< of all missing workers; none if one is not journalled
     TimePoint m_historyCompleteAt; ///< end of the deduplication window of workers removed without a report
     std::vector<EarlySubmission> m_early; ///< submissions before activate()
 
@@ -210,10 +218,12 @@
     std::map<std::uint64_t, WorkId> m_unresolved; ///< work with tasks in state Unresolved
     std::map<std::uint64_t, WorkItem*> m_setAside;
     OutcomeTable m_outcomes;
+    absl::flat_hash_map<WorkId, std::vector<Done>> m_endingJobs; ///< waiters of jobs whose end is not yet durable
     UnclaimedTasks m_unclaimed;
 
     /// Sizes that fit on no worker at present. A size leaves the set when a worker gets enough free capacity.
     absl::flat_hash_set<Resources, ResourcesHash> m_blockedSizes;
+    std::vector<Resources> m_freedSizes; ///< sizes that left `m_blockedSizes` since the last pass
     bool m_allDirty = false; ///< any team may have work that fits now
     std::set<TeamId> m_dirtyTeams; ///< teams whose own queue or usage changed
 
--- a/src/lycheeledge/coordination/CellSchedulerDecisions.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerDecisions.cpp
@@ -28,7 +28,7 @@
 
 void CellScheduler::schedule()
 {
-    if (!m_active || (!m_allDirty && m_dirtyTeams.empty()))
+    if (!m_active || (!m_allDirty && m_freedSizes.empty() && m_dirtyTeams.empty()))
         return;
     placeHolder();
     auto later = [](const Turn& a, const Turn& b) {
@@ -36,7 +36,8 @@
     };
     // Placing work can free capacity only through ports, which answer later; one pass is complete.
     std::vector<Turn> heap;
-    if (m_allDirty) {
+    const bool everything = m_allDirty;
+    if (everything || !m_freedSizes.empty()) {
         for (auto& [id, team] : m_teams.all()) {
             if (team.queues.size() > 0)
                 heap.push_back(turnOf(team));
@@ -49,14 +50,20 @@
         }
     }
     m_allDirty = false;
-    m_dirtyTeams.clear();
+    auto dirty = std::exchange(m_dirtyTeams, {});
     std::make_heap(heap.begin(), heap.end(), later);
     while (!heap.empty()) {
         std::pop_heap(heap.begin(), heap.end(), later);
         const Turn turn = heap.back();
         heap.pop_back();
         const bool urgentOnly = turn.rank == 0;
+        // Work of a size that still fits nowhere stays blocked: the pass ends when the freed capacity is used up.
+        if (!everything && m_freedSizes.empty() && !dirty.contains(turn.team->team.id))
+            continue;
         if (placeFrom(*turn.team, urgentOnly)) {
+            if (!everything)
+                pruneFreedSizes();
+            dirty.insert(turn.team->team.id); // to note why the rest of its work waits
             if (turn.team->queues.size() == 0)
                 continue;
             heap.push_back(turnOf(*turn.team));
@@ -67,6 +74,7 @@
         }
         std::push_heap(heap.begin(), heap.end(), later);
     }
+    m_freedSizes.clear();
     m_dirtyTeams.clear();
 }
 
@@ -118,6 +126,19 @@
         item.team->requestRate.reset();
 }
 
+bool CellScheduler::withinLimit(const WorkItem& item, std::uint32_t count) const
+{
+    const TeamRecord& team = *item.team;
+    if (m_missing.empty())
+        return team.allows(item.spec.perTask, count);
+    // Anything that a missing worker holds may be the team's. The number of tasks there is not bounded by its size.
+    if (team.team.maxRunningTasks > 0)
+        return false;
+    return !team.team.upperLimit
+        || (m_missingCapacity
+            && (team.usage + *m_missingCapacity + item.spec.perTask * count).fitsIn(*team.team.upperLimit));
+}
+
 bool CellScheduler::journalStalled() const
 {
     return !m_startAppends.empty() && m_runtime.now() - m_startAppends.begin()->second.second >= journalPatience;
@@ -129,7 +150,7 @@
         return blocked(item, WaitCause::Journal);
     if (item.isGang())
         return tryPlaceGang(item);
-    if (!item.team->allows(item.spec.perTask, 1))
+    if (!withinLimit(item, 1))
         return blocked(item, WaitCause::Limit);
     const std::uint32_t index = item.waiting.front();
     const auto worker = choose(item, index);
@@ -146,9 +167,11 @@
 {
     const auto n = static_cast<std::uint32_t>(item.waiting.size());
     const TimePoint now = m_runtime.now();
-    if (now < item.nextAttempt)
+    if (now < item.nextAttempt) {
+        m_blockedGangs.emplace(item.sequence, &item);
         return false;
-    if (!item.team->allows(item.spec.perTask, n))
+    }
+    if (!withinLimit(item, n))
         return blocked(item, WaitCause::Limit);
     // Placing one task takes exactly one of the places counted here, so that all tasks find one.
     if (m_blockedSizes.contains(item.spec.perTask) || !m_workers.fits(item.spec.perTask, n)) {
@@ -158,10 +181,18 @@
     }
     const auto indexes = std::exchange(item.waiting, {});
     placed(item);
-    for (const std::uint32_t index : indexes) {
-        const auto worker = choose(item, index);
-        CHECK(worker) << "a gang task found no place although all were counted";
-        reserveTask(item, index, *worker);
+    for (std::size_t i = 0; i < indexes.size(); ++i) {
+        const auto worker = choose(item, indexes[i]);
+        if (!worker) {
+            LOG(ERROR) << "[scheduler] a gang task found no place although all were counted";
+            for (std::size_t n = 0; n < i; ++n)
+                releaseTask(item, indexes[n]);
+            item.waiting = indexes;
+            enqueue(item, true);
+            item.nextAttempt = now + gangInterval;
+            return blocked(item, WaitCause::Capacity);
+        }
+        reserveTask(item, indexes[i], *worker);
     }
     for (const std::uint32_t index : indexes)
         startTask(item, index);
@@ -194,7 +225,8 @@
 void CellScheduler::reserveTask(WorkItem& item, std::uint32_t index, WorkerSlot worker)
 {
     TaskRecord& task = item.tasks[index];
-    ++task.run;
+    task.highestRun = std::max(task.highestRun, task.run) + 1;
+    task.run = task.highestRun;
     task.worker = worker;
     task.journalled = false;
     ++item.held;
@@ -250,8 +282,15 @@
             if (!item || item->tasks[id.index].run != id.run || item->tasks[id.index].state != TaskState::Journalling)
                 return; // cancelled, or the worker was lost, before the record was durable
             if (status.ok()) {
-                item->tasks[id.index].journalled = true;
-                sendStart(*item, id.index);
+                const WorkerEntry& worker = m_workers.at(item->tasks[id.index].worker);
+                if (worker.acceptsStarts()) {
+                    item->tasks[id.index].journalled = true;
+                    sendStart(*item, id.index);
+                    return;
+                }
+                releaseTask(*item, id.index);
+                requeue(*item, id.index);
+                schedule();
                 return;
             }
             // Another process owns the cell now; it decides about this task.
@@ -280,8 +319,22 @@
     const Resources free = entry.free();
     if (m_hold.covers(worker))
         m_allDirty = true; // the holder, or work that ends before the hold, may fit
-    if (absl::erase_if(m_blockedSizes, [&](const Resources& size) { return size.fitsIn(free); }) > 0)
-        m_allDirty = true;
+    absl::erase_if(m_blockedSizes, [&](const Resources& size) {
+        const bool fits = size.fitsIn(free);
+        if (fits)
+            m_freedSizes.push_back(size);
+        return fits;
+    });
+}
+
+void CellScheduler::pruneFreedSizes()
+{
+    std::erase_if(m_freedSizes, [&](const Resources& size) {
+        const bool full = !m_workers.fits(size, 1);
+        if (full)
+            m_blockedSizes.insert(size);
+        return full;
+    });
 }
 
 void CellScheduler::everythingMayFit()
--- a/src/lycheeledge/coordination/CellSchedulerEnds.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerEnds.cpp
@@ -73,12 +73,9 @@
     const bool job = item.isJob();
     if (!job && item.answer)
         result = *item.answer;
+    if (job)
+        journalEnd(item, result);
     answer(item, result);
-    if (job) {
-        WorkResult record = result;
-        record.body.clear();
-        m_journal.append(JobEnded { std::move(record) }, [](const absl::Status&) {});
-    }
     KeptOutcome kept;
     kept.status = { item.spec.id, item.spec.kind, WorkPhase::Finished, 0, item.ended(), item.spec.taskCount,
         result.ok() ? "succeeded" : result.message };
@@ -101,6 +98,30 @@
     m_items.erase(WorkId(item.spec.id));
 }
 
+void CellScheduler::journalEnd(WorkItem& item, const WorkResult& result)
+{
+    WorkResult record = result;
+    record.body.clear();
+    // The submission may become durable although the job was closed before: who waits for it hears of the end only
+    // once the end is durable, too.
+    const WorkId id = result.id;
+    m_endingJobs[id] = std::exchange(item.waiters, {});
+    m_journal.append(
+        JobEnded { std::move(record) }, [this, alive = std::weak_ptr(m_alive), result](const absl::Status& status) {
+            if (alive.expired())
+                return;
+            const auto waiters = m_endingJobs.extract(result.id);
+            if (waiters.empty())
+                return;
+            for (const Done& done : waiters.mapped()) {
+                if (status.ok())
+                    done(result);
+                else
+                    done({ result.id, RunState::Unknown, ErrorKind::Unavailable, std::string(status.message()), {} });
+            }
+        });
+}
+
 void CellScheduler::setState(WorkItem& item, std::uint32_t index, TaskState state)
 {
     item.tasks[index].state = state;
@@ -260,6 +281,8 @@
     WorkItem* item = find(finished.id.work);
     const auto slot = m_workers.find(worker);
     const bool known = item && finished.id.index < item->tasks.size();
+    if (item)
+        item->noteRunNumber(finished.id);
     if (ownsRun(item, finished.id)) {
         if (slot == item->tasks[finished.id.index].worker) {
             const bool preempted = !finished.succeeded && m_preemption.stopped(finished.id);
@@ -273,16 +296,24 @@
         }
     } else if (known && item->tasks[finished.id.index].state == TaskState::Unresolved
         && finished.id.run >= item->tasks[finished.id.index].run) {
-        releaseReservation(finished.id);
-        applyFinished(*item, finished);
+        releaseOn(slot, finished.id);
+        applyReported(*item, finished);
     } else {
-        releaseReservation(finished.id);
+        releaseOn(slot, finished.id);
         if (!item && slot && !m_outcomes.find(finished.id.work))
             m_unclaimed.addFinished(m_runtime.now(), finished, *slot);
     }
     schedule();
 }
 
+void CellScheduler::releaseOn(std::optional<WorkerSlot> worker, const TaskId& id)
+{
+    // After a takeover, a run on a worker that was lost can have the same id as a later one elsewhere.
+    const Reservation* reservation = m_workers.reservation(id);
+    if (reservation && worker == reservation->worker)
+        releaseReservation(id);
+}
+
 bool CellScheduler::ownsRun(const WorkItem* item, const TaskId& id) const
 {
     return item && id.index < item->tasks.size() && item->tasks[id.index].run == id.run
@@ -380,7 +411,7 @@
         if (!item || item->closing || id.index >= item->tasks.size())
             continue;
         const TaskRecord& task = item->tasks[id.index];
-        if (task.state != TaskState::Delayed || task.run != id.run)
+        if (task.state != TaskState::Delayed)
             continue;
         if (item->isJob() && !item->team->retries.take(now)) {
             m_retries.emplace(now + budgetDelay, id);
--- a/src/lycheeledge/coordination/CellSchedulerPolicies.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerPolicies.cpp
@@ -83,10 +83,14 @@
     if (!m_hold.ready())
         return;
     std::vector<WorkerSlot> workers;
-    for (const auto& part : m_hold.parts())
+    for (const auto& part : m_hold.parts()) {
+        m_hold.refresh(m_workers, part.worker); // it may have become unreachable, drained or quarantined
         workers.insert(workers.end(), part.tasks, part.worker);
+    }
+    if (!m_hold.ready())
+        return;
     if (!item->queued || item->waiting.size() < workers.size()
-        || !item->team->allows(item->spec.perTask, static_cast<std::uint32_t>(workers.size())))
+        || !withinLimit(*item, static_cast<std::uint32_t>(workers.size())))
         return;
     const std::vector<std::uint32_t> indexes(
         item->waiting.begin(), item->waiting.begin() + static_cast<std::ptrdiff_t>(workers.size()));
@@ -103,6 +107,10 @@
     setState(item, index, TaskState::Regrouping);
     if (!item.regrouping) {
         item.regrouping = true;
+        item.team->queues.remove(item);
+        m_blockedGangs.erase(item.sequence);
+        if (m_hold.holder() == &item)
+            dropHold();
         item.regroupAt = due;
         for (std::uint32_t i = 0; i < item.tasks.size(); ++i) {
             if (item.tasks[i].state == TaskState::Running)
@@ -127,7 +135,8 @@
         WorkItem* item = find(id);
         if (!item || item->closing || !item->regrouping)
             continue;
-        if (!item->team->retries.take(now)) {
+        // Tasks that may run on a missing worker must be resolved before the gang can start as a whole.
+        if (m_unresolved.contains(item->sequence) || !item->team->retries.take(now)) {
             m_regroups.emplace(now + std::chrono::seconds(1), id);
             continue;
         }
@@ -159,9 +168,13 @@
 
 void CellScheduler::setQuarantined(WorkerSlot worker, bool quarantined)
 {
-    if (m_workers.at(worker).quarantined == quarantined)
+    const bool probing = !quarantined && m_health.awaitsProbe(worker);
+    if (m_workers.at(worker).quarantined == quarantined && m_workers.at(worker).probing == probing)
         return;
-    m_workers.update(worker, [&](WorkerEntry& entry) { entry.quarantined = quarantined; });
+    m_workers.update(worker, [&](WorkerEntry& entry) {
+        entry.quarantined = quarantined;
+        entry.probing = probing;
+    });
     if (!quarantined)
         capacityFreed(worker);
 }
--- a/src/lycheeledge/coordination/CellSchedulerRecovery.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerRecovery.cpp
@@ -95,7 +95,10 @@
         kept.since = m_runtime.now();
         kept.result = ended->result;
         m_outcomes.keep(std::move(kept));
-    } else if (std::holds_alternative<WorkerRemoved>(record)) {
+    } else if (const auto* joined = std::get_if<WorkerJoined>(&record)) {
+        m_journalledCapacity[joined->worker.id] = joined->worker.capacity;
+    } else if (const auto* removed = std::get_if<WorkerRemoved>(&record)) {
+        m_journalledCapacity.erase(removed->worker);
         m_historyCompleteAt = m_runtime.now() + m_settings.outcomeRetention;
     }
 }
@@ -109,7 +112,7 @@
     }
     m_active = true;
     LOG(INFO) << "[scheduler] active with " << m_missing.size() << " workers missing";
-    resolveTasks();
+    missingChanged();
     auto early = std::move(m_early);
     m_early.clear();
     for (EarlySubmission& submission : early)
@@ -119,6 +122,21 @@
     schedule();
 }
 
+void CellScheduler::missingChanged()
+{
+    m_missingCapacity = Resources {};
+    for (const VmId& id : m_missing) {
+        const auto it = m_journalledCapacity.find(id);
+        if (it == m_journalledCapacity.end()) {
+            m_missingCapacity.reset();
+            break;
+        }
+        *m_missingCapacity += it->second;
+    }
+    resolveTasks();
+    everythingMayFit(); // upper limits count what missing workers may run
+}
+
 void CellScheduler::resolveTasks()
 {
     if (!m_active || !m_missing.empty())
@@ -130,11 +148,16 @@
         WorkItem* item = find(id);
         if (!item)
             continue;
+        std::vector<std::uint32_t> failed;
         std::vector<std::uint32_t> lost;
         for (std::uint32_t i = 0; i < item->tasks.size(); ++i) {
             TaskRecord& task = item->tasks[i];
             if (task.state != TaskState::Unresolved)
                 continue;
+            if (std::exchange(task.reportedFailed, false)) {
+                failed.push_back(i);
+                continue;
+            }
             if (task.journalled && !item->spec.repeatable) {
                 lost.push_back(i);
                 continue;
@@ -142,9 +165,15 @@
             setState(*item, i, TaskState::Waiting);
             item->waiting.push_back(i);
         }
-        if (!item->isJob() && historyComplete())
+        // A re-sent request that no report knows has not run, if the reports go back far enough.
+        if (!item->isJob() && item->tasks[0].highestRun == 0 && historyComplete())
             item->run = RunState::NotRun;
-        enqueue(*item, false);
+        for (const std::uint32_t i : failed) {
+            if (WorkItem* open = find(id))
+                taskFailed(*open, i, {});
+        }
+        if (WorkItem* open = find(id))
+            enqueue(*open, false);
         for (const std::uint32_t i : lost) {
             if (WorkItem* open = find(id))
                 failTask(*open, i, ErrorKind::WorkerLost, RunState::Unknown,
@@ -173,25 +202,40 @@
     for (const auto& finished : reported->finished) {
         const std::uint32_t index = finished.task.id.index;
         WorkItem* open = find(id);
+        if (open)
+            open->noteRunNumber(finished.task.id);
         if (!open || index >= open->tasks.size() || !seen.insert(index).second)
             continue;
         const TaskState state = open->tasks[index].state;
         if (state != TaskState::Unresolved && state != TaskState::Waiting)
             continue;
         std::erase(open->waiting, index);
-        applyFinished(*open, finished.task);
+        applyReported(*open, finished.task);
     }
     WorkItem* open = find(id);
     if (open && reported->lost && !open->spec.repeatable && !open->isJob() && open->held == 0)
         failTask(*open, 0, ErrorKind::WorkerLost, RunState::Unknown, "the worker was lost");
 }
 
+void CellScheduler::applyReported(WorkItem& item, const FinishedTask& finished)
+{
+    if (finished.succeeded || (m_active && m_missing.empty()))
+        return applyFinished(item, finished);
+    // A later run may be in a report that is still to come.
+    TaskRecord& task = item.tasks[finished.id.index];
+    task.run = finished.id.run;
+    task.reportedFailed = true;
+    item.noteRun(RunState::Run);
+    setState(item, finished.id.index, TaskState::Unresolved);
+    m_unresolved.emplace(item.sequence, item.spec.id);
+}
+
 void CellScheduler::attachRunning(WorkItem& item, const TaskId& id, WorkerSlot worker)
 {
     TaskRecord& task = item.tasks[id.index];
     const bool open
         = task.state == TaskState::Unresolved || task.state == TaskState::Waiting || task.state == TaskState::Delayed;
-    if (!open || id.run < task.run) {
+    if (!open || id.run < task.run || (id.run == task.run && task.reportedFailed)) {
         LOG(WARNING) << "[scheduler] stopping a stale run of " << id.work.team << '/' << id.work.request << " on "
                      << m_workers.at(worker).description.id;
         m_pool.act(m_workers.at(worker).description.id, TaskAction::Stop, id);
@@ -201,6 +245,7 @@
     if (item.waiting.empty())
         item.team->queues.remove(item);
     task.run = id.run;
+    task.reportedFailed = false;
     task.worker = worker;
     setState(item, id.index, TaskState::Running);
     ++item.held;
@@ -208,7 +253,7 @@
         item.spread.count(m_workers.at(worker), 1);
     item.started = true;
     item.noteRun(RunState::Run);
-    if (item.closing)
+    if (item.closing || item.regrouping)
         m_pool.act(m_workers.at(worker).description.id, TaskAction::Stop, id);
 }
 
@@ -226,7 +271,7 @@
     for (const FinishedTask& task : report.finished)
         taskFinished(worker.id, task);
     if (m_missing.erase(worker.id) > 0)
-        resolveTasks();
+        missingChanged();
     reviewSetAside();
     schedule();
 }
@@ -356,7 +401,7 @@
         LOG(WARNING) << "[scheduler] worker " << worker << " was lost without a report";
     }
     if (m_missing.erase(worker) > 0)
-        resolveTasks();
+        missingChanged();
     schedule();
 }
 
--- a/src/lycheeledge/coordination/GangHold.cpp
+++ b/src/lycheeledge/coordination/GangHold.cpp
@@ -24,7 +24,7 @@
     std::vector<Candidate> candidates;
     for (WorkerSlot slot = 0; slot < workers.size(); ++slot) {
         const WorkerEntry& entry = workers.at(slot);
-        if (!entry.placeable())
+        if (!entry.placeable() || entry.probing)
             continue;
         const Resources& capacity = entry.description.capacity;
         const auto later = tasksThatFit(size, capacity - entry.lasting, count);
@@ -91,7 +91,7 @@
 {
     const WorkerEntry& entry = workers.at(part.worker);
     const Resources unreserved = entry.description.capacity - entry.reserved;
-    return entry.placeable() && (m_holder->spec.perTask * part.tasks).fitsIn(unreserved);
+    return entry.placeable() && !entry.probing && (m_holder->spec.perTask * part.tasks).fitsIn(unreserved);
 }
 
 std::optional<WorkerSlot> GangHold::backfill(
@@ -102,7 +102,7 @@
     const std::size_t n = std::min(m_parts.size(), maxBackfillSearch);
     for (std::size_t i = 0; i < n; ++i) {
         const WorkerEntry& entry = workers.at(m_parts[i].worker);
-        if (entry.placeable() && size.fitsIn(entry.description.capacity - entry.reserved))
+        if (entry.placeable() && !entry.probing && size.fitsIn(entry.description.capacity - entry.reserved))
             return m_parts[i].worker;
     }
     return std::nullopt;
--- a/src/lycheeledge/coordination/UnclaimedTasks.cpp
+++ b/src/lycheeledge/coordination/UnclaimedTasks.cpp
@@ -24,7 +24,7 @@
 void UnclaimedTasks::addFinished(TimePoint now, const FinishedTask& task, WorkerSlot worker)
 {
     UnclaimedWork& work = entry(now, task.id.work);
-    std::erase_if(work.running, [&](const auto& running) { return running.id == task.id; });
+    std::erase_if(work.running, [&](const auto& running) { return running.id == task.id && running.worker == worker; });
     auto it = std::find_if(
         work.finished.begin(), work.finished.end(), [&](const auto& finished) { return finished.task.id == task.id; });
     if (it == work.finished.end())
--- a/src/lycheeledge/coordination/WorkItem.h
+++ b/src/lycheeledge/coordination/WorkItem.h
@@ -5,6 +5,7 @@
 #include "../state/Work.h"
 #include "Placement.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -38,10 +39,12 @@
 struct TaskRecord {
     TaskState state = TaskState::Waiting;
     std::uint32_t run = 0; ///< number of the last start; 0 before the first
+    std::uint32_t highestRun = 0; ///< of all runs heard of; a worker would not start one again that it remembers
     std::uint32_t attempts = 0; ///< starts that count against the policy's limit
     WorkerSlot worker = 0; ///< of the last start
     TimePoint since; ///< time of the last change of state
     std::uint64_t startNumber = 0; ///< key among the tasks of its team that may be preempted; 0 for none
+    bool reportedFailed = false; ///< Unresolved, and its last reported run failed
     bool journalled = false; ///< `run` was journalled as starting
 };
 
@@ -89,6 +92,12 @@
         if (state == RunState::Run || run == RunState::NotRun)
             run = state;
     }
+    /** @brief Notes that a run of a task exists, so that its number is not used again. */
+    void noteRunNumber(const TaskId& id)
+    {
+        if (id.index < tasks.size())
+            tasks[id.index].highestRun = std::max(tasks[id.index].highestRun, id.run);
+    }
     TaskId taskId(std::uint32_t index) const { return { spec.id, index, tasks[index].run }; }
 };
 
--- a/src/lycheeledge/coordination/WorkerTable.cpp
+++ b/src/lycheeledge/coordination/WorkerTable.cpp
@@ -104,7 +104,8 @@
     for (const Zone& zone : m_zones) {
         std::size_t start = 0;
         while (const auto position = zone.tree.find(start, size)) {
-            const std::uint64_t n = tasksThatFit(size, m_workers[zone.slots[*position]].free(), count);
+            const WorkerEntry& entry = m_workers[zone.slots[*position]];
+            const std::uint64_t n = tasksThatFit(size, entry.free(), entry.probing ? 1 : count);
             if (n >= count)
                 return true;
             count -= n;
--- a/src/lycheeledge/coordination/WorkerTable.h
+++ b/src/lycheeledge/coordination/WorkerTable.h
@@ -38,9 +38,11 @@
     bool reachable = false;
     bool drained = false;
     bool quarantined = false;
+    bool probing = false; ///< after its quarantine; takes one task
     absl::flat_hash_set<TaskId> tasks;
 
-    bool placeable() const { return available && reachable && !drained && !quarantined && !description.leaving; }
+    bool acceptsStarts() const { return available && reachable && !drained && !description.leaving; }
+    bool placeable() const { return acceptsStarts() && !quarantined; }
     Resources free() const { return description.capacity - reserved - held; }
 };
 
--- /dev/null
+++ b/test/coordination/CellSchedulerPropertyTest.cpp
@@ -0,0 +1,85 @@
+// Properties of the cell scheduler over random histories with faults.
+
+#include "SimulatedCell.h"
+#include "support/Property.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace lycheeledge::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Step = std::pair<std::uint8_t, std::uint16_t>;
+
+void perform(SimulatedCell& cell, const Step& step, bool takeovers)
+{
+    const auto& [kind, n] = step;
+    switch (kind % 24) {
+    case 0:
+        return cell.submitAgain(n);
+    case 1:
+        return cell.cancel(n);
+    case 2:
+        return cell.cutOff(n);
+    case 3:
+        return cell.reconnect(n);
+    case 4:
+        return cell.lose(n);
+    case 5:
+        return cell.restartWorker(n);
+    case 6:
+        return cell.drain(n);
+    case 7:
+        return cell.stallJournal();
+    case 8:
+        return cell.resumeJournal();
+    case 9:
+        return takeovers ? cell.takeOver() : cell.pass(10ms);
+    case 10:
+    case 11:
+        return cell.pass(std::chrono::milliseconds(n % 3000));
+    case 12:
+    case 13:
+        return cell.endTask(n, false);
+    case 14:
+    case 15:
+    case 16:
+    case 17:
+        return cell.endTask(n, true);
+    default:
+        return cell.submit(n);
+    }
+}
+
+void checkHistory(bool takeovers)
+{
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    const auto steps = *rc::gen::scale(2.0,
+        rc::gen::container<std::vector<Step>>(rc::gen::pair(
+            rc::gen::arbitrary<std::uint8_t>(), rc::gen::resize(100, rc::gen::arbitrary<std::uint16_t>()))));
+    SimulatedCell cell(seed);
+    for (const Step& step : steps) {
+        perform(cell, step, takeovers);
+        if (!cell.violations().empty())
+            RC_FAIL(cell.violations().front());
+    }
+    cell.finish();
+    if (!cell.violations().empty())
+        RC_FAIL(cell.violations().front());
+    RC_CLASSIFY(cell.taskRuns() > 10, "more than 10 task runs");
+}
+
+} // namespace
+
+TEST_CASE("Guarantees hold under one owner over random histories", "[scheduler][property]")
+{
+    CHECK(holds("one owner", 20261204, 400, [] { checkHistory(false); }));
+}
+
+TEST_CASE("Guarantees hold across takeovers over random histories", "[scheduler][property]")
+{
+    CHECK(holds("takeovers", 20261205, 400, [] { checkHistory(true); }));
+}
--- /dev/null
+++ b/test/coordination/SimulatedCell.cpp
@@ -0,0 +1,424 @@
+// A cell of simulated workers under a scheduler, with faults, that checks the guarantees after each step.
+
+#include "SimulatedCell.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace lycheeledge::test {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    std::string name(const WorkId& id) { return absl::StrCat(id.team.value(), "/", id.request.value()); }
+
+} // namespace
+
+SimulatedCell::SimulatedCell(std::uint64_t seed)
+    : m_random(seed)
+    , m_runtime(seed)
+    , m_journal(m_runtime)
+{
+    m_configuration.teams[TeamId("t0")] = { TeamId("t0"), 1.0, std::nullopt, 0 };
+    m_configuration.teams[TeamId("t1")] = { TeamId("t1"), 2.0, Resources { 20000, 20000, 0, 6, 20 }, 0 };
+    m_configuration.teams[TeamId("t2")] = { TeamId("t2"), 3.0, std::nullopt, 5 };
+    m_configuration.policies[WorkKind::Batch] = { WorkKind::Batch, 3, true, 10000 };
+    for (int i = 0; i < 4; ++i) {
+        const auto zone = "z" + std::to_string(i % 2);
+        Worker worker;
+        worker.description = SchedulerHarness::worker("w" + std::to_string(i), zone, { 4000, 8000, 0, 4, 16 });
+        m_journal.records.push_back(WorkerJoined { worker.description, "s" });
+        m_workers.push_back(std::move(worker));
+    }
+    newOwner();
+}
+
+void SimulatedCell::submit(std::uint32_t shape)
+{
+    WorkSpec spec;
+    spec.id = { TeamId("t" + std::to_string(shape % 3)), RequestId("r" + std::to_string(m_submissions.size())) };
+    spec.kind = static_cast<WorkKind>(shape / 3 % 3);
+    spec.perTask = { 500 + 500 * (shape / 9 % 4), 1000, 0, 1, 1 };
+    spec.repeatable = shape / 36 % 2 == 0;
+    spec.urgent = shape / 72 % 4 == 0;
+    spec.attempt = 1;
+    if (spec.kind == WorkKind::Request) {
+        spec.deadline = shape / 288 % 2 ? 3s : 0s;
+    } else {
+        spec.taskCount = 1 + shape / 288 % 5;
+        spec.allTogether = shape / 1440 % 2 == 0;
+        spec.declaredRunTime = shape / 2880 % 2 ? 1s : 0s;
+    }
+    m_byId[spec.id] = m_submissions.size();
+    m_submissions.push_back({ spec });
+    send(m_submissions.back());
+    check();
+}
+
+void SimulatedCell::send(Submission& submission)
+{
+    ++submission.sent;
+    m_scheduler->submit(submission.spec, "", [this, id = submission.spec.id](const WorkResult& result) {
+        Submission& answered = m_submissions[m_byId.at(id)];
+        answered.answered = true;
+        if (++answered.answers > answered.sent)
+            fail(name(id) + " was answered more often than it was sent");
+        if (!result.ok() && result.run == RunState::NotRun)
+            answered.claimedNotRun = true;
+        if (result.ok() && !answered.spec.deadline.count() && answered.spec.kind == WorkKind::Request
+            && !m_succeeded.contains({ id, 0 }))
+            fail(name(id) + " succeeded without a run");
+    });
+}
+
+void SimulatedCell::submitAgain(std::uint32_t n)
+{
+    if (m_submissions.empty())
+        return;
+    Submission& submission = m_submissions[n % m_submissions.size()];
+    if (submission.refusedBefore)
+        return; // a late copy goes to the old owner, which is gone
+    if (!submission.claimedNotRun) // a higher attempt would be a new start, and no longer the refused one
+        ++submission.spec.attempt;
+    send(submission);
+    check();
+}
+
+void SimulatedCell::cancel(std::uint32_t n)
+{
+    if (m_submissions.empty())
+        return;
+    Submission& submission = m_submissions[n % m_submissions.size()];
+    submission.cancelled = true;
+    m_scheduler->cancel(submission.spec.id, [](const auto&) {});
+    check();
+}
+
+void SimulatedCell::endTask(std::uint32_t n, bool succeeded)
+{
+    std::vector<std::pair<std::size_t, TaskId>> all;
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        for (const auto& [id, size] : m_workers[i].running)
+            all.emplace_back(i, id);
+    }
+    if (all.empty())
+        return;
+    const auto& [worker, task] = all[n % all.size()];
+    end(m_workers[worker], task, succeeded);
+    check();
+}
+
+void SimulatedCell::pass(Duration time)
+{
+    m_runtime.advance(time);
+    check();
+}
+
+void SimulatedCell::cutOff(std::uint32_t n)
+{
+    Worker& worker = m_workers[n % m_workers.size()];
+    if (!worker.present || !worker.reachable)
+        return;
+    worker.reachable = false;
+    m_scheduler->workerUnreachable(worker.description.id);
+    check();
+}
+
+void SimulatedCell::reconnect(std::uint32_t n)
+{
+    Worker& worker = m_workers[n % m_workers.size()];
+    if (worker.reachable)
+        return;
+    const bool returns = !worker.present;
+    worker.reachable = true;
+    worker.present = true;
+    if (returns)
+        m_journal.records.push_back(WorkerJoined { worker.description, "s" });
+    for (auto& [task, done] : std::exchange(worker.unanswered, {})) {
+        const bool known = worker.running.contains(task) || worker.finished.contains(task);
+        m_runtime.post([done = std::move(done), known] {
+            done(known ? CommandOutcome::Accepted : CommandOutcome::NotDelivered, "");
+        });
+    }
+    // After a takeover the new owner has not seen this worker yet, so that it gets a full report.
+    m_scheduler->workerAvailable(worker.description, report(worker));
+    deliver(worker);
+    check();
+}
+
+void SimulatedCell::lose(std::uint32_t n)
+{
+    Worker& worker = m_workers[n % m_workers.size()];
+    if (worker.reachable || !worker.present)
+        return;
+    stopAll(worker);
+    check();
+}
+
+void SimulatedCell::restartWorker(std::uint32_t n)
+{
+    Worker& worker = m_workers[n % m_workers.size()];
+    if (!worker.present)
+        return;
+    worker.finished.clear();
+    worker.undelivered.clear();
+    stopAll(worker);
+    reconnect(n);
+}
+
+void SimulatedCell::stopAll(Worker& worker)
+{
+    worker.reachable = false;
+    worker.present = false;
+    std::vector<TaskId> unknown;
+    for (const auto& [task, size] : std::exchange(worker.running, {}))
+        unknown.push_back(task);
+    m_journal.records.push_back(WorkerRemoved { worker.description.id, unknown });
+    for (auto& [task, done] : std::exchange(worker.unanswered, {}))
+        m_runtime.post([done = std::move(done)] { done(CommandOutcome::Unknown, "worker lost"); });
+    m_scheduler->workerLost(worker.description.id);
+}
+
+void SimulatedCell::drain(std::uint32_t n)
+{
+    const VmId& id = m_workers[n % m_workers.size()].description.id;
+    m_configuration.drained[id] = !m_configuration.drained[id];
+    m_scheduler->applyConfiguration(m_configuration);
+    check();
+}
+
+void SimulatedCell::stallJournal() { m_journal.holding = true; }
+
+void SimulatedCell::resumeJournal()
+{
+    m_journal.holding = false;
+    m_journal.release();
+    check();
+}
+
+void SimulatedCell::takeOver()
+{
+    m_scheduler.reset();
+    m_journal.interrupt(random(static_cast<std::uint32_t>(m_journal.waiting()) + 1));
+    m_journal.holding = false;
+    m_runtime.settle();
+    for (Worker& worker : m_workers)
+        worker.unanswered.clear();
+    newOwner();
+    for (Submission& submission : m_submissions) {
+        const bool waits = !submission.answered;
+        submission.refusedBefore = submission.claimedNotRun;
+        submission.sent = 0;
+        submission.answers = 0;
+        if (waits && !submission.cancelled) {
+            ++submission.spec.attempt;
+            send(submission);
+        }
+    }
+    check();
+}
+
+void SimulatedCell::newOwner()
+{
+    m_scheduler = std::make_unique<CellScheduler>(m_runtime, *this, m_journal);
+    m_scheduler->applyConfiguration(m_configuration);
+    const bool reportsFirst = random(2) == 0;
+    if (!reportsFirst)
+        m_scheduler->recover(m_journal.records);
+    std::vector<VmId> missing;
+    for (Worker& worker : m_workers) {
+        if (worker.reachable)
+            m_scheduler->workerAvailable(worker.description, report(worker));
+        else if (worker.present)
+            missing.push_back(worker.description.id);
+    }
+    if (reportsFirst)
+        m_scheduler->recover(m_journal.records);
+    m_scheduler->activate(missing);
+    for (Worker& worker : m_workers) {
+        if (worker.reachable)
+            deliver(worker);
+    }
+}
+
+void SimulatedCell::start(
+    const VmId& id, const TaskId& task, const Resources& size, const std::string&, const std::string&, StartDone done)
+{
+    Submission& submission = m_submissions[m_byId.at(task.work)];
+    if (submission.spec.allTogether && submission.spec.repeatable && submission.spec.taskCount > 1)
+        countGangStart(submission.spec);
+    Worker& worker
+        = *std::find_if(m_workers.begin(), m_workers.end(), [&](const Worker& w) { return w.description.id == id; });
+    if (!worker.reachable)
+        fail(name(task.work) + " was sent to a worker that is not reachable");
+    const std::uint32_t fate = random(20);
+    if (fate == 0 || fate == 1) {
+        const auto outcome = fate == 0 ? CommandOutcome::Refused : CommandOutcome::NotDelivered;
+        m_runtime.post([done = std::move(done), outcome] { done(outcome, "test"); });
+        return;
+    }
+    begin(worker, task, size);
+    if (fate == 2) // the answer comes only after the worker is reached again, or is lost
+        worker.unanswered.emplace(task, std::move(done));
+    else
+        m_runtime.post([done = std::move(done)] { done(CommandOutcome::Accepted, ""); });
+}
+
+void SimulatedCell::act(const VmId& id, TaskAction action, const TaskId& task)
+{
+    if (action != TaskAction::Stop)
+        return;
+    Worker& worker
+        = *std::find_if(m_workers.begin(), m_workers.end(), [&](const Worker& w) { return w.description.id == id; });
+    if (random(2) == 0 && worker.running.contains(task) && worker.reachable)
+        m_runtime.post([this, &worker, task] { end(worker, task, false); });
+}
+
+void SimulatedCell::begin(Worker& worker, const TaskId& task, const Resources& size)
+{
+    if (worker.running.contains(task) || worker.finished.contains(task))
+        return;
+    const Submission& submission = m_submissions[m_byId.at(task.work)];
+    if (running(task.work, task.index))
+        fail(absl::StrCat(name(task.work), ":", task.index, " runs in two places"));
+    ++m_taskRuns;
+    if (++m_runs[{ task.work, task.index }] > 1 && !submission.spec.repeatable)
+        fail(absl::StrCat(name(task.work), ":", task.index, " is not repeatable and ran twice"));
+    worker.running.emplace(task, size);
+}
+
+void SimulatedCell::end(Worker& worker, const TaskId& task, bool succeeded)
+{
+    if (worker.running.erase(task) == 0)
+        return;
+    if (succeeded)
+        m_succeeded.insert({ task.work, task.index });
+    worker.finished[task] = { task, succeeded, succeeded ? "" : "failed", 2, "", "ok" };
+    worker.undelivered.insert(task);
+    if (worker.reachable)
+        deliver(worker);
+}
+
+void SimulatedCell::deliver(Worker& worker)
+{
+    if (!m_scheduler)
+        return; // between two owners
+    for (const TaskId& task : std::exchange(worker.undelivered, {})) {
+        m_scheduler->taskFinished(worker.description.id, worker.finished.at(task));
+        if (random(4) == 0) // events are delivered at least once
+            m_scheduler->taskFinished(worker.description.id, worker.finished.at(task));
+        worker.finished.at(task).body.clear(); // acknowledged
+    }
+}
+
+LeaseReport SimulatedCell::report(const Worker& worker) const
+{
+    LeaseReport report = SchedulerHarness::report(worker.description);
+    for (const auto& [task, size] : worker.running)
+        report.running.push_back({ task, size, {} });
+    for (const auto& [id, task] : worker.finished)
+        report.finished.push_back(task);
+    return report;
+}
+
+bool SimulatedCell::running(const WorkId& work, std::uint32_t index) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const Worker& worker) {
+        return std::any_of(worker.running.begin(), worker.running.end(),
+            [&](const auto& task) { return task.first.work == work && task.first.index == index; });
+    });
+}
+
+bool SimulatedCell::endUnknown(const WorkId& work, std::uint32_t index) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const Worker& worker) {
+        return std::any_of(worker.undelivered.begin(), worker.undelivered.end(),
+            [&](const TaskId& task) { return task.work == work && task.index == index; });
+    });
+}
+
+void SimulatedCell::check()
+{
+    m_runtime.settle();
+    std::map<TeamId, std::pair<Resources, std::uint32_t>> usage;
+    for (const Worker& worker : m_workers) {
+        Resources sum;
+        for (const auto& [task, size] : worker.running) {
+            sum += size;
+            usage[task.work.team].first += size;
+            ++usage[task.work.team].second;
+        }
+        if (!sum.fitsIn(worker.description.capacity))
+            fail(worker.description.id.value() + " has more work than it can hold");
+    }
+    for (const auto& [id, used] : usage) {
+        const Team& team = m_configuration.teams.at(id);
+        if (team.upperLimit && !used.first.fitsIn(*team.upperLimit))
+            fail(id.value() + " is above its upper limit");
+        if (team.maxRunningTasks > 0 && used.second > team.maxRunningTasks)
+            fail(id.value() + " runs too many tasks");
+    }
+    for (const auto& [task, n] : m_runs) {
+        if (m_submissions[m_byId.at(task.first)].claimedNotRun)
+            fail(name(task.first) + " was said not to have run, and ran");
+    }
+}
+
+void SimulatedCell::countGangStart(const WorkSpec& spec)
+{
+    if (m_gangStarts[spec.id]++ > 0)
+        return;
+    // The posted check runs when the decision is complete: it must have started all tasks that neither run nor ended.
+    std::uint32_t others = 0;
+    for (std::uint32_t i = 0; i < spec.taskCount; ++i)
+        others += m_succeeded.contains({ spec.id, i }) || running(spec.id, i) || endUnknown(spec.id, i) ? 1 : 0;
+    m_runtime.post([this, id = spec.id, n = spec.taskCount, others] {
+        const std::uint32_t starts = std::exchange(m_gangStarts[id], 0);
+        if (starts + others < n) // some of the others may have ended and start again, if the end was not known
+            fail(absl::StrCat(name(id), " started ", starts, " of ", n, " gang tasks beside ", others));
+    });
+}
+
+void SimulatedCell::finish()
+{
+    m_configuration.drained.clear();
+    m_scheduler->applyConfiguration(m_configuration);
+    resumeJournal();
+    for (std::uint32_t i = 0; i < m_workers.size(); ++i)
+        reconnect(i);
+    auto busy = [&] {
+        return m_scheduler->overview().pending > 0
+            || std::any_of(m_workers.begin(), m_workers.end(), [](const Worker& w) { return !w.running.empty(); });
+    };
+    for (int i = 0; i < 500 && busy(); ++i) {
+        for (Worker& worker : m_workers) {
+            for (auto& [task, done] : std::exchange(worker.unanswered, {}))
+                m_runtime.post([done = std::move(done)] { done(CommandOutcome::Accepted, ""); });
+            m_runtime.settle();
+            for (const auto& [task, size] : std::map(worker.running))
+                end(worker, task, true);
+        }
+        pass(1s);
+    }
+    const auto view = m_scheduler->overview();
+    if (view.pending > 0)
+        fail(absl::StrCat(view.pending, " pieces of work never ended"));
+    for (const Submission& submission : m_submissions) {
+        const auto status = m_scheduler->status(submission.spec.id);
+        if (view.pending > 0 && status && status->phase != WorkPhase::Finished)
+            m_violations.back() += absl::StrCat("; ", name(submission.spec.id), " ", status->tasksRunning, "+",
+                status->tasksFinished, " of ", status->taskCount, ": ", status->reason);
+    }
+    for (const auto& worker : view.workers) {
+        if (!worker.reserved.isZero())
+            fail(worker.id.value() + " has reservations left");
+    }
+    for (const Submission& submission : m_submissions) {
+        if (submission.answers < submission.sent)
+            fail(name(submission.spec.id) + " was not answered");
+    }
+}
+
+} // namespace lycheeledge::test
--- a/test/support/SchedulerHarness.h
+++ b/test/support/SchedulerHarness.h
@@ -87,6 +87,15 @@
         }
     }
 
+    /** @brief The owner dies: only the first `n` of the waiting records become durable, and nobody hears of it. */
+    void interrupt(std::size_t n)
+    {
+        for (std::size_t i = 0; i < std::min(n, m_pending.size()); ++i)
+            records.push_back(m_pending[i].first);
+        m_pending.clear();
+    }
+    std::size_t waiting() const { return m_pending.size(); }
+
     template <typename Record> std::size_t count() const
     {
         return static_cast<std::size_t>(std::count_if(
