Drive curl with epoll, so that idle long polls cost nothing

The client keeps one long poll open for each worker. curl_multi_poll() and curl_multi_perform() visit every transfer in each round, so that calls became slower with every worker. curl_multi_socket_action() with epoll costs only what is ready.

Also tests that a connect timeout, a full ring and a refused scheme count as not sent. The stand-ins raise their limit of open files.

--- a/bench/http_bench.cpp
+++ b/bench/http_bench.cpp
@@ -15,6 +15,7 @@
 
 DEFINE_uint32(seconds, 5, "length of the measurement");
 DEFINE_uint32(in_flight, 64, "calls in progress at any time");
+DEFINE_uint32(idle_polls, 0, "long polls that stay open beside the calls, each on a host of its own");
 DEFINE_uint32(body_bytes, 500, "size of the request and of the response");
 
 namespace {
@@ -32,6 +33,16 @@
         m_request.body = std::string(FLAGS_body_bytes, 'x');
     }
 
+    /** @brief Opens a long poll that is never answered. */
+    void poll(std::uint16_t port, unsigned n)
+    {
+        lycheeledge::HttpRequest request;
+        // Every address of 127.0.0.0/8 reaches a server that listens on all of them.
+        request.target = "http://127.0." + std::to_string(1 + n / 250) + "." + std::to_string(1 + n % 250) + ":"
+            + std::to_string(port) + "/poll";
+        m_client.send(request, std::chrono::minutes(1), [](const auto&) {});
+    }
+
     /** @return latencies of the successful calls, in microseconds, sorted. */
     std::vector<double> run()
     {
@@ -75,18 +86,26 @@
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    lycheeledge::HttpServer server({}, [](lycheeledge::HttpRequest request, const auto& respond) {
-        respond({ 200, {}, std::move(request.body) });
+    std::vector<lycheeledge::HttpServer::Respond> polls;
+    lycheeledge::HttpServerSettings settings;
+    settings.address = "0.0.0.0";
+    lycheeledge::HttpServer server(settings, [&polls](lycheeledge::HttpRequest request, const auto& respond) {
+        if (request.target == "/poll")
+            polls.push_back(respond);
+        else
+            respond({ 200, {}, std::move(request.body) });
     });
     const auto port = server.start();
     if (!port.ok())
         return 1;
     Load load(*port, Clock::now() + std::chrono::seconds(FLAGS_seconds));
+    for (unsigned n = 0; n < FLAGS_idle_polls; ++n)
+        load.poll(*port, n);
     const auto latencies = load.run();
     if (latencies.empty())
         return 1;
-    std::printf("in flight %u, body %u bytes: %.0f calls/s, p50 %.0f us, p99 %.0f us, %zu failures\n", FLAGS_in_flight,
-        FLAGS_body_bytes, static_cast<double>(latencies.size()) / FLAGS_seconds, latencies[latencies.size() / 2],
-        latencies[latencies.size() * 99 / 100], load.failures());
+    std::printf("idle polls %u, in flight %u, body %u bytes: %.0f calls/s, p50 %.0f us, p99 %.0f us, %zu failures\n",
+        FLAGS_idle_polls, FLAGS_in_flight, FLAGS_body_bytes, static_cast<double>(latencies.size()) / FLAGS_seconds,
+        latencies[latencies.size() / 2], latencies[latencies.size() * 99 / 100], load.failures());
     return 0;
 }
--- a/src/lycheeledge/transport/HttpClient.cpp
+++ b/src/lycheeledge/transport/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "HttpClient.h"
 
 #include "BoundedRing.h"
+#include "CurlReactor.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
@@ -27,9 +28,8 @@
     // Idle connections are not reused after this time. It is shorter than the read timeout of our servers, which
     // close idle connections, so that a request rarely meets a connection that is just being closed.
     constexpr long maxIdleSeconds = 5;
-    constexpr std::size_t maxIdleConnections = 1024;
-    // Bounds how late the destructor is noticed should a wake-up be lost.
-    constexpr int maxPollMs = 1000;
+    // Enough to keep the connections to every worker of a cell.
+    constexpr std::size_t maxIdleConnections = 8192;
 
     struct Call {
         HttpRequest request;
@@ -190,8 +190,8 @@
         , ring(settings.maxWaiting)
     {
         initializeCurl();
-        multi = curl_multi_init();
-        CHECK(multi != nullptr) << "[http] curl_multi_init failed.";
+        reactor = std::make_unique<CurlReactor>();
+        CURLM* multi = reactor->multi();
         curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(settings.maxConnectionsPerHost));
         curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, static_cast<long>(maxIdleConnections));
         curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
@@ -202,16 +202,16 @@
     {
         ring.close();
         stopped = true;
-        curl_multi_wakeup(multi);
+        reactor->wakeUp();
         thread.join();
         for (auto& [easy, transfer] : transfers) {
-            curl_multi_remove_handle(multi, easy);
+            curl_multi_remove_handle(reactor->multi(), easy);
             finish(easy, *transfer, absl::CancelledError("the client is closing"), false);
             curl_easy_cleanup(easy);
         }
         for (CURL* easy : idleHandles)
             curl_easy_cleanup(easy);
-        curl_multi_cleanup(multi);
+        reactor.reset();
         while (auto call = ring.popUntil({}))
             fail(*call, absl::CancelledError("the client is closing"));
     }
@@ -221,10 +221,8 @@
         while (!stopped) {
             while (auto call = ring.popUntil({}))
                 begin(std::move(*call));
-            int running = 0;
-            curl_multi_perform(multi, &running);
+            reactor->runOnce();
             collect();
-            curl_multi_poll(multi, nullptr, 0, maxPollMs, nullptr);
         }
     }
 
@@ -241,7 +239,7 @@
         transfer->call = std::move(call);
         transfer->maxResponseBytes = settings.maxResponseBytes;
         configure(easy, *transfer, left);
-        curl_multi_add_handle(multi, easy);
+        curl_multi_add_handle(reactor->multi(), easy);
         transfers.emplace(easy, std::move(transfer));
     }
 
@@ -305,7 +303,7 @@
     void collect()
     {
         int left = 0;
-        while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
+        while (const CURLMsg* message = curl_multi_info_read(reactor->multi(), &left)) {
             if (message->msg != CURLMSG_DONE)
                 continue;
             CURL* easy = message->easy_handle;
@@ -316,7 +314,7 @@
             curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
             transfer.response.status = static_cast<int>(status);
             const bool notSent = isNotSent(code, easy);
-            curl_multi_remove_handle(multi, easy);
+            curl_multi_remove_handle(reactor->multi(), easy);
             finish(easy, transfer, translate(code, transfer), notSent);
             curl_easy_reset(easy);
             idleHandles.push_back(easy);
@@ -335,7 +333,7 @@
 
     HttpClientSettings settings;
     BoundedRing<Call> ring;
-    CURLM* multi = nullptr;
+    std::unique_ptr<CurlReactor> reactor;
     std::atomic<bool> stopped { false };
     // Used only on the client's thread, and by the destructor after it has ended.
     std::unordered_map<CURL*, std::unique_ptr<Transfer>> transfers;
@@ -362,7 +360,7 @@
         done(std::move(result));
         return;
     }
-    curl_multi_wakeup(impl.multi);
+    impl.reactor->wakeUp();
 }
 
 } // namespace lycheeledge
--- a/standins/StandinServer.h
+++ b/standins/StandinServer.h
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <functional>
 #include <string>
+#include <sys/resource.h>
 #include <utility>
 
 namespace lycheeledge::standin {
@@ -27,6 +28,16 @@
     std::signal(SIGINT, handler);
 }
 
+/** @brief Raises the limit of open files as far as allowed; the default is too low for hundreds of workers. */
+inline void raiseFileLimit()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 /** @brief Handler that runs `handle` on the loop. A full loop answers with status 503. */
 inline HttpServer::Handler onLoop(EventLoop& loop, std::function<void(HttpRequest, HttpServer::Respond)> handle)
 {
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -46,5 +46,6 @@
     google::InitGoogleLogging(argv[0]);
     FLAGS_logtostderr = true;
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    lycheeledge::standin::raiseFileLimit();
     return lycheeledge::standin::runPlatform();
 }
--- a/standins/worker_standin.cpp
+++ b/standins/worker_standin.cpp
@@ -120,5 +120,6 @@
     google::InitGoogleLogging(argv[0]);
     FLAGS_logtostderr = true;
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    lycheeledge::standin::raiseFileLimit();
     return lycheeledge::standin::runWorkers();
 }
--- a/test/transport/HttpTest.cpp
+++ b/test/transport/HttpTest.cpp
@@ -1,6 +1,7 @@
 // Tests of the HTTP server and client over loopback.
 
 #include "support/Awaiter.h"
+#include "support/RawClient.h"
 #include "support/RawServer.h"
 
 #include <lycheeledge/transport/HttpClient.h>
@@ -193,6 +194,46 @@
     server.stop();
 }
 
+TEST_CASE("A connection that cannot be opened in time counts as not sent", "[http]")
+{
+    // A listener whose queue is full leaves further connections without an answer.
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof(address);
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), n) == 0);
+    REQUIRE(listen(listener, 0) == 0);
+    REQUIRE(getsockname(listener, reinterpret_cast<sockaddr*>(&address), &n) == 0);
+    const std::uint16_t port = ntohs(address.sin_port);
+    const RawClient filler(port);
+    HttpClientSettings settings;
+    settings.connectTimeout = 300ms;
+    HttpClient client(settings);
+    const HttpResult result = call(client, makeRequest(url(port), "body"));
+    close(listener);
+    CHECK(absl::IsDeadlineExceeded(result.status));
+    CHECK(result.notSent);
+}
+
+TEST_CASE("A call over the number of waiting calls is refused as not sent", "[http]")
+{
+    HttpClientSettings settings;
+    settings.maxWaiting = 0;
+    HttpClient client(settings);
+    const HttpResult result = call(client, makeRequest("http://127.0.0.1:1/"));
+    CHECK(absl::IsResourceExhausted(result.status));
+    CHECK(result.notSent);
+}
+
+TEST_CASE("A URL of another scheme is refused as not sent", "[http]")
+{
+    HttpClient client;
+    const HttpResult result = call(client, makeRequest("file:///dev/null"));
+    CHECK(absl::IsUnavailable(result.status));
+    CHECK(result.notSent);
+}
+
 TEST_CASE("Broken responses are reported and never passed on", "[http]")
 {
     SECTION("connection closed without a response")
