--- a/src/lycheeledge/coordination/PeerMessages.h
+++ b/src/lycheeledge/coordination/PeerMessages.h
@@ -31,9 +31,9 @@
     Duration storeContactAge {}; ///< time since the member read the store
     std::vector<OwnedCell> owned;
     bool stopping = false;
-    std::vector<MemberId> silent; ///< members of the roster that the sender has not heard for a while
     std::uint64_t echoIncarnation = 0; ///< incarnation of the recipient that `echoSequence` belongs to
     std::uint64_t echoSequence = 0; ///< last gossip received from the recipient; bounds the age of this message
+    std::vector<MemberId> silent; ///< members of the roster that the sender has not heard for a while
 
     bool operator==(const Gossip&) const = default;
 };
