--- a/src/lycheeledge/coordination/CommandExecution.cpp
+++ b/src/lycheeledge/coordination/CommandExecution.cpp
@@ -14,6 +14,7 @@
 namespace {
 
     constexpr std::size_t historyMax = 16;
+    constexpr std::size_t idempotencyKeyMax = 128; // the history of an entity repeats it
     constexpr Duration storeTimeout = std::chrono::seconds(10);
     constexpr Duration retryBase = std::chrono::milliseconds(10);
     constexpr Duration retryMax = std::chrono::milliseconds(500);
@@ -55,8 +56,10 @@
 void OperatorCommands::run(const CommandOptions& options, std::string key, const std::string& parameters,
     std::optional<Refusal> invalid, Edit edit, Callback done, SameParameters sameParameters)
 {
-    if (!invalid && options.idempotencyKey.empty())
-        invalid = Refusal { ErrorKind::InvalidArgument, "an idempotency key is needed", "idempotencyKey" };
+    const std::size_t n = options.idempotencyKey.size();
+    if (!invalid && (n == 0 || n > idempotencyKeyMax))
+        invalid
+            = Refusal { ErrorKind::InvalidArgument, "the idempotency key must have 1 to 128 bytes", "idempotencyKey" };
     auto command = std::make_shared<Command>();
     command->key = std::move(key);
     command->idempotencyKey = options.idempotencyKey;
--- a/test/coordination/OperatorCommandsTest.cpp
+++ b/test/coordination/OperatorCommandsTest.cpp
@@ -77,12 +77,13 @@
     Cluster cluster(1);
     cluster.advance(3s);
     auto& commands = cluster[0].commands;
-    CommandProbe share, id, queue, key, call, drain;
+    CommandProbe share, id, queue, key, call, longCall, drain;
     commands.setTeam({ "a", {} }, teamOf("feed", 0), share.callback());
     commands.setTeam({ "b", {} }, teamOf("a/b", 1), id.callback());
     commands.setQueue({ "c", {} }, { QueueId("q"), TeamId("none"), false }, queue.callback());
     commands.createKey({ "d", {} }, KeyId("k.1"), TeamId("feed"), KeyRole::Caller, "0123456789", key.callback());
     commands.setTeam({ "", {} }, teamOf("feed", 1), call.callback());
+    commands.setTeam({ std::string(129, 'x'), {} }, teamOf("feed", 1), longCall.callback());
     commands.undrainVm({ "e", {} }, VmId("vm"), drain.callback());
     cluster.advance(1s);
     CHECK(share.result().field == "share");
@@ -90,6 +91,7 @@
     CHECK(queue.result().error == ErrorKind::NotFound);
     CHECK(key.result().field == "key");
     CHECK(call.result().field == "idempotencyKey");
+    CHECK(longCall.result().field == "idempotencyKey");
     CHECK(drain.result().error == ErrorKind::NotFound);
 }
 
