--- a/apps/lycheeledged.cpp
+++ b/apps/lycheeledged.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <iostream>
 #include <pthread.h>
+#include <sys/resource.h>
 #include <thread>
 
 DEFINE_string(settings, "", "settings file (JSON with comments)");
@@ -26,15 +27,26 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
-sigset_t stopSignals()
+sigset_t handledSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
+// Each caller's connection is an open file, and the usual soft limit of 1024 is below the default number of callers.
+void raiseOpenFileLimit()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 int minimumLevel(lycheeledge::LogLevel level)
 {
     switch (level) {
@@ -68,8 +80,9 @@
     }
     FLAGS_minloglevel = minimumLevel(settings->logLevel);
 
+    raiseOpenFileLimit();
     // Blocked before the first thread starts, so that only the waiting thread below receives them.
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
@@ -80,8 +93,12 @@
         return exitUnavailable;
     }
     std::thread([&process, signals] {
-        for (int signal = 0; sigwait(&signals, &signal) == 0;)
-            process.requestStop();
+        for (int signal = 0; sigwait(&signals, &signal) == 0;) {
+            if (signal == SIGHUP)
+                process.reloadCertificate();
+            else
+                process.requestStop();
+        }
     }).detach();
     process.run();
     LOG(INFO) << "[daemon] Stopped.";
--- a/src/lycheeledge/daemon/EntryProcess.cpp
+++ b/src/lycheeledge/daemon/EntryProcess.cpp
@@ -28,6 +28,7 @@
         result.maxWaiting = settings.limits.maxWaitingCalls;
         result.maxConnectionsPerHost = settings.limits.maxConnectionsPerHost;
         result.maxResponseBytes = settings.limits.maxResponseBytes;
+        result.caPath = settings.caPath;
         return result;
     }
 
@@ -88,7 +89,10 @@
         HttpServerSettings result;
         result.address = settings.listen.host;
         result.port = settings.listen.port;
-        result.maxBodyBytes = settings.limits.maxBodyBytes;
+        // Larger than the limit of a call, so that the gateway can refuse an oversize call with a typed error.
+        result.maxBodyBytes = 2 * settings.limits.maxBodyBytes;
+        result.certificatePath = settings.certificatePath;
+        result.keyPath = settings.keyPath;
         result.maxConnections = settings.limits.maxConnections;
         result.handleTimeout = handleTimeout;
         return result;
@@ -212,6 +216,15 @@
     m_loop.postCompletion([this] { beginStop(); });
 }
 
+void EntryProcess::reloadCertificate()
+{
+    m_loop.postCompletion([this] {
+        const auto status = m_server.reloadCertificate();
+        LOG_IF(INFO, status.ok()) << "[daemon] Reloaded the certificate.";
+        LOG_IF(ERROR, !status.ok()) << "[daemon] Kept the previous certificate: " << status.message() << ".";
+    });
+}
+
 void EntryProcess::beginStop()
 {
     if (m_stopping)
--- a/src/lycheeledge/daemon/EntryProcess.h
+++ b/src/lycheeledge/daemon/EntryProcess.h
@@ -96,6 +96,8 @@
     void run();
     /** @brief Begins a planned stop. May be called from any thread. */
     void requestStop();
+    /** @brief Reads the listener's certificate and key again. May be called from any thread. */
+    void reloadCertificate();
 
 private:
     void gossipReceived(const Gossip& message) override { m_membership.gossipReceived(message); }
