--- a/src/lycheeledge/coordination/CellSchedulerRecovery.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerRecovery.cpp
@@ -232,10 +232,12 @@
 
 void CellScheduler::attachRunning(WorkItem& item, const TaskId& id, WorkerSlot worker)
 {
+    item.noteRunNumber(id);
     TaskRecord& task = item.tasks[id.index];
-    const bool open
-        = task.state == TaskState::Unresolved || task.state == TaskState::Waiting || task.state == TaskState::Delayed;
-    if (!open || id.run < task.run || (id.run == task.run && task.reportedFailed)) {
+    // What runs counts more than a failed run of a higher number: that one may come from a worker that was lost.
+    const bool open = task.state == TaskState::Unresolved || task.state == TaskState::Waiting
+        || task.state == TaskState::Delayed || task.state == TaskState::Regrouping;
+    if (!open) {
         LOG(WARNING) << "[scheduler] stopping a stale run of " << id.work.team << '/' << id.work.request << " on "
                      << m_workers.at(worker).description.id;
         m_pool.act(m_workers.at(worker).description.id, TaskAction::Stop, id);
