Replay the history that ran a task in two places

Fails with the earlier rule, which took a running task for stale when a failed run of the same number was reported by another worker; passes since.

--- a/test/coordination/CellSchedulerPropertyTest.cpp
+++ b/test/coordination/CellSchedulerPropertyTest.cpp
@@ -83,3 +83,15 @@
 {
     CHECK(holds("takeovers", 20261205, 400, [] { checkHistory(true); }));
 }
+
+TEST_CASE("A history that once ran a task in two places", "[scheduler][property]")
+{
+    // A lost worker's failed run had the same number as the run in progress after three takeovers.
+    SimulatedCell cell(222565559);
+    const std::vector<Step> steps { { 33, 0 }, { 114, 22836 }, { 242, 0 }, { 9, 0 }, { 84, 0 }, { 124, 0 }, { 105, 0 },
+        { 171, 0 }, { 9, 0 }, { 105, 0 }, { 250, 20 } };
+    for (const Step& step : steps)
+        perform(cell, step, true);
+    cell.finish();
+    CHECK(cell.violations().empty());
+}
