Fix a dangling reference in the fake worker

The address sanitizer found it: a restart passed the key of a map entry by reference to the function that erases the entry. The run under the sanitizer had not been repeated to its end when this was committed.

--- a/test/support/FakeWorker.h
+++ b/test/support/FakeWorker.h
@@ -131,7 +131,7 @@
         return epoch == m_highestEpoch && session == this->session() && m_runtime.now() < m_controllerUntil;
     }
 
-    void remove(const TaskId& task)
+    void remove(TaskId task) // by value: callers pass references into the map
     {
         m_running.erase(task);
         if (m_observer)
