Do not shed requests while a new owner knows no worker yet

Cause: the cell is active as soon as its journalled workers have answered, and a first owner has none, so all requests of the first second stood in the queue and overload control refused 17 of them as overloaded. Requests now wait for workers within their deadline. The cluster scripts wait until workers are available; grep -q at the end of a pipe ended lycheectl with SIGPIPE and made the check fail, so the output is compared in the shell.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -103,7 +103,8 @@
 
 ctl() { "$buildDir/lycheectl" --server="${CTL_SERVER:-$(entryUrls)}" --key="$operatorKey" "$@"; }
 
-cellIsActive() { ctl cell overview --json | grep -q '"active": *true'; }
+# An active owner knows the workers a second or two later, because the VM list lags.
+cellIsActive() { [[ "$(ctl cell overview --json)" == *'"available": true'* ]]; }
 
 startCluster() {
     local n
@@ -121,3 +122,20 @@
 workerFlags=()
 
 workerHistories() { echo "http://127.0.0.1:$workerPort-$((workerPort + workers - 1))"; }
+
+ownerEntry() {
+    local n
+    for ((n = 1; n <= entries; ++n)); do
+        if [[ "$(CTL_SERVER=$(entryUrl "$n") ctl process status --json --timeout_ms=2000 2> /dev/null)" \
+            == *'"ownsCell": true'* ]]; then
+            echo "$n"
+            return
+        fi
+    done
+    return 1
+}
+
+killEntry() {
+    signalProcess "entry-$1" KILL
+    waitProcess "entry-$1" 2> /dev/null || true
+}
--- a/src/lycheeledge/coordination/CellSchedulerPolicies.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerPolicies.cpp
@@ -201,6 +201,8 @@
 {
     const TimePoint now = m_runtime.now();
     const Resources& fleet = m_workers.totalCapacity();
+    if (fleet.isZero())
+        return; // a new owner that knows no worker yet is not overloaded; deadlines still apply
     const std::size_t requests = TeamQueues::urgentClassCount; // class of requests that are not urgent
     Duration delay {};
     TeamRecord* most = nullptr;
--- a/test/coordination/CellSchedulerPolicyTest.cpp
+++ b/test/coordination/CellSchedulerPolicyTest.cpp
@@ -142,6 +142,19 @@
     }
 }
 
+TEST_CASE("Requests wait for the first workers of a new owner instead of being shed", "[scheduler][overload]")
+{
+    SchedulerHarness cell;
+    cell.scheduler->activate({});
+    for (int i = 0; i < 8; ++i)
+        cell.submit(SchedulerHarness::spec("r" + std::to_string(i)));
+    cell.runtime.advance(2s);
+    CHECK(cell.answers.empty());
+    cell.add(SchedulerHarness::worker("w1"));
+    cell.runtime.advance(100ms);
+    CHECK(cell.pool.starts.size() == 8);
+}
+
 TEST_CASE("A standing queue sheds the newest requests of the team most above its share", "[scheduler][overload]")
 {
     SchedulerHarness cell;
