--- a/src/lycheeledge/coordination/CellScheduler.cpp
+++ b/src/lycheeledge/coordination/CellScheduler.cpp
@@ -29,7 +29,7 @@
     , m_settings(settings)
     , m_placement(makePlacement(runtime, settings))
     , m_order(makeTeamOrder(settings.order))
-    , m_outcomes(settings.outcomeRetention)
+    , m_outcomes(settings.outcomeRetention, settings.maxKeptBodyBytes)
     , m_unclaimed(settings.outcomeRetention)
 {
     m_timer = m_runtime.after(m_settings.tick, [this] { tick(); });
--- a/src/lycheeledge/coordination/MemberRecord.cpp
+++ b/src/lycheeledge/coordination/MemberRecord.cpp
@@ -69,37 +69,4 @@
     return MemberRecord { MemberId(*id), *peer, ZoneId(*zone), *incarnation };
 }
 
-std::string encodeEpochRecord(const OwnerRecord& record)
-{
-    rapidjson::StringBuffer buf;
-    JsonWriter out(buf);
-    out.StartObject();
-    writeKey(out, "epoch");
-    out.Uint64(record.epoch);
-    writeString(out, "owner", record.owner.value());
-    writeString(out, "incarnation", std::to_string(record.incarnation));
-    writeAddress(out, record.peer);
-    out.EndObject();
-    return { buf.GetString(), buf.GetSize() };
-}
-
-std::optional<OwnerRecord> decodeEpochRecord(std::string_view json)
-{
-    rapidjson::Document document;
-    if (!parseObject(document, json))
-        return std::nullopt;
-    const auto epoch = uintField(document, "epoch");
-    const auto owner = stringField(document, "owner");
-    const auto incarnation = incarnationField(document);
-    const auto peer = addressFields(document);
-    if (!epoch || !owner || !incarnation || !peer)
-        return std::nullopt;
-    OwnerRecord record;
-    record.epoch = *epoch;
-    record.owner = MemberId(*owner);
-    record.incarnation = *incarnation;
-    record.peer = *peer;
-    return record;
-}
-
 } // namespace lycheeledge
--- a/src/lycheeledge/coordination/MemberRecord.h
+++ b/src/lycheeledge/coordination/MemberRecord.h
@@ -39,9 +39,4 @@
 /** @brief Inverse of encodeMemberRecord(). @return nullopt if the text is malformed. */
 std::optional<MemberRecord> decodeMemberRecord(std::string_view json);
 
-/** @brief JSON form of the value of `o/<cell>/epoch`. */
-std::string encodeEpochRecord(const OwnerRecord& record);
-/** @brief Reads the value of `o/<cell>/epoch`; `cell`, `epochRevision` and `leased` are left to the caller. */
-std::optional<OwnerRecord> decodeEpochRecord(std::string_view json);
-
 } // namespace lycheeledge
--- a/src/lycheeledge/coordination/OverviewJson.cpp
+++ b/src/lycheeledge/coordination/OverviewJson.cpp
@@ -2,22 +2,14 @@
 
 #include "OverviewJson.h"
 
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
-
-#include <string_view>
+#include "JsonFields.h"
 
 namespace lycheeledge {
 
 namespace {
 
-    using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
-
-    void string(Writer& out, const char* name, std::string_view value)
-    {
-        out.Key(name);
-        out.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-    }
+    using Writer = detail::JsonWriter;
+    using detail::writeString;
 
     void number(Writer& out, const char* name, std::uint64_t value)
     {
@@ -59,7 +51,7 @@
     void team(Writer& out, const TeamOverview& value)
     {
         out.StartObject();
-        string(out, "id", value.id.value());
+        writeString(out, "id", value.id.value());
         real(out, "share", value.share);
         real(out, "entitledPart", value.entitledPart);
         real(out, "usedPart", value.usedPart);
@@ -76,9 +68,9 @@
     void worker(Writer& out, const WorkerOverview& value)
     {
         out.StartObject();
-        string(out, "id", value.id.value());
-        string(out, "zone", value.zone.value());
-        string(out, "rack", value.rack.value());
+        writeString(out, "id", value.id.value());
+        writeString(out, "zone", value.zone.value());
+        writeString(out, "rack", value.rack.value());
         resources(out, "capacity", value.capacity);
         resources(out, "reserved", value.reserved);
         resources(out, "used", value.used);
@@ -136,7 +128,7 @@
             number(out, reason.c_str(), n);
         out.EndObject();
         if (overview.holder)
-            string(out, "holder", overview.holder->team.value() + "/" + overview.holder->request.value());
+            writeString(out, "holder", overview.holder->team.value() + "/" + overview.holder->request.value());
     }
 
 } // namespace
@@ -146,7 +138,7 @@
     rapidjson::StringBuffer buf;
     Writer out(buf);
     out.StartObject();
-    string(out, "cell", cell.value());
+    writeString(out, "cell", cell.value());
     number(out, "epoch", epoch);
     flag(out, "active", overview.active);
     out.Key("teams");
--- a/src/lycheeledge/coordination/OwnerTable.cpp
+++ b/src/lycheeledge/coordination/OwnerTable.cpp
@@ -2,6 +2,8 @@
 
 #include "OwnerTable.h"
 
+#include "EpochRecord.h"
+
 #include <glog/logging.h>
 
 #include <set>
@@ -37,14 +39,14 @@
             continue;
         }
         const auto cell = cellOf(entry.key, epochSuffix);
-        auto record = cell ? decodeEpochRecord(entry.value) : std::nullopt;
-        if (!record) {
+        const auto record = parseEpochRecord(entry.value);
+        if (!cell || !record.ok()) {
             LOG(ERROR) << "[membership] malformed owner record " << entry.key;
             continue;
         }
-        record->cell = *cell;
-        record->epochRevision = entry.modRevision;
-        records.emplace(*cell, std::move(*record));
+        records.emplace(*cell,
+            OwnerRecord {
+                *cell, record->epoch, record->owner, record->incarnation, record->address, entry.modRevision, false });
     }
     for (auto& [cell, record] : records)
         record.leased = leased.contains(cell);
--- a/src/lycheeledge/coordination/SchedulerSettings.h
+++ b/src/lycheeledge/coordination/SchedulerSettings.h
@@ -20,6 +20,7 @@
     OrderMethod order = OrderMethod::WeightedDominantShare;
     Duration tick = std::chrono::milliseconds(10); ///< resolution of deadlines, backoff and holds
     Duration outcomeRetention = std::chrono::minutes(10); ///< time finished outcomes are kept
+    std::size_t maxKeptBodyBytes = 32 << 20; ///< total size of answers kept for callers that ask again
     std::size_t placementSample = 64; ///< workers scored for one decision
 };
 
--- a/standins/History.h
+++ b/standins/History.h
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace lycheeledge::standins {
+namespace lycheeledge::standin {
 
 /** @brief Time of an event, in microseconds of the monotonic clock that all recorders share. */
 using Microseconds = std::int64_t;
@@ -105,4 +105,4 @@
 
 using History = std::vector<Event>;
 
-} // namespace lycheeledge::standins
+} // namespace lycheeledge::standin
--- a/standins/HistoryChecker.h
+++ b/standins/HistoryChecker.h
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-namespace lycheeledge::standins {
+namespace lycheeledge::standin {
 
 /** @brief Bounds on the time within which a change must take effect, in microseconds. */
 struct CheckerBounds {
@@ -277,4 +277,4 @@
     std::map<std::pair<std::string, std::string>, std::optional<Event>> m_observed;
 };
 
-} // namespace lycheeledge::standins
+} // namespace lycheeledge::standin
--- a/standins/HistoryReader.h
+++ b/standins/HistoryReader.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <utility>
 
-namespace lycheeledge::standins {
+namespace lycheeledge::standin {
 
 namespace detail {
 
@@ -110,4 +110,4 @@
     return history;
 }
 
-} // namespace lycheeledge::standins
+} // namespace lycheeledge::standin
--- a/standins/LoadPlan.h
+++ b/standins/LoadPlan.h
@@ -1,6 +1,8 @@
 // The load to offer, computed in advance from a seed.
 #pragma once
 
+#include "TaskPayload.h"
+
 #include <lycheeledge/state/Work.h>
 
 #include <fmt/format.h>
@@ -59,17 +61,13 @@
     bool operator==(const LoadItem&) const = default;
 };
 
-/** @brief Answer that a stand-in worker gives for a payload with this seed. Must agree with the worker stand-in. */
+/** @brief Answer that a stand-in worker gives for a payload with this seed. */
 inline std::string expectedBody(std::uint64_t seed, std::size_t length)
 {
-    std::mt19937_64 random(seed);
-    std::string body(length, '\0');
-    std::uint64_t bits = 0;
-    for (std::size_t n = 0; n < length; ++n) {
-        bits = n % 8 == 0 ? random() : bits >> 8;
-        body[n] = static_cast<char>('a' + bits % 16);
-    }
-    return body;
+    TaskPayload payload;
+    payload.seed = seed;
+    payload.bodyBytes = length;
+    return makeBody(payload);
 }
 
 /** @brief Draws the submissions of a run. Equal settings give equal plans. */
--- a/standins/history_check.cpp
+++ b/standins/history_check.cpp
@@ -12,7 +12,7 @@
 DEFINE_int32(show, 3, "number of violations shown in full for each guarantee");
 
 using namespace lycheeledge;
-using namespace lycheeledge::standins;
+using namespace lycheeledge::standin;
 
 namespace {
 
--- a/test/coordination/FreshnessTest.cpp
+++ b/test/coordination/FreshnessTest.cpp
@@ -36,7 +36,7 @@
 
     bool receive(std::uint64_t sequence, std::uint64_t echo, Revision applied, Duration contactAge)
     {
-        return freshness.gossipReceived({ MemberId("b"), 1, sequence, applied, contactAge, {}, false, 1, echo });
+        return freshness.gossipReceived({ MemberId("b"), 1, sequence, applied, contactAge, {}, false, 1, echo, {} });
     }
 
     RosterView roster;
--- a/test/coordination/MembershipTest.cpp
+++ b/test/coordination/MembershipTest.cpp
@@ -2,6 +2,8 @@
 
 #include "support/Cluster.h"
 
+#include <lycheeledge/coordination/EpochRecord.h>
+
 #include <catch2/catch.hpp>
 
 using namespace lycheeledge;
@@ -55,14 +57,11 @@
     Cluster cluster(3);
     cluster.advance(3s);
     const CellId cell("central");
-    OwnerRecord record;
-    record.epoch = 4;
-    record.owner = MemberId("m1");
-    record.incarnation = cluster[1].membership.self().incarnation;
-    record.peer = cluster[1].membership.self().peer;
+    const MemberRecord& owner = cluster[1].membership.self();
+    const EpochRecord record { 4, MemberId("m1"), owner.incarnation, owner.peer, 0 };
     int changes = 0;
     cluster[0].membership.onOwnersChanged([&changes] { ++changes; });
-    cluster.store.put("o/central/epoch", encodeEpochRecord(record));
+    cluster.store.put("o/central/epoch", formatEpochRecord(record));
     cluster.advance(2s);
     CHECK_FALSE(cluster[0].membership.ownerOf(cell)); // the lease key is missing
     cluster.store.put("o/central/lease", "m1");
--- a/test/standins/HistoryCheckerTest.cpp
+++ b/test/standins/HistoryCheckerTest.cpp
@@ -7,7 +7,7 @@
 #include <string>
 
 using namespace lycheeledge;
-using namespace lycheeledge::standins;
+using namespace lycheeledge::standin;
 
 namespace {
 
