--- /dev/null
+++ b/cmake/lycheeledge-config.cmake
@@ -0,0 +1,10 @@
+include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(fmt) # must come before restinio
+find_dependency(restinio)
+find_dependency(absl)
+find_dependency(CURL)
+find_dependency(OpenSSL)
+find_dependency(PkgConfig)
+pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
+include("${CMAKE_CURRENT_LIST_DIR}/lycheeledge-targets.cmake")
