--- a/src/lycheeledge/coordination/CellController.cpp
+++ b/src/lycheeledge/coordination/CellController.cpp
@@ -51,6 +51,11 @@
     return { { .cell = m_cell, .epoch = m_session->epoch, .active = isActive() } };
 }
 
+std::optional<SchedulerOverview> CellController::schedulerOverview() const
+{
+    return isActive() ? std::optional(m_session->scheduler.overview()) : std::nullopt;
+}
+
 bool CellController::isActive() const { return m_session && m_session->active && m_session->workers.isActive(); }
 
 void CellController::submit(WorkSpec spec, const std::string& traceparent, std::function<void(WorkResult)> done)
--- a/src/lycheeledge/coordination/CellController.h
+++ b/src/lycheeledge/coordination/CellController.h
@@ -51,6 +51,8 @@
     /** @brief Planned stop: hands the cell over. @param done called once another member may take it. */
     void release(std::function<void()> done);
     void applyConfiguration(const Configuration& configuration);
+    /** @brief State of the scheduler; none while another process owns the cell. */
+    std::optional<SchedulerOverview> schedulerOverview() const;
     /** @brief Cells for the gossip of this member. */
     std::vector<OwnedCell> ownedCells() const;
 
--- a/src/lycheeledge/daemon/Telemetry.cpp
+++ b/src/lycheeledge/daemon/Telemetry.cpp
@@ -5,7 +5,9 @@
 #include "../coordination/CellController.h"
 #include "../coordination/Membership.h"
 #include "../coordination/RequestRouter.h"
+#include "../protocol/ApiCodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheeledge {
@@ -61,6 +63,40 @@
     m_metrics.rotate();
 }
 
+void Telemetry::setCellMetrics(const SchedulerOverview& overview)
+{
+    const auto gauge = [this](std::string_view name, std::string_view help, double value, Metrics::Labels labels = {}) {
+        m_metrics.gauge(name, help, labels).set(value);
+    };
+    const auto count = [&gauge](std::string_view name, std::string_view help, std::uint64_t n) {
+        gauge(name, help, static_cast<double>(n));
+    };
+    count("lycheeledge_cell_starts", "Tasks started under this ownership.", overview.starts);
+    count("lycheeledge_cell_retries", "Tasks tried again under this ownership.", overview.retries);
+    count("lycheeledge_cell_preemptions", "Tasks preempted under this ownership.", overview.preemptions);
+    count("lycheeledge_cell_pending", "Pieces of work that have not ended.", overview.pending);
+    count("lycheeledge_cell_set_aside", "Jobs that can never run.", overview.setAside);
+    for (const auto& [reason, n] : overview.refusals)
+        gauge("lycheeledge_cell_refusals", "Work refused under this ownership.", static_cast<double>(n),
+            { { "reason", reason } });
+    for (const auto& [kind, waiting] : overview.waiting) {
+        const std::string name(toString(kind));
+        gauge("lycheeledge_cell_waiting_seconds", "Time from acceptance to the decision, over the last minutes.",
+            seconds(waiting.p50), { { "kind", name }, { "quantile", "0.5" } });
+        gauge(
+            "lycheeledge_cell_waiting_seconds", "", seconds(waiting.p99), { { "kind", name }, { "quantile", "0.99" } });
+    }
+    for (const TeamOverview& team : overview.teams) {
+        gauge("lycheeledge_team_used_part", "Dominant share of the fleet in use.", team.usedPart,
+            { { "team", team.id.value() } });
+        gauge("lycheeledge_team_entitled_part", "Part of the fleet when all teams have demand.", team.entitledPart,
+            { { "team", team.id.value() } });
+    }
+    const auto quarantined = std::count_if(
+        overview.workers.begin(), overview.workers.end(), [](const WorkerOverview& it) { return it.quarantined; });
+    gauge("lycheeledge_cell_quarantined_workers", "Workers in quarantine.", static_cast<double>(quarantined));
+}
+
 std::string Telemetry::metricsText(
     const Membership& membership, const CellController& cell, const RequestRouter& router, std::size_t callsInProgress)
 {
@@ -76,7 +112,10 @@
         membership.isFresh() ? 1 : 0);
     gauge("lycheeledge_store_contact_age_seconds", "Time since the store was read.",
         seconds(membership.storeContactAge()));
-    gauge("lycheeledge_cell_active", "1 if this process schedules its cell.", cell.isActive() ? 1 : 0);
+    gauge("lycheeledge_cell_active", "1 if this process schedules its cell; other cell metrics are then current.",
+        cell.isActive() ? 1 : 0);
+    if (const auto overview = cell.schedulerOverview())
+        setCellMetrics(*overview);
     return m_metrics.toPrometheus();
 }
 
--- a/src/lycheeledge/daemon/Telemetry.h
+++ b/src/lycheeledge/daemon/Telemetry.h
@@ -15,6 +15,7 @@
 class CellController;
 class Membership;
 class RequestRouter;
+struct SchedulerOverview;
 
 /** @brief Used on the coordination thread. */
 class Telemetry {
@@ -31,6 +32,7 @@
         std::size_t callsInProgress);
 
 private:
+    void setCellMetrics(const SchedulerOverview& overview);
     void flush();
     void rotate();
 
