Record a span for the cell owner's part of a submission

Traces showed only the entry hop. The owner's span is a child of the entry's and is passed on to the worker as its parent.

--- a/src/lycheeledge/daemon/EntryProcess.cpp
+++ b/src/lycheeledge/daemon/EntryProcess.cpp
@@ -162,8 +162,9 @@
     , m_cell({ m_loop, m_store, m_gateway, m_directory, m_view, m_journalCodec }, m_settings.cell,
           cellSettings(m_settings))
     , m_owners(m_membership, m_cell)
-    , m_router(m_loop, m_link, m_owners, m_cell, { .self = m_settings.member, .cell = m_settings.cell })
     , m_telemetry(m_settings, m_loop, m_platformClient)
+    , m_tracedCell(m_cell, m_loop, m_telemetry.traceSource(), m_telemetry.exporter())
+    , m_router(m_loop, m_link, m_owners, m_tracedCell, { .self = m_settings.member, .cell = m_settings.cell })
     , m_authenticator(m_membership, bootstrapKey(m_settings))
     , m_commands(m_loop, m_store, m_membership)
     , m_service(m_loop, m_telemetry, m_membership, m_authenticator, m_commands, m_router, m_cell)
--- a/src/lycheeledge/daemon/EntryProcess.h
+++ b/src/lycheeledge/daemon/EntryProcess.h
@@ -19,6 +19,7 @@
 #include "RpcService.h"
 #include "Settings.h"
 #include "Telemetry.h"
+#include "TracedCell.h"
 
 #include <absl/status/status.h>
 
@@ -126,8 +127,9 @@
     detail::MembershipView m_view;
     CellController m_cell;
     detail::MembershipOwners m_owners;
-    RequestRouter m_router;
     Telemetry m_telemetry;
+    TracedCell m_tracedCell;
+    RequestRouter m_router;
     Authenticator m_authenticator;
     OperatorCommands m_commands;
     RpcService m_service;
--- a/src/lycheeledge/daemon/Telemetry.h
+++ b/src/lycheeledge/daemon/Telemetry.h
@@ -27,6 +27,8 @@
 
     /** @brief Observes the calls of callers and operators. */
     CallTelemetry& calls() { return m_calls; }
+    TraceSource& traceSource() { return m_source; }
+    SpanExporter& exporter() { return m_exporter; }
     /** @brief Prometheus text, with the current state of the parts. */
     std::string metricsText(const Membership& membership, const CellController& cell, const RequestRouter& router,
         std::size_t callsInProgress);
