Check role and team of new keys, and parse the key header once

The entry process took keys apart by hand beside the tested functions of the codec, so a caller's key without a team was stored and then refused with every submission.

--- a/src/lycheeledge/daemon/HttpGateway.cpp
+++ b/src/lycheeledge/daemon/HttpGateway.cpp
@@ -42,11 +42,11 @@
         return it == request.headers.end() ? std::string() : it->second;
     }
 
+    // A malformed header counts as no key.
     std::string bearerKey(const HttpRequest& request)
     {
-        const std::string authorization = header(request, "authorization");
-        constexpr std::string_view scheme = "Bearer ";
-        return authorization.starts_with(scheme) ? authorization.substr(scheme.size()) : std::string();
+        const auto key = parseAuthorization(header(request, "authorization"));
+        return key ? key->id.value() + "." + key->secret : std::string();
     }
 
 } // namespace
--- a/src/lycheeledge/daemon/RpcService.cpp
+++ b/src/lycheeledge/daemon/RpcService.cpp
@@ -246,9 +246,13 @@
 
 void RpcService::createKey(const RpcCall& call, const Done& done)
 {
-    const KeyRole role = textOf(call, "role") == "operator" ? KeyRole::Operator : KeyRole::Caller;
-    m_commands.createKey(optionsOf(call), KeyId(textOf(call, "id")), TeamId(textOf(call, "team")), role,
-        textOf(call, "secret"), changeReply(done));
+    // Only id, team and role are taken from here: the command salts the secret itself.
+    Key key;
+    if (const auto error = decodeKey(call.request.params, "", key)) {
+        done(*error);
+        return;
+    }
+    m_commands.createKey(optionsOf(call), key.id, key.team, key.role, textOf(call, "secret"), changeReply(done));
 }
 
 void RpcService::withdrawKey(const RpcCall& call, const Done& done)
