Check the key of a submission once

The entry process authenticated each submission twice: once to authorise it, and again to learn whether it came from outside the team of an open queue. Behaviour is unchanged.

Ruled out: skipping the second check only for the default queue, a special case that leaves the work done twice for all other queues.

--- a/src/lycheeledge/coordination/Authenticator.cpp
+++ b/src/lycheeledge/coordination/Authenticator.cpp
@@ -25,7 +25,7 @@
 
     SubmitAuthorization refuseSubmit(ErrorKind error, std::string message, std::string field)
     {
-        return { error, std::move(message), std::move(field), TeamId() };
+        return { error, std::move(message), std::move(field), TeamId(), false };
     }
 
 } // namespace
@@ -100,7 +100,7 @@
         return refuseSubmit(ErrorKind::WrongTeam, "the work is for another team", "team");
     if (!configuration.teams.contains(team))
         return refuseSubmit(ErrorKind::NotFound, "the team does not exist", "team");
-    return { ErrorKind::None, {}, {}, team };
+    return { ErrorKind::None, {}, {}, team, identity.team != team };
 }
 
 } // namespace lycheeledge
--- a/src/lycheeledge/coordination/Authenticator.h
+++ b/src/lycheeledge/coordination/Authenticator.h
@@ -38,6 +38,7 @@
     std::string message;
     std::string field; ///< field of the submission at fault, if any
     TeamId team; ///< team that the work counts against
+    bool outsider = false; ///< accepted by an open queue without a key of the team
 
     bool operator==(const SubmitAuthorization&) const = default;
     bool ok() const { return error == ErrorKind::None; }
--- a/src/lycheeledge/daemon/RpcService.cpp
+++ b/src/lycheeledge/daemon/RpcService.cpp
@@ -172,8 +172,7 @@
         return;
     }
     const WorkId shown = spec.id;
-    const auto identity = m_authenticator.authenticate(call.key);
-    if (!identity.ok() || identity.identity.team != authorization.team)
+    if (authorization.outsider)
         spec.id.request = outsiderRequest(spec);
     spec.id.team = authorization.team;
     m_router.submit(std::move(spec), call.traceparent, [done, shown](WorkResult result) {
