--- a/src/lycheeledge/daemon/EventLoop.cpp
+++ b/src/lycheeledge/daemon/EventLoop.cpp
@@ -3,6 +3,7 @@
 #include "EventLoop.h"
 
 #include <algorithm>
+#include <ctime>
 #include <thread>
 #include <vector>
 
@@ -21,7 +22,13 @@
 {
 }
 
-TimePoint EventLoop::now() const { return std::chrono::steady_clock::now(); }
+// Counts the time for which the VM was suspended, in which leases go on running.
+TimePoint EventLoop::now() const
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
 
 Runtime::TimerId EventLoop::after(Duration delay, std::function<void()> task)
 {
@@ -63,7 +70,7 @@
             wakeUp = std::min(wakeUp, m_timers.begin()->first.first);
         if (!m_posted.empty())
             wakeUp = now();
-        if (auto task = m_ring.popUntil(wakeUp))
+        if (auto task = m_ring.popUntil(std::chrono::steady_clock::now() + (wakeUp - now())))
             (*task)();
     }
     m_ring.close();
--- /dev/null
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -0,0 +1,233 @@
+// Process of a member that schedules jobs: listeners, threads, readiness and planned stop.
+
+#include "JobDaemon.h"
+
+#include <chrono>
+#include <utility>
+
+namespace lycheeledge {
+
+namespace {
+
+    constexpr Duration drainInterval = std::chrono::milliseconds(50);
+    constexpr int notReadyStatus = 503;
+
+    std::int64_t unixMsNow()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    }
+
+    HttpServerSettings serverSettings(const ListenAddress& address, const JobDaemonSettings& settings)
+    {
+        HttpServerSettings result;
+        result.address = address.host;
+        result.port = address.port;
+        result.maxBodyBytes = settings.maxBodyBytes;
+        result.maxConnections = settings.maxConnections;
+        // Clients keep connections open between calls that are many seconds apart.
+        result.readTimeout = std::chrono::seconds(60);
+        return result;
+    }
+
+    PeerTransportSettings peerSettings(const JobDaemonSettings& settings)
+    {
+        PeerTransportSettings result;
+        result.address = settings.host;
+        result.port = settings.peerPort;
+        result.maxFrameBytes = 4 << 20; // a call's body, or a question, with room to spare
+        result.maxQueuedBytes = 16 << 20;
+        return result;
+    }
+
+    jobs::OwnerRecord selfRecord(const JobDaemonSettings& settings)
+    {
+        return { .member = settings.member,
+            .incarnation = settings.incarnation,
+            .epoch = 0,
+            .host = settings.host,
+            .port = settings.peerPort };
+    }
+
+} // namespace
+
+JobDaemon::JobDaemon(Ports ports, JobDaemonSettings settings)
+    : m_loop(ports.loop)
+    , m_executor(ports.executor)
+    , m_log(ports.log)
+    , m_ingress(ports.ingress)
+    , m_settings(std::move(settings))
+    , m_members(peerSettings(m_settings), m_executor, m_log)
+    , m_node({ m_loop, ports.store, ports.records, m_codec, ports.submissions, ports.workers, ports.admission,
+                 m_members, m_log, unixMsNow },
+          selfRecord(m_settings), m_settings.node)
+    , m_callSeconds(m_metrics.summary("lycheeledge_call_seconds", "Time from a client's call to its response."))
+    , m_ingressServer(serverSettings(m_settings.ingress, m_settings),
+          [this](HttpRequest request, const HttpServer::Respond& respond) {
+              m_executor.execute([this, request = std::move(request), respond]() mutable {
+                  handleCall(std::move(request), respond);
+              });
+          })
+    , m_readinessServer(serverSettings(m_settings.readiness, m_settings),
+          [this](const HttpRequest& request, const HttpServer::Respond& respond) {
+              m_executor.execute([this, request, respond] { handleReadiness(request, respond); });
+          })
+{
+    m_members.setListener(&m_node.memberListener());
+    if (m_settings.metricsPort != 0) {
+        const ListenAddress address { m_settings.host, m_settings.metricsPort };
+        m_metricsServer = std::make_unique<HttpServer>(serverSettings(address, m_settings),
+            [this](const HttpRequest&, const HttpServer::Respond& respond) {
+                m_executor.execute([this, respond] { handleMetrics(respond); });
+            });
+    }
+}
+
+JobDaemon::~JobDaemon() = default;
+
+absl::Status JobDaemon::start()
+{
+    if (const auto port = m_members.start(); !port.ok())
+        return port.status();
+    if (const auto port = m_ingressServer.start(); !port.ok())
+        return port.status();
+    if (const auto port = m_readinessServer.start(); !port.ok())
+        return port.status();
+    if (m_metricsServer) {
+        if (const auto port = m_metricsServer->start(); !port.ok())
+            return port.status();
+    }
+    m_log.record("process_started", { { "incarnation", m_settings.incarnation }, { "peer_port", m_settings.peerPort } });
+    m_loop.post([this] {
+        m_node.start();
+        report();
+    });
+    return absl::OkStatus();
+}
+
+void JobDaemon::run()
+{
+    m_loop.run();
+    m_ingressServer.stop();
+    m_readinessServer.stop();
+    if (m_metricsServer)
+        m_metricsServer->stop();
+    m_members.stop();
+}
+
+void JobDaemon::requestStop()
+{
+    m_executor.execute([this] { beginStop(); });
+}
+
+void JobDaemon::noteReload()
+{
+    m_executor.execute([this] { m_log.record("settings_reloaded", { { "applied", "at the next start" } }); });
+}
+
+void JobDaemon::handleCall(HttpRequest request, const HttpServer::Respond& respond)
+{
+    auto decoded = m_ingress.decodeCall(std::move(request));
+    if (auto* response = std::get_if<HttpResponse>(&decoded)) {
+        respond(std::move(*response));
+        return;
+    }
+    ++m_calls;
+    ++m_callsTotal;
+    const TimePoint begin = m_loop.now();
+    m_node.handle(std::get<jobs::ClientCall>(decoded), [this, respond, begin](const jobs::ClientReply& reply) {
+        --m_calls;
+        m_callSeconds.observe(std::chrono::duration<double>(m_loop.now() - begin).count());
+        respond(m_ingress.encodeReply(reply));
+    });
+}
+
+void JobDaemon::handleReadiness(const HttpRequest& request, const HttpServer::Respond& respond)
+{
+    const bool known = m_ingress.isReadinessCheck(request);
+    const bool ready = known && !m_stopping && m_node.isReady();
+    respond({ ready ? 200 : notReadyStatus, {}, ready ? "ready" : "not ready" });
+}
+
+void JobDaemon::handleMetrics(const HttpServer::Respond& respond)
+{
+    updateMetrics();
+    respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.toPrometheus() });
+}
+
+// --- Planned stop ---
+
+void JobDaemon::beginStop()
+{
+    if (std::exchange(m_stopping, true))
+        return;
+    m_stopDeadline = m_loop.now() + m_settings.stopLimit;
+    m_log.record("process_stopping", { { "calls", m_calls }, { "owner", m_node.lease().isOwner() } });
+    m_ingressServer.closeAfterResponses();
+    m_node.resign([this] { m_resigned = true; });
+    m_loop.after(m_settings.readinessNotice, [this] {
+        m_ingressServer.stopAccepting();
+        drain();
+    });
+}
+
+void JobDaemon::drain()
+{
+    const bool done = m_resigned && m_calls == 0;
+    if (!done && m_loop.now() < m_stopDeadline) {
+        m_loop.after(drainInterval, [this] { drain(); });
+        return;
+    }
+    m_log.record("process_stopped", { { "calls", m_calls }, { "resigned", m_resigned } });
+    m_log.flush();
+    // The servers' threads still have to write the last responses.
+    m_loop.after(drainInterval, [this] { m_loop.stop(); });
+}
+
+// --- Reports ---
+
+void JobDaemon::report()
+{
+    m_loop.after(m_settings.reportInterval, [this] { report(); });
+    const auto& session = m_node.session();
+    if (!m_node.lease().isOwner())
+        return;
+    const auto& counters = session.scheduler().counters();
+    m_log.record("load",
+        { { "epoch", m_node.lease().epoch() }, { "jobs", session.scheduler().jobCount() },
+            { "ready_steps", session.scheduler().readySteps() }, { "starts", counters.starts },
+            { "done", counters.endsDone }, { "failed", counters.endsFailed }, { "other_ends", counters.endsOther },
+            { "lost", counters.runsLost }, { "no_room", counters.startsRefusedNoRoom },
+            { "ticket_rejected", counters.startsRefusedTicket }, { "unanswered", counters.startsUnanswered },
+            { "questions_waiting", m_node.desk().waiting() }, { "relays", m_node.desk().relays() },
+            { "questions", counters.questions }, { "commits", session.ledger().commits() },
+            { "calls", m_callsTotal } });
+}
+
+void JobDaemon::updateMetrics()
+{
+    const auto set = [this](const char* name, const char* help, double value) { m_metrics.gauge(name, help).set(value); };
+    const auto& session = m_node.session();
+    const auto& counters = session.scheduler().counters();
+    const auto& calls = session.service().counters();
+    set("lycheeledge_owner", "1 while this member owns the jobs.", m_node.lease().isOwner() ? 1 : 0);
+    set("lycheeledge_epoch", "Epoch of the ownership, 0 for none.", static_cast<double>(m_node.lease().epoch()));
+    set("lycheeledge_jobs", "Jobs in memory.", static_cast<double>(session.scheduler().jobCount()));
+    set("lycheeledge_ready_steps", "Steps with waiting tasks.", static_cast<double>(session.scheduler().readySteps()));
+    set("lycheeledge_calls_in_progress", "Clients' calls in progress.", static_cast<double>(m_calls));
+    set("lycheeledge_calls_total", "Clients' calls.", static_cast<double>(m_callsTotal));
+    set("lycheeledge_starts_total", "Starts of tasks.", static_cast<double>(counters.starts));
+    set("lycheeledge_ends_done_total", "Ends as done.", static_cast<double>(counters.endsDone));
+    set("lycheeledge_ends_failed_total", "Ends as failed.", static_cast<double>(counters.endsFailed));
+    set("lycheeledge_runs_lost_total", "Runs lost with their worker.", static_cast<double>(counters.runsLost));
+    set("lycheeledge_jobs_completed_total", "Completed jobs.", static_cast<double>(counters.jobsCompleted));
+    set("lycheeledge_jobs_failed_total", "Failed jobs.", static_cast<double>(counters.jobsFailed));
+    set("lycheeledge_jobs_refused_total", "Refused submissions.", static_cast<double>(calls.refused));
+    set("lycheeledge_commits_total", "Commits to the store.", static_cast<double>(session.ledger().commits()));
+    set("lycheeledge_admission_questions_total", "Questions to the admission service.",
+        static_cast<double>(counters.questions));
+    set("lycheeledge_log_lines_dropped_total", "Log lines over their budget.",
+        static_cast<double>(m_log.droppedLines()));
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/daemon/JsonEventLog.cpp
@@ -0,0 +1,101 @@
+// Structured log on standard output: one JSON object a line, with a budget for each kind of line.
+
+#include "JsonEventLog.h"
+
+#include "../protocol/JsonObject.h"
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeledge {
+
+namespace {
+
+    constexpr std::size_t writerThreads = 1;
+
+    void append(detail::JsonBuilder& out, const jobs::LogField& field)
+    {
+        std::visit([&out, &field](const auto& value) { out.field(field.name, value); }, field.value);
+    }
+
+} // namespace
+
+JsonEventLog::JsonEventLog(
+    Runtime& runtime, std::string member, std::function<std::int64_t()> unixMs, EventLogSettings settings)
+    : m_runtime(runtime)
+    , m_member(std::move(member))
+    , m_unixMs(std::move(unixMs))
+    , m_settings(settings)
+{
+    spdlog::init_thread_pool(m_settings.queueLength, writerThreads);
+    m_logger = std::make_shared<spdlog::async_logger>("events", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+        spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    m_logger->set_pattern("%v", spdlog::pattern_time_type::utc);
+    m_logger->flush_on(spdlog::level::info);
+}
+
+JsonEventLog::~JsonEventLog()
+{
+    flush();
+    m_logger.reset();
+    spdlog::shutdown();
+}
+
+bool JsonEventLog::spend(Budget& budget)
+{
+    const TimePoint now = m_runtime.now();
+    const double seconds = std::chrono::duration<double>(now - budget.filledAt).count();
+    budget.tokens = budget.filledAt == TimePoint()
+        ? m_settings.burst
+        : std::min<double>(m_settings.burst, budget.tokens + seconds * m_settings.linesPerSecond);
+    budget.filledAt = now;
+    if (budget.tokens < 1 || m_buffer.size() > m_settings.maxBufferedBytes) {
+        ++budget.dropped;
+        ++m_dropped;
+        return false;
+    }
+    budget.tokens -= 1;
+    return true;
+}
+
+void JsonEventLog::record(std::string_view event, std::initializer_list<jobs::LogField> fields)
+{
+    Budget& budget = m_budgets[std::string(event)];
+    if (!spend(budget))
+        return;
+    detail::JsonBuilder out;
+    out.begin().field("time_ms", m_unixMs()).field("member", m_member).field("event", event);
+    for (const auto& field : fields)
+        append(out, field);
+    if (const auto dropped = std::exchange(budget.dropped, 0))
+        out.field("dropped_before", dropped);
+    out.end();
+    if (!m_buffer.empty())
+        m_buffer += '\n';
+    m_buffer += out.text();
+    scheduleFlush();
+}
+
+void JsonEventLog::scheduleFlush()
+{
+    if (std::exchange(m_flushing, true))
+        return;
+    m_runtime.after(m_settings.flushInterval, [this, alive = std::weak_ptr<int>(m_alive)] {
+        if (alive.expired())
+            return;
+        m_flushing = false;
+        flush();
+    });
+}
+
+void JsonEventLog::flush()
+{
+    if (!m_buffer.empty())
+        m_logger->info("{}", std::exchange(m_buffer, {}));
+}
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/jobs/ClusterConfiguration.cpp
@@ -0,0 +1,54 @@
+// The operators' configuration: queues, pools of workers, client accounts.
+
+#include "ClusterConfiguration.h"
+
+#include <algorithm>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    template <typename T, typename Predicate> const T* findIn(const std::vector<T>& items, Predicate predicate)
+    {
+        const auto it = std::find_if(items.begin(), items.end(), predicate);
+        return it == items.end() ? nullptr : &*it;
+    }
+
+} // namespace
+
+const QueuePolicy* ClusterConfiguration::queueOf(std::string_view host, std::string_view path) const
+{
+    const QueuePolicy* best = nullptr;
+    for (const auto& queue : queues) {
+        if (queue.host != host || !path.starts_with(queue.prefix))
+            continue;
+        if (best == nullptr || queue.prefix.size() > best->prefix.size())
+            best = &queue;
+    }
+    return best;
+}
+
+const QueuePolicy* ClusterConfiguration::queueNamed(std::string_view name) const
+{
+    return findIn(queues, [name](const QueuePolicy& it) { return it.name == name; });
+}
+
+const ClientAccount* ClusterConfiguration::accountOfKey(std::string_view key) const
+{
+    if (key.empty())
+        return nullptr;
+    return findIn(accounts,
+        [key](const ClientAccount& it) { return std::find(it.keys.begin(), it.keys.end(), key) != it.keys.end(); });
+}
+
+const ClientAccount* ClusterConfiguration::account(const AccountId& id) const
+{
+    return findIn(accounts, [&id](const ClientAccount& it) { return it.id == id; });
+}
+
+const PoolPolicy* ClusterConfiguration::pool(std::string_view name) const
+{
+    return findIn(pools, [name](const PoolPolicy& it) { return it.name == name; });
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -0,0 +1,159 @@
+// One member: the owner, or a forwarder of calls to it.
+
+#include "EntryNode.h"
+
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    constexpr RelayId thisProcess = 0;
+
+} // namespace
+
+EntryNode::EntryNode(Ports ports, OwnerRecord self, const EntryNodeSettings& settings)
+    : m_runtime(ports.runtime)
+    , m_members(ports.members)
+    , m_admission(ports.admission)
+    , m_log(ports.log)
+    , m_desk(m_runtime, *this)
+    , m_lease(m_runtime, ports.store, m_log, self, settings.lease)
+    , m_link(m_runtime, m_members, m_admission, m_log, self.member, settings.link)
+    , m_session({ m_runtime, ports.store, ports.records, ports.codec, ports.submissions, ports.workers, m_desk, m_log,
+                    m_lease, ports.unixMs, [this] { welcomeAll(); } },
+          settings.scheduler, settings.service, settings.ledger, settings.session)
+{
+    m_lease.setListener(this);
+    m_desk.addRelay(thisProcess);
+}
+
+void EntryNode::start() { m_lease.start(); }
+
+bool EntryNode::isReady() const { return m_lease.isOwner() ? m_session.isActive() : m_link.isReady(); }
+
+void EntryNode::handle(const ClientCall& call, JobService::Reply reply)
+{
+    if (m_lease.isOwner())
+        m_session.handle(call, std::move(reply));
+    else
+        m_link.forward(call, std::move(reply));
+}
+
+void EntryNode::resign(std::function<void()> done)
+{
+    if (!m_lease.isOwner()) {
+        m_lease.resign();
+        m_runtime.post(std::move(done));
+        return;
+    }
+    m_session.flush([this, done = std::move(done)] {
+        m_lease.resign();
+        done();
+    });
+}
+
+void EntryNode::ownershipGained(Epoch epoch, const std::string& headValue, Revision headRevision)
+{
+    m_link.setOwner(std::nullopt);
+    m_session.begin(epoch, headValue, headRevision);
+}
+
+void EntryNode::ownershipLost(const char*)
+{
+    m_session.end();
+    for (const auto connection : std::exchange(m_followers, {})) {
+        m_desk.removeRelay(connection);
+        m_members.close(connection);
+    }
+    m_questions.clear();
+    m_link.setOwner(m_lease.owner());
+}
+
+void EntryNode::ownerChanged(const std::optional<OwnerRecord>& owner)
+{
+    if (!m_lease.isOwner())
+        m_link.setOwner(owner);
+}
+
+void EntryNode::welcomeAll()
+{
+    for (const auto connection : m_followers)
+        m_members.send(connection, Welcome { m_lease.epoch(), m_session.isActive() });
+}
+
+void EntryNode::connected(MemberConnection connection)
+{
+    if (m_link.owns(connection))
+        m_link.connected(connection);
+}
+
+void EntryNode::received(MemberConnection connection, const MemberMessage& message)
+{
+    if (m_link.owns(connection)) {
+        m_link.received(connection, message);
+        return;
+    }
+    if (!m_lease.isOwner()) {
+        m_members.close(connection); // the member knows an earlier owner; it looks again
+        return;
+    }
+    if (const auto* hello = std::get_if<Hello>(&message)) {
+        if (m_followers.insert(connection).second)
+            m_desk.addRelay(connection);
+        m_log.record("member_connected", { { "member", hello->member }, { "members", m_followers.size() } });
+        m_members.send(connection, Welcome { m_lease.epoch(), m_session.isActive() });
+    } else if (const auto* call = std::get_if<CallMessage>(&message)) {
+        m_session.handle(call->call, [this, connection, id = call->id](ClientReply reply) {
+            m_members.send(connection, CallReply { id, std::move(reply) });
+        });
+    } else if (const auto* reply = std::get_if<AdmissionReply>(&message)) {
+        if (reply->answered)
+            answered(reply->id, reply->grants);
+        else
+            answered(reply->id, absl::UnavailableError(reply->error));
+    } else if (const auto* ping = std::get_if<Ping>(&message)) {
+        if (!ping->reply)
+            m_members.send(connection, Ping { ping->number, true });
+    }
+}
+
+void EntryNode::closed(MemberConnection connection)
+{
+    if (m_link.owns(connection)) {
+        m_link.closed(connection);
+        return;
+    }
+    if (m_followers.erase(connection) == 0)
+        return;
+    m_desk.removeRelay(connection);
+    std::vector<std::uint64_t> lost;
+    for (const auto& [id, question] : m_questions) {
+        if (question.relay == connection)
+            lost.push_back(id);
+    }
+    for (const auto id : lost)
+        answered(id, absl::UnavailableError("the connection to the member closed"));
+}
+
+void EntryNode::ask(RelayId relay, const AdmissionQuestion& question, Duration timeout, Done done)
+{
+    if (relay == thisProcess) {
+        m_admission.ask(thisProcess, question, timeout, std::move(done));
+        return;
+    }
+    const std::uint64_t id = ++m_nextQuestion;
+    m_questions[id] = { relay, std::move(done) };
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
+    m_members.send(relay, AdmissionMessage { id, question, ms });
+    m_runtime.after(timeout, [this, id] { answered(id, absl::DeadlineExceededError("no answer from the member")); });
+}
+
+void EntryNode::answered(std::uint64_t id, const absl::StatusOr<std::vector<AdmissionGrant>>& grants)
+{
+    auto node = m_questions.extract(id);
+    if (!node.empty())
+        node.mapped().done(grants);
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -0,0 +1,102 @@
+// A job in the owner's memory.
+
+#include "Job.h"
+
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+Step* Job::find(const StepKey& key)
+{
+    const auto it = open.find(key.occurrence);
+    if (it == open.end() || key.step >= it->second.steps.size())
+        return nullptr;
+    return &it->second.steps[key.step];
+}
+
+Task* Job::find(const TaskKey& key)
+{
+    Step* step = find(stepOf(key));
+    return step != nullptr && key.index < step->tasks.size() ? &step->tasks[key.index] : nullptr;
+}
+
+Occurrence& Job::openOccurrence(std::uint32_t n, TimePoint now)
+{
+    Occurrence& occurrence = open[n];
+    occurrence.releasedAt = now;
+    occurrence.steps.resize(spec().steps.size());
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
+        occurrence.steps[i].tasks.resize(spec().steps[i].taskCount);
+    return occurrence;
+}
+
+ProgressRecord Job::progress() const
+{
+    ProgressRecord record { .state = state,
+        .account = submission.account,
+        .queue = submission.queue,
+        .endedUnixMs = endedUnixMs,
+        .nextOccurrence = nextOccurrence,
+        .open = {} };
+    if (isFinal(state))
+        return record;
+    for (const auto& [n, occurrence] : open) {
+        OccurrenceProgress entry { .occurrence = n, .steps = {} };
+        for (const auto& step : occurrence.steps) {
+            StepProgress& progress = entry.steps.emplace_back();
+            progress.gangFailures = step.gangFailures;
+            progress.gangCountedRun = step.gangCountedRun;
+            progress.allDone = step.isDone();
+            if (progress.allDone)
+                continue;
+            for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+                const Task& task = step.tasks[i];
+                const bool done = task.phase == TaskPhase::Done;
+                if (done || task.failures > 0 || !task.checkpoint.empty())
+                    progress.tasks.push_back(
+                        { i, done, task.failures, task.countedRun, done ? std::string() : task.checkpoint });
+            }
+        }
+        record.open.push_back(std::move(entry));
+    }
+    return record;
+}
+
+void Job::restore(const ProgressRecord& record, TimePoint now)
+{
+    state = record.state;
+    storedState = record.state;
+    nextOccurrence = record.nextOccurrence;
+    endedUnixMs = record.endedUnixMs;
+    open.clear();
+    for (const auto& entry : record.open) {
+        Occurrence& occurrence = openOccurrence(entry.occurrence, now);
+        for (std::size_t i = 0; i < entry.steps.size() && i < occurrence.steps.size(); ++i) {
+            const StepProgress& progress = entry.steps[i];
+            Step& step = occurrence.steps[i];
+            step.gangFailures = progress.gangFailures;
+            step.gangCountedRun = progress.gangCountedRun;
+            if (progress.allDone) {
+                for (auto& task : step.tasks)
+                    task.phase = TaskPhase::Done;
+                step.done = static_cast<std::uint32_t>(step.tasks.size());
+            }
+            for (const auto& taskProgress : progress.tasks) {
+                if (taskProgress.index >= step.tasks.size())
+                    continue;
+                Task& task = step.tasks[taskProgress.index];
+                task.failures = taskProgress.failures;
+                task.countedRun = taskProgress.countedRun;
+                task.checkpoint = taskProgress.checkpoint;
+                if (taskProgress.done && task.phase != TaskPhase::Done) {
+                    task.phase = TaskPhase::Done;
+                    ++step.done;
+                }
+            }
+            step.storedDone = step.done;
+        }
+    }
+    everStarted = state != JobState::Queued;
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/Job.h
@@ -0,0 +1,101 @@
+// A job in the owner's memory.
+#pragma once
+
+#include "JobRecord.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lycheeledge::jobs {
+
+enum class TaskPhase : std::uint8_t {
+    Waiting,
+    Starting, ///< an order was sent; whether it runs is not known
+    Running,
+    Stopping, ///< a stop was sent; it may still run
+    Done,
+};
+
+struct Task {
+    TaskPhase phase = TaskPhase::Waiting;
+    RunNumber run = 0; ///< of the latest start; 0 before the first
+    std::uint32_t failures = 0;
+    RunNumber countedRun = 0; ///< latest run whose end was counted
+    WorkerId worker; ///< set while Starting, Running or Stopping; capacity is reserved there exactly then
+    TimePoint since; ///< when the phase began
+    TimePoint confirmedAt; ///< when the worker confirmed the start or the stop; zero before
+    bool doneWithGang = false; ///< a member of this run ended as done, so this one has, too
+    TimePoint notBefore; ///< earliest next start
+    std::string checkpoint;
+    int progressPercent = 0;
+    TimePoint progressAt; ///< when progressPercent last changed
+    int pacePercent = 100;
+
+    bool occupiesWorker() const
+    {
+        return phase == TaskPhase::Starting || phase == TaskPhase::Running || phase == TaskPhase::Stopping;
+    }
+};
+
+struct Ticket {
+    std::string text;
+    TimePoint expiry;
+};
+
+/** @brief What the admission service has said about a step. */
+struct StepAdmission {
+    absl::flat_hash_map<WorkerId, Ticket> tickets;
+    absl::flat_hash_map<WorkerId, bool> allowed; ///< answers do not change while the step lives
+    bool asking = false;
+    TimePoint nextAsk;
+};
+
+struct Step {
+    std::vector<Task> tasks;
+    std::uint32_t done = 0;
+    std::uint32_t storedDone = 0; ///< ends that are stored; later steps wait for these
+    std::uint32_t occupying = 0; ///< tasks with reserved capacity
+    std::uint32_t gangFailures = 0;
+    RunNumber gangCountedRun = 0; ///< latest run of the gang whose failure was counted
+    bool released = false; ///< all earlier steps that it names are done, and that is stored
+    StepAdmission admission;
+
+    bool hasWaiting() const { return done + occupying < tasks.size(); }
+    bool isDone() const { return done == tasks.size(); }
+    bool isStoredDone() const { return storedDone == tasks.size(); }
+};
+
+struct Occurrence {
+    std::vector<Step> steps;
+    TimePoint releasedAt;
+    TimePoint objective; ///< when its last task should have ended
+};
+
+/** @brief State of one job. Its tasks belong to the released, unfinished occurrences. */
+struct Job {
+    JobId id;
+    SubmissionRecord submission; ///< the spec is dropped once the state is final
+    JobState state = JobState::Queued;
+    JobState storedState = JobState::Queued; ///< what callers are shown
+    bool accepted = false; ///< the submission is stored
+    bool everStarted = false; ///< a task has run
+    std::uint32_t nextOccurrence = 0;
+    std::map<std::uint32_t, Occurrence> open;
+    std::int64_t endedUnixMs = 0;
+    /// After a takeover: tasks that are not located may run on workers that have not reported.
+    bool mayRunElsewhere = false;
+
+    const JobSpec& spec() const { return submission.spec; }
+    Task* find(const TaskKey& key);
+    Step* find(const StepKey& key);
+    /** @brief Adds an occurrence with all of its tasks waiting. */
+    Occurrence& openOccurrence(std::uint32_t n, TimePoint now);
+    ProgressRecord progress() const;
+    /** @brief Restores what progress() returned. */
+    void restore(const ProgressRecord& record, TimePoint now);
+};
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/JobLedger.cpp
@@ -0,0 +1,293 @@
+// Writes changes of jobs to the store in group commits.
+
+#include "JobLedger.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    // A new submission is refused at once after this time without an applied commit. Longer than one lost answer.
+    constexpr Duration stallTime = std::chrono::milliseconds(1200);
+    // Rows of a transaction besides those of jobs: head condition, configuration condition, head, set of workers.
+    constexpr std::size_t reservedEntries = 4;
+    constexpr std::size_t maxEntriesOfJob = 2;
+
+    void callAll(std::vector<std::function<void()>> callbacks)
+    {
+        for (auto& callback : callbacks) {
+            if (callback)
+                callback();
+        }
+    }
+
+    std::size_t sizeOf(const StoreTransaction& transaction)
+    {
+        std::size_t n = 0;
+        for (const auto& put : transaction.puts)
+            n += put.key.size() + put.value.size();
+        return n;
+    }
+
+} // namespace
+
+JobLedger::JobLedger(Runtime& runtime, ClusterStore& store, const RecordCodec& codec, EventLog& log,
+    std::string configurationKey, LedgerSettings settings)
+    : m_runtime(runtime)
+    , m_store(store)
+    , m_codec(codec)
+    , m_log(log)
+    , m_configurationKey(std::move(configurationKey))
+    , m_settings(settings)
+{
+}
+
+JobLedger::~JobLedger() { close(); }
+
+void JobLedger::open(const std::string& headValue, Revision headRevision)
+{
+    close();
+    m_open = true;
+    m_session = std::make_shared<int>();
+    m_headPrefix = headValue;
+    m_sequence = 0;
+    m_headRevision = headRevision;
+    m_failingSince.reset();
+    schedule();
+}
+
+void JobLedger::close()
+{
+    m_open = false;
+    m_session.reset();
+    m_batch.reset();
+    m_dirty.clear();
+    m_waiting.clear();
+    m_workers.reset();
+    m_workersStored.clear();
+    m_flushed.clear();
+    if (m_timer)
+        m_runtime.cancel(*m_timer);
+    m_timer.reset();
+}
+
+void JobLedger::changed(const JobId& job, std::function<void()> stored)
+{
+    if (!m_open)
+        return;
+    const auto [it, added] = m_waiting.try_emplace(job);
+    if (added)
+        m_dirty.push_back(job);
+    if (stored)
+        it->second.push_back(std::move(stored));
+    schedule();
+}
+
+void JobLedger::setWorkers(WorkerSetRecord workers, std::function<void()> stored)
+{
+    if (!m_open)
+        return;
+    m_workers = std::move(workers);
+    m_workersStored.push_back(std::move(stored));
+    schedule();
+}
+
+void JobLedger::whenFlushed(std::function<void()> done)
+{
+    if (!m_open || (!m_batch && m_dirty.empty() && !m_workers))
+        m_runtime.post(std::move(done));
+    else
+        m_flushed.push_back(std::move(done));
+}
+
+bool JobLedger::isCommitting(const JobId& job) const
+{
+    return m_batch
+        && std::any_of(m_batch->entries.begin(), m_batch->entries.end(),
+            [&job](const Entry& entry) { return entry.job == job; });
+}
+
+bool JobLedger::isStalled() const { return m_failingSince && m_runtime.now() - *m_failingSince > stallTime; }
+
+void JobLedger::schedule()
+{
+    if (!m_open || m_batch || m_timer || (m_dirty.empty() && !m_workers))
+        return;
+    const Duration delay = std::max(Duration::zero(), Duration(m_nextCommit - m_runtime.now()));
+    m_timer = m_runtime.after(delay, [this] {
+        m_timer.reset();
+        pump();
+    });
+}
+
+void JobLedger::pump()
+{
+    if (!m_open || m_batch)
+        return;
+    Batch batch = takeBatch();
+    if (batch.entries.empty() && !batch.writesWorkers) {
+        callAll(std::exchange(m_flushed, {}));
+        return;
+    }
+    m_batch = std::move(batch);
+    send();
+}
+
+JobLedger::Batch JobLedger::takeBatch()
+{
+    Batch batch;
+    auto& transaction = batch.transaction;
+    if (m_workers) {
+        batch.writesWorkers = true;
+        batch.workersStored = std::exchange(m_workersStored, {});
+        transaction.puts.push_back({ m_keys.workers, m_codec.encode(*m_workers), std::nullopt });
+        m_workers.reset();
+    }
+    std::size_t n = reservedEntries;
+    while (!m_dirty.empty() && n + maxEntriesOfJob <= m_settings.maxEntries
+        && sizeOf(transaction) < m_settings.maxBatchBytes) {
+        const JobId job = std::move(m_dirty.front());
+        m_dirty.pop_front();
+        auto waiting = m_waiting.extract(job);
+        auto change = m_source->changeOf(job);
+        if (!change)
+            continue;
+        n += append(batch, job, *change);
+        batch.entries.push_back({ job, *std::move(change), std::move(waiting.mapped()) });
+    }
+    batch.headValue = nextHeadValue();
+    transaction.puts.push_back({ m_keys.head, batch.headValue, std::nullopt });
+    transaction.conditions.push_back({ m_keys.head, m_headRevision });
+    if (batch.checksConfiguration)
+        transaction.conditions.push_back({ m_configurationKey, m_source->configurationRevision() });
+    return batch;
+}
+
+std::size_t JobLedger::append(Batch& batch, const JobId& job, const JobChange& change) const
+{
+    auto& transaction = batch.transaction;
+    const std::size_t before = transaction.puts.size() + transaction.erases.size();
+    const std::string submissionKey = m_keys.submissionPrefix + job.value();
+    const std::string progressKey = m_keys.progressPrefix + job.value();
+    if (change.submission) {
+        transaction.puts.push_back({ submissionKey, m_codec.encode(*change.submission), std::nullopt });
+        batch.checksConfiguration = true;
+    }
+    if (change.progress)
+        transaction.puts.push_back({ progressKey, m_codec.encode(*change.progress), std::nullopt });
+    if (change.eraseSubmission)
+        transaction.erases.push_back(submissionKey);
+    if (change.eraseProgress)
+        transaction.erases.push_back(progressKey);
+    return transaction.puts.size() + transaction.erases.size() - before;
+}
+
+std::string JobLedger::nextHeadValue() { return absl::StrCat(m_headPrefix, "/", ++m_sequence); }
+
+void JobLedger::send()
+{
+    m_nextCommit = m_runtime.now() + m_settings.commitInterval;
+    m_store.commit(m_batch->transaction, m_settings.commitTimeout,
+        [this, sentAt = m_runtime.now(), session = std::weak_ptr<int>(m_session)](
+            const absl::StatusOr<CommitResult>& result) {
+            if (!session.expired())
+                answered(sentAt, result);
+        });
+}
+
+void JobLedger::answered(TimePoint sentAt, const absl::StatusOr<CommitResult>& result)
+{
+    if (!result.ok()) {
+        if (!m_failingSince) {
+            m_failingSince = sentAt;
+            m_log.record("store_commit_failing",
+                { { "entries", m_batch->entries.size() }, { "error", result.status().message() } });
+        }
+        m_timer = m_runtime.after(m_settings.retryPause, [this] {
+            m_timer.reset();
+            send();
+        });
+        return;
+    }
+    if (m_failingSince) {
+        m_log.record("store_commit_recovered",
+            { { "failing_ms", std::chrono::duration<double, std::milli>(m_runtime.now() - *m_failingSince).count() } });
+        m_failingSince.reset();
+    }
+    if (result->applied)
+        applied(sentAt, result->revision);
+    else
+        refused(*result);
+}
+
+void JobLedger::applied(TimePoint sentAt, Revision revision)
+{
+    m_headRevision = revision;
+    m_lastCommit = sentAt;
+    ++m_commits;
+    const Batch batch = *std::exchange(m_batch, std::nullopt);
+    const std::weak_ptr<int> session = m_session;
+    for (const auto& entry : batch.entries) {
+        m_source->changeStored(entry.job, entry.change);
+        callAll(entry.stored);
+        if (session.expired())
+            return;
+    }
+    callAll(batch.workersStored);
+    if (session.expired())
+        return;
+    if (m_dirty.empty() && !m_workers)
+        callAll(std::exchange(m_flushed, {}));
+    schedule();
+}
+
+void JobLedger::refused(const CommitResult& result)
+{
+    const auto head = std::find_if(result.current.begin(), result.current.end(),
+        [this](const StoreEntry& entry) { return entry.key == m_keys.head; });
+    if (head != result.current.end() && head->value == m_batch->headValue) {
+        applied(m_runtime.now(), head->modRevision); // an earlier copy of this transaction
+        return;
+    }
+    if (head == result.current.end() || head->modRevision != m_headRevision) {
+        m_log.record("ledger_lost",
+            { { "expected_revision", m_headRevision },
+                { "head", head == result.current.end() ? std::string() : head->value } });
+        m_source->ledgerLost();
+        return;
+    }
+    // The head is ours, so the configuration has changed. Late copies of this transaction fail for the same reason.
+    putBack(*std::exchange(m_batch, std::nullopt));
+    const auto configuration = std::find_if(result.current.begin(), result.current.end(),
+        [this](const StoreEntry& entry) { return entry.key == m_configurationKey; });
+    const std::weak_ptr<int> session = m_session;
+    if (configuration != result.current.end())
+        m_source->configurationSuperseded(*configuration);
+    if (!session.expired())
+        schedule();
+}
+
+void JobLedger::putBack(Batch batch)
+{
+    for (auto it = batch.entries.rbegin(); it != batch.entries.rend(); ++it) {
+        const auto [waiting, added] = m_waiting.try_emplace(it->job);
+        if (added)
+            m_dirty.push_front(it->job);
+        waiting->second.insert(waiting->second.begin(), std::make_move_iterator(it->stored.begin()),
+            std::make_move_iterator(it->stored.end()));
+    }
+    if (batch.writesWorkers && !m_workers) {
+        // The set is part of the transaction, so it is taken from there.
+        const auto workers = m_codec.decodeWorkerSet(batch.transaction.puts.front().value);
+        if (workers.ok())
+            m_workers = *workers;
+    }
+    m_workersStored.insert(m_workersStored.begin(), std::make_move_iterator(batch.workersStored.begin()),
+        std::make_move_iterator(batch.workersStored.end()));
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/JobRecord.h
@@ -0,0 +1,99 @@
+// Durable form of a job: what the next owner needs to continue it.
+#pragma once
+
+#include "JobSpec.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheeledge::jobs {
+
+enum class JobState : std::uint8_t { Queued, Running, Completed, Failed, Cancelled };
+
+inline bool isFinal(JobState state)
+{
+    return state == JobState::Completed || state == JobState::Failed || state == JobState::Cancelled;
+}
+
+/** @brief An accepted submission. Written once. */
+struct SubmissionRecord {
+    AccountId account; ///< empty for a queue open to all
+    std::string queue;
+    JobSpec spec;
+    std::int64_t acceptedUnixMs = 0;
+
+    bool operator==(const SubmissionRecord&) const = default;
+};
+
+/** @brief What is kept of one task that has not simply been waiting. */
+struct TaskProgress {
+    std::uint32_t index = 0;
+    bool done = false;
+    std::uint32_t failures = 0;
+    RunNumber countedRun = 0; ///< latest run whose end was counted; a repeated report of it is ignored
+    std::string checkpoint;
+
+    bool operator==(const TaskProgress&) const = default;
+};
+
+struct StepProgress {
+    std::uint32_t gangFailures = 0;
+    RunNumber gangCountedRun = 0; ///< latest run of the gang whose failure was counted
+    bool allDone = false; ///< then `tasks` is empty
+    std::vector<TaskProgress> tasks; ///< by index; tasks without progress are left out
+
+    bool operator==(const StepProgress&) const = default;
+};
+
+struct OccurrenceProgress {
+    std::uint32_t occurrence = 0;
+    std::vector<StepProgress> steps;
+
+    bool operator==(const OccurrenceProgress&) const = default;
+};
+
+/** @brief Progress of a job; replaced as a whole at each commit. */
+struct ProgressRecord {
+    JobState state = JobState::Queued;
+    AccountId account;
+    std::string queue;
+    std::int64_t endedUnixMs = 0; ///< 0 unless the state is final
+    std::uint32_t nextOccurrence = 0; ///< lower ones have been released
+    std::vector<OccurrenceProgress> open; ///< released and not yet done; empty if the state is final
+
+    bool operator==(const ProgressRecord&) const = default;
+};
+
+/** @brief A worker to which orders may have been sent. */
+struct KnownWorker {
+    WorkerId id;
+    std::string address;
+
+    bool operator==(const KnownWorker&) const = default;
+};
+
+/** @brief Workers on which tasks of any owner may still run; stored before the first order to one of them. */
+struct WorkerSetRecord {
+    std::vector<KnownWorker> workers;
+
+    bool operator==(const WorkerSetRecord&) const = default;
+};
+
+/** @brief Binary form of the records. Decoding errors: `INVALID_ARGUMENT` for bytes that are no such record. */
+class RecordCodec {
+public:
+    virtual ~RecordCodec() = default;
+
+    virtual std::string encode(const SubmissionRecord& record) const = 0;
+    virtual std::string encode(const ProgressRecord& record) const = 0;
+    virtual std::string encode(const WorkerSetRecord& record) const = 0;
+    virtual absl::StatusOr<SubmissionRecord> decodeSubmission(std::string_view buf) const = 0;
+    virtual absl::StatusOr<ProgressRecord> decodeProgress(std::string_view buf) const = 0;
+    virtual absl::StatusOr<WorkerSetRecord> decodeWorkerSet(std::string_view buf) const = 0;
+};
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -0,0 +1,635 @@
+// The owner's scheduler: jobs, steps and the passes that place them.
+
+#include "JobScheduler.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    // Queues of this priority are urgent: their tasks are short and spread over the emptiest workers.
+    constexpr std::uint32_t urgentPriority = 0;
+    // A result is worth something up to this multiple of the objective (users' statement).
+    constexpr int worthlessFactor = 3;
+    // A ticket must outlive the order that carries it.
+    constexpr Duration ticketMargin = std::chrono::milliseconds(60);
+    constexpr Duration admissionRetryPause = std::chrono::milliseconds(100);
+    // After a question that brought no place, the next one waits for room to change.
+    constexpr Duration admissionRepeatPause = std::chrono::milliseconds(150);
+
+    Duration milliseconds(double n)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(n));
+    }
+
+    double toMs(Duration value) { return std::chrono::duration<double, std::milli>(value).count(); }
+
+    bool hasLabel(const WorkerRecord& record, const std::string& label)
+    {
+        return label.empty()
+            || std::find(record.labels.begin(), record.labels.end(), label) != record.labels.end();
+    }
+
+} // namespace
+
+std::string describe(const TaskKey& key)
+{
+    return absl::StrCat(key.job.value(), ".", key.occurrence, ".", key.step, ".", key.index);
+}
+
+JobScheduler::JobScheduler(Ports ports, JobSchedulerSettings settings)
+    : m_runtime(ports.runtime)
+    , m_port(ports.workers)
+    , m_admission(ports.admission)
+    , m_ledger(ports.ledger)
+    , m_log(ports.log)
+    , m_host(ports.host)
+    , m_settings(settings)
+{
+}
+
+JobScheduler::~JobScheduler() { end(); }
+
+void JobScheduler::begin(Epoch epoch)
+{
+    end();
+    m_session = std::make_shared<int>();
+    m_epoch = epoch;
+    m_running = true;
+    m_begun = m_runtime.now();
+    const Duration lease = m_settings.link.lease;
+    const auto longest = std::chrono::duration_cast<Duration>(lease / (1 - m_settings.link.clockSlowdown));
+    m_unlocatedUntil = m_begun + m_settings.ownerConfirmation + longest + m_settings.startTimeout;
+    tick();
+}
+
+void JobScheduler::end()
+{
+    m_running = false;
+    m_recovered = false;
+    m_active = false;
+    m_session.reset();
+    for (auto* timer : { &m_passTimer, &m_tickTimer }) {
+        if (*timer)
+            m_runtime.cancel(**timer);
+        timer->reset();
+    }
+    m_admission.clear();
+    m_jobs.clear();
+    m_ready.clear();
+    m_workers.clear();
+    m_storedWorkers.clear();
+    m_usage.clear();
+    m_finished.clear();
+    m_scheduled.clear();
+    m_quarantine = FailureQuarantine();
+}
+
+void JobScheduler::recover(
+    const JobId& id, std::optional<SubmissionRecord> submission, std::optional<ProgressRecord> progress)
+{
+    auto job = std::make_unique<Job>();
+    job->id = id;
+    job->accepted = true;
+    if (submission)
+        job->submission = *std::move(submission);
+    if (progress) {
+        if (!submission) {
+            job->submission.account = progress->account;
+            job->submission.queue = progress->queue;
+        }
+        job->restore(*progress, m_runtime.now());
+    }
+    if (isFinal(job->state)) {
+        m_finished.emplace(job->endedUnixMs, id);
+        m_jobs[id] = std::move(job);
+        return;
+    }
+    if (!submission) {
+        m_log.record("job_without_submission", { { "job", id.value() } });
+        return;
+    }
+    job->mayRunElsewhere = true;
+    const Duration age = std::chrono::milliseconds(
+        std::max<std::int64_t>(0, m_host.unixMs() - job->submission.acceptedUnixMs));
+    Job& stored = *(m_jobs[id] = std::move(job));
+    releaseDueOccurrences(stored);
+    for (auto& [n, occurrence] : stored.open) {
+        // Objectives of scheduled occurrences count from their due time, which releaseDueOccurrences() knows.
+        if (!stored.spec().isScheduled()) {
+            occurrence.releasedAt -= age;
+            occurrence.objective -= age;
+        }
+    }
+    releaseSteps(stored);
+}
+
+void JobScheduler::recoverWorkers(const WorkerSetRecord& workers)
+{
+    for (const auto& known : workers.workers) {
+        m_storedWorkers.insert(known.id);
+        if (m_workers.find(known.id) != nullptr)
+            continue;
+        Worker& worker = m_workers.add(known.id);
+        worker.record.id = known.id;
+        worker.record.address = known.address;
+        worker.missingSince = m_runtime.now();
+        connect(worker);
+    }
+}
+
+void JobScheduler::activate()
+{
+    m_recovered = true;
+    m_log.record("scheduler_recovered",
+        { { "epoch", m_epoch }, { "jobs", m_jobs.size() }, { "workers", m_workers.all().size() } });
+    requestPass();
+}
+
+void JobScheduler::setConfiguration(std::shared_ptr<const ClusterConfiguration> configuration)
+{
+    m_configuration = std::move(configuration);
+    requestPass();
+}
+
+void JobScheduler::submit(const JobId& id, SubmissionRecord submission, std::function<void()> stored)
+{
+    auto job = std::make_unique<Job>();
+    job->id = id;
+    job->submission = std::move(submission);
+    Job& added = *(m_jobs[id] = std::move(job));
+    markChanged(added, std::move(stored));
+}
+
+void JobScheduler::withdraw(const JobId& id)
+{
+    const auto it = m_jobs.find(id);
+    if (it != m_jobs.end() && !it->second->accepted)
+        m_jobs.erase(it);
+}
+
+void JobScheduler::cancel(const JobId& id, std::function<void()> stored)
+{
+    Job* job = find(id);
+    if (job == nullptr || isFinal(job->state)) {
+        if (job != nullptr && !isFinal(job->storedState))
+            markChanged(*job, std::move(stored));
+        else
+            m_runtime.post(std::move(stored));
+        return;
+    }
+    finish(*job, JobState::Cancelled, "cancelled by its client account");
+    markChanged(*job, std::move(stored));
+}
+
+std::optional<JobChange> JobScheduler::changeOf(const JobId& id)
+{
+    Job* job = find(id);
+    if (job == nullptr)
+        return JobChange { .submission = {}, .progress = {}, .eraseSubmission = true, .eraseProgress = true };
+    JobChange change;
+    if (!job->accepted && !isFinal(job->state))
+        change.submission = job->submission;
+    else
+        change.progress = job->progress();
+    change.eraseSubmission = isFinal(job->state);
+    return change;
+}
+
+void JobScheduler::changeStored(const JobId& id, const JobChange& change)
+{
+    Job* job = find(id);
+    if (job == nullptr)
+        return;
+    if (change.submission) {
+        job->accepted = true;
+        m_log.record("job_accepted",
+            { { "job", id.value() }, { "account", job->submission.account.value() },
+                { "queue", job->submission.queue }, { "steps", job->spec().steps.size() } });
+        releaseDueOccurrences(*job);
+    }
+    if (change.progress) {
+        job->storedState = change.progress->state;
+        if (isFinal(job->storedState))
+            job->submission.spec = {};
+        for (const auto& entry : change.progress->open) {
+            const auto open = job->open.find(entry.occurrence);
+            if (open == job->open.end())
+                continue;
+            for (std::size_t i = 0; i < entry.steps.size(); ++i) {
+                const auto& progress = entry.steps[i];
+                auto& step = open->second.steps[i];
+                step.storedDone = progress.allDone ? static_cast<std::uint32_t>(step.tasks.size())
+                                                   : static_cast<std::uint32_t>(std::count_if(progress.tasks.begin(),
+                                                       progress.tasks.end(), [](const auto& it) { return it.done; }));
+            }
+        }
+    }
+    if (!isFinal(job->state))
+        releaseSteps(*job);
+    requestPass();
+}
+
+const Job* JobScheduler::job(const JobId& id) const
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+Job* JobScheduler::find(const JobId& id)
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+std::size_t JobScheduler::waitingCount(const std::string& queue) const
+{
+    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&queue](const auto& it) {
+        const Job& job = *it.second;
+        return job.accepted && job.submission.queue == queue && !job.everStarted && !isFinal(job.state);
+    }));
+}
+
+Resources JobScheduler::usage(const AccountId& account) const
+{
+    const auto it = m_usage.find(account);
+    return it == m_usage.end() ? Resources {} : it->second;
+}
+
+void JobScheduler::markChanged(const Job& job, std::function<void()> stored)
+{
+    m_ledger.changed(job.id, std::move(stored));
+}
+
+const QueuePolicy* JobScheduler::queueOf(const Job& job) const
+{
+    return m_configuration ? m_configuration->queueNamed(job.submission.queue) : nullptr;
+}
+
+// --- Passes ---
+
+void JobScheduler::requestPass()
+{
+    if (!m_running || m_passTimer)
+        return;
+    m_passTimer = m_runtime.after(m_settings.passDelay, [this] {
+        m_passTimer.reset();
+        pass();
+    });
+}
+
+void JobScheduler::tick()
+{
+    m_tickTimer = m_runtime.after(m_settings.tickInterval, [this] { tick(); });
+    if (!m_recovered)
+        return;
+    for (auto it = m_scheduled.begin(); it != m_scheduled.end();) {
+        Job* job = find(*it++);
+        if (job != nullptr)
+            releaseDueOccurrences(*job);
+    }
+    expireWorkers();
+    const std::int64_t oldest = m_host.unixMs()
+        - std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.statusRetention).count();
+    while (!m_finished.empty() && m_finished.begin()->first < oldest) {
+        const JobId id = m_finished.begin()->second;
+        m_finished.erase(m_finished.begin());
+        m_jobs.erase(id);
+        m_ledger.changed(id);
+    }
+    requestPass();
+}
+
+void JobScheduler::releaseDueOccurrences(Job& job)
+{
+    if (isFinal(job.state))
+        return;
+    const QueuePolicy* queue = queueOf(job);
+    const double stretch = queue != nullptr ? queue->stretch : 1;
+    const Duration latency = queue != nullptr ? queue->latencyObjective : Duration::zero();
+    const auto length = milliseconds(stretch * toMs(estimatedChain(job.spec()))) + latency;
+    for (auto& [n, occurrence] : job.open) {
+        if (occurrence.objective == TimePoint())
+            occurrence.objective = occurrence.releasedAt + length;
+    }
+    const std::int64_t nowMs = m_host.unixMs();
+    while (job.nextOccurrence < job.spec().occurrenceCount()) {
+        if (job.spec().isScheduled()) {
+            const std::int64_t due = job.spec().firstDueUnixMs + job.nextOccurrence * job.spec().intervalMs;
+            if (due > nowMs)
+                break;
+        }
+        Occurrence& occurrence = job.openOccurrence(job.nextOccurrence++, m_runtime.now());
+        occurrence.objective = occurrence.releasedAt + length;
+    }
+    if (job.nextOccurrence < job.spec().occurrenceCount())
+        m_scheduled.insert(job.id);
+    else
+        m_scheduled.erase(job.id);
+    releaseSteps(job);
+}
+
+void JobScheduler::releaseSteps(Job& job)
+{
+    if (!job.accepted)
+        return;
+    for (auto& [n, occurrence] : job.open) {
+        for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+            Step& step = occurrence.steps[i];
+            if (!step.released) {
+                const auto& after = job.spec().steps[i].after;
+                step.released = std::all_of(after.begin(), after.end(),
+                    [&occurrence](std::uint32_t k) { return occurrence.steps[k].isStoredDone(); });
+            }
+            refreshReady({ job.id, n, i }, job, step);
+        }
+    }
+    const bool allReleased = job.nextOccurrence >= job.spec().occurrenceCount();
+    for (auto it = job.open.begin(); it != job.open.end();) {
+        const auto& steps = it->second.steps;
+        const bool done = std::all_of(steps.begin(), steps.end(), [](const Step& step) { return step.isDone(); });
+        // The last occurrence stays until the job's final state takes its place.
+        if (done && (!allReleased || job.open.size() > 1))
+            it = job.open.erase(it);
+        else if (done && isFinal(job.state))
+            return;
+        else if (done) {
+            finish(job, JobState::Completed, "all tasks done");
+            markChanged(job);
+            return;
+        } else
+            ++it;
+    }
+}
+
+void JobScheduler::refreshReady(const StepKey& key, const Job& job, const Step& step)
+{
+    if (step.released && step.hasWaiting() && !isFinal(job.state))
+        m_ready.insert(key);
+    else
+        m_ready.erase(key);
+}
+
+bool JobScheduler::mayStart(const Job& job) const
+{
+    return !job.mayRunElsewhere || m_runtime.now() >= m_unlocatedUntil
+        || std::all_of(m_workers.all().begin(), m_workers.all().end(),
+            [](const auto& it) { return it.second.reported; });
+}
+
+StepUrgency JobScheduler::urgencyOf(const Job& job, const StepKey& key) const
+{
+    StepUrgency result;
+    const QueuePolicy* queue = queueOf(job);
+    result.priority = queue != nullptr ? queue->priority : 0;
+    const ClientAccount* account
+        = m_configuration ? m_configuration->account(job.submission.account) : nullptr;
+    if (account != nullptr && queue != nullptr && account->weight > 0) {
+        const double share = usage(account->id).dominantShare(m_workers.capacity(queue->pool));
+        result.shareOfAccount = share / account->weight;
+    }
+    const auto open = job.open.find(key.occurrence);
+    if (open != job.open.end()) {
+        const Occurrence& occurrence = open->second;
+        result.objective = occurrence.objective;
+        result.worthlessAt
+            = occurrence.releasedAt + worthlessFactor * (occurrence.objective - occurrence.releasedAt);
+        for (std::size_t i = key.step; i < occurrence.steps.size(); ++i) {
+            if (!occurrence.steps[i].isDone())
+                result.remaining += job.spec().steps[i].estimatedRunTime;
+        }
+        result.age = static_cast<std::uint64_t>(occurrence.releasedAt.time_since_epoch().count());
+    }
+    return result;
+}
+
+void JobScheduler::pass()
+{
+    if (!m_recovered || !m_configuration || !m_host.mayOrder())
+        return;
+    if (!m_active) {
+        m_active = true;
+        m_log.record("scheduler_active", { { "epoch", m_epoch }, { "after_ms", toMs(m_runtime.now() - m_begun) } });
+    }
+    std::vector<std::pair<StepUrgency, StepKey>> waiting;
+    double weights = 0;
+    absl::flat_hash_set<AccountId> accounts;
+    for (const auto& key : m_ready) {
+        const Job& job = *m_jobs.at(key.job);
+        waiting.emplace_back(urgencyOf(job, key), key);
+        const ClientAccount* account = m_configuration->account(job.submission.account);
+        if (account != nullptr && accounts.insert(account->id).second)
+            weights += account->weight;
+    }
+    const ObjectiveOrder order(weights > 0 ? 1 / weights : 1);
+    const TimePoint now = m_runtime.now();
+    std::sort(waiting.begin(), waiting.end(),
+        [&order, now](const auto& a, const auto& b) { return order.before(a.first, b.first, now); });
+    for (const auto& [urgency, key] : waiting) {
+        if (Job* job = find(key.job); job != nullptr && !isFinal(job->state))
+            scheduleStep(*job, key);
+    }
+}
+
+bool JobScheduler::isPlaceable(const Worker& worker) const
+{
+    const TimePoint now = m_runtime.now();
+    if (worker.record.draining || !worker.reported || !worker.link || !worker.link->isReachable())
+        return false;
+    if (!worker.registered && now - worker.missingSince > m_settings.missingGrace)
+        return false;
+    return m_storedWorkers.contains(worker.record.id) && !m_cordoned.contains(worker.record.id)
+        && now >= worker.refusesUntil && !m_quarantine.isQuarantined(worker.record.id, now);
+}
+
+std::vector<PlacementCandidate> JobScheduler::candidates(const Job& job, const StepKey& key, bool needsTicket)
+{
+    const QueuePolicy* queue = queueOf(job);
+    const Step& step = *const_cast<Job&>(job).find(key);
+    const StepSpec& spec = job.spec().steps[key.step];
+    const TimePoint usable = m_runtime.now() + ticketMargin;
+    std::vector<PlacementCandidate> result;
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (queue == nullptr || worker.record.pool != queue->pool || !isPlaceable(worker))
+            continue;
+        if (!hasLabel(worker.record, spec.requiredLabel))
+            continue;
+        if (needsTicket) {
+            const auto ticket = step.admission.tickets.find(id);
+            if (ticket == step.admission.tickets.end() || ticket->second.expiry < usable)
+                continue;
+        }
+        PlacementCandidate candidate { .worker = id,
+            .rack = worker.record.rack,
+            .free = worker.free(),
+            .capacity = worker.record.capacity,
+            .preferLess = m_quarantine.isOnProbation(id) };
+        for (const auto& [task, run] : worker.runs) {
+            candidate.hasServingTasks |= run.servesUsers;
+            candidate.hasFillingTasks |= run.usesIdleCpu;
+            candidate.tasksOfStep += stepOf(task) == key ? 1 : 0;
+        }
+        result.push_back(std::move(candidate));
+    }
+    return result;
+}
+
+bool JobScheduler::withinLimit(const Job& job, const StepSpec& spec, std::uint32_t count) const
+{
+    const ClientAccount* account = m_configuration->account(job.submission.account);
+    if (account == nullptr)
+        return true;
+    const Resources after = usage(account->id) + spec.request * count;
+    const Resources& limit = account->upperLimit;
+    const auto within = [](std::int64_t amount, std::int64_t most) { return most == 0 || amount <= most; };
+    return within(after.milliCpu, limit.milliCpu) && within(after.memoryMb, limit.memoryMb)
+        && within(after.accelerators, limit.accelerators);
+}
+
+void JobScheduler::scheduleStep(Job& job, const StepKey& key)
+{
+    const QueuePolicy* queue = queueOf(job);
+    Step* step = job.find(key);
+    if (queue == nullptr || step == nullptr || !mayStart(job))
+        return;
+    const StepSpec& spec = job.spec().steps[key.step];
+    const TimePoint now = m_runtime.now();
+    std::vector<std::uint32_t> due;
+    for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
+        const Task& task = step->tasks[i];
+        if (task.phase == TaskPhase::Waiting && task.notBefore <= now)
+            due.push_back(i);
+    }
+    if (due.empty() || (spec.gang && due.size() + step->done < step->tasks.size()))
+        return;
+    const auto goal = queue->priority == urgentPriority ? PlacementGoal::Spread : PlacementGoal::Pack;
+    Placement placement(spec, candidates(job, key, queue->admission.has_value()), goal);
+    std::size_t placed = 0;
+    if (spec.gang) {
+        if (withinLimit(job, spec, static_cast<std::uint32_t>(due.size()))) {
+            const auto places = placement.placeGang(due.size());
+            const RunNumber run = nextRun(*step, step->tasks[due.front()], true);
+            for (; placed < places.size(); ++placed) {
+                const WorkerId worker = placement.candidate(places[placed]).worker;
+                startTask(job, { key.job, key.occurrence, key.step, due[placed] }, *m_workers.find(worker), run);
+            }
+        }
+    } else {
+        for (const auto i : due) {
+            if (!withinLimit(job, spec, 1))
+                break;
+            const auto n = placement.place();
+            if (!n)
+                break;
+            startTask(job, { key.job, key.occurrence, key.step, i }, *m_workers.find(placement.candidate(*n).worker),
+                nextRun(*step, step->tasks[i], false));
+            ++placed;
+        }
+    }
+    if (placed < due.size() && queue->admission && withinLimit(job, spec, 1))
+        askAdmission(job, key, *queue->admission, queue->priority);
+    refreshReady(key, job, *step);
+}
+
+// --- Admission ---
+
+void JobScheduler::askAdmission(
+    Job& job, const StepKey& key, const AdmissionPolicy& policy, std::uint32_t priority)
+{
+    Step& step = *job.find(key);
+    if (step.admission.asking || m_runtime.now() < step.admission.nextAsk)
+        return;
+    if (chooseForQuestion(key).empty())
+        return;
+    step.admission.asking = true;
+    m_admission.request({ .step = key,
+        .priority = priority,
+        .policy = policy,
+        .choose = [this, key, session = std::weak_ptr<int>(m_session)] {
+            if (session.expired())
+                return std::vector<WorkerId> {};
+            auto workers = chooseForQuestion(key);
+            if (workers.empty()) {
+                Job* owner = find(key.job);
+                if (Step* asked = owner != nullptr ? owner->find(key) : nullptr)
+                    asked->admission.asking = false;
+            }
+            return workers;
+        },
+        .done = [this, key, policy](const auto& asked, const auto& grants) {
+            admissionAnswered(key, policy, asked, grants);
+        } });
+}
+
+// Names the workers with room for a task that the service may allow: those it has allowed before, else those it has
+// not been asked about. Tickets last about 2 s, so a worker without room is not worth its time.
+std::vector<WorkerId> JobScheduler::chooseForQuestion(const StepKey& key)
+{
+    Job* job = find(key.job);
+    Step* step = job != nullptr ? job->find(key) : nullptr;
+    if (step == nullptr || isFinal(job->state) || !step->hasWaiting())
+        return {};
+    const StepSpec& spec = job->spec().steps[key.step];
+    const Resources reservation = reservationOf(spec);
+    const TimePoint usable = m_runtime.now() + ticketMargin;
+    std::vector<std::pair<double, WorkerId>> known;
+    std::vector<std::pair<double, WorkerId>> unknown;
+    for (const auto& candidate : candidates(*job, key, false)) {
+        const auto ticket = step->admission.tickets.find(candidate.worker);
+        if (ticket != step->admission.tickets.end() && ticket->second.expiry >= usable)
+            continue;
+        if (!reservation.fitsIn(candidate.free))
+            continue;
+        const double room = static_cast<double>(candidate.free.milliCpu);
+        const auto answer = step->admission.allowed.find(candidate.worker);
+        if (answer == step->admission.allowed.end())
+            unknown.emplace_back(-room, candidate.worker);
+        else if (answer->second)
+            known.emplace_back(-room, candidate.worker);
+    }
+    std::sort(known.begin(), known.end());
+    std::sort(unknown.begin(), unknown.end());
+    const bool repeat = !known.empty();
+    auto& chosen = repeat ? known : unknown;
+    chosen.resize(std::min(chosen.size(), repeat ? m_settings.maxRepeatWorkers : m_settings.maxQuestionWorkers));
+    std::vector<WorkerId> result;
+    for (auto& [room, worker] : chosen)
+        result.push_back(std::move(worker));
+    return result;
+}
+
+void JobScheduler::admissionAnswered(const StepKey& key, const AdmissionPolicy& policy,
+    const std::vector<WorkerId>& asked, const absl::StatusOr<std::vector<AdmissionGrant>>& grants)
+{
+    Job* job = find(key.job);
+    Step* step = job != nullptr ? job->find(key) : nullptr;
+    if (step == nullptr)
+        return;
+    auto& admission = step->admission;
+    admission.asking = false;
+    ++m_counters.questions;
+    const TimePoint now = m_runtime.now();
+    if (!grants.ok()) {
+        admission.nextAsk = now + admissionRetryPause;
+        m_log.record("admission_failed", { { "job", key.job.value() }, { "step", key.step },
+                                             { "asked", asked.size() }, { "error", grants.status().message() } });
+        requestPass();
+        return;
+    }
+    for (const auto& worker : asked)
+        admission.allowed[worker] = false;
+    for (const auto& grant : *grants) {
+        admission.allowed[grant.worker] = true;
+        admission.tickets[grant.worker] = { grant.ticket, now + policy.validity };
+    }
+    admission.nextAsk = now + admissionRepeatPause;
+    m_log.record("admission_answered", { { "job", key.job.value() }, { "step", key.step }, { "asked", asked.size() },
+                                           { "granted", grants->size() } });
+    requestPass();
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -0,0 +1,466 @@
+// The owner's scheduler: what the workers report, and workers that come and go.
+
+#include "JobScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    // A worker that neither is registered nor answers is forgotten this long after everything there has ended.
+    constexpr Duration forgetDelay = std::chrono::seconds(1);
+    // Pacing of tasks that use idle processors beside tasks that serve users: slow down well below the target, since
+    // the reported tail is rough and half a second old; speed up again only far from it.
+    constexpr double paceDownAt = 0.75;
+    constexpr double paceUpAt = 0.5;
+    constexpr int paceStepUp = 10; // percent
+    constexpr int minPaceChange = 10; // percent
+
+} // namespace
+
+// --- Workers ---
+
+void JobScheduler::setWorkers(const std::vector<WorkerRecord>& records)
+{
+    if (!m_running)
+        return;
+    absl::flat_hash_set<WorkerId> listed;
+    bool grown = false;
+    for (const auto& record : records) {
+        listed.insert(record.id);
+        Worker* known = m_workers.find(record.id);
+        if (known == nullptr) {
+            Worker& worker = m_workers.add(record.id);
+            worker.record = record;
+            worker.registered = true;
+            connect(worker);
+            grown = grown || !m_storedWorkers.contains(record.id);
+            m_log.record("worker_joined", { { "worker", record.id.value() }, { "address", record.address },
+                                              { "milli_cpu", record.capacity.milliCpu } });
+            continue;
+        }
+        const bool drains = record.draining && !known->record.draining;
+        const bool moved = record.address != known->record.address;
+        known->record = record;
+        known->registered = true;
+        if (moved)
+            connect(*known);
+        if (drains) {
+            m_log.record("worker_draining", { { "worker", record.id.value() }, { "runs", known->runs.size() } });
+            evacuate(*known);
+        }
+    }
+    for (auto& [id, worker] : m_workers.all()) {
+        if (worker.registered && !listed.contains(id)) {
+            worker.registered = false;
+            worker.missingSince = m_runtime.now();
+            m_log.record("worker_unregistered", { { "worker", id.value() }, { "runs", worker.runs.size() } });
+        }
+    }
+    if (grown)
+        storeWorkerSet();
+    requestPass();
+}
+
+void JobScheduler::setCordoned(const WorkerId& worker, bool cordoned)
+{
+    if (cordoned)
+        m_cordoned.insert(worker);
+    else
+        m_cordoned.erase(worker);
+}
+
+void JobScheduler::connect(Worker& worker)
+{
+    worker.link = std::make_unique<WorkerLink>(m_runtime, m_port, static_cast<WorkerLinkListener&>(*this),
+        WorkerTarget { worker.record.id, worker.record.address }, m_epoch, [this] { return m_host.mayOrder(); },
+        m_settings.link);
+    worker.link->begin();
+}
+
+// The next owner waits for the reports of these workers, so they are stored before they get orders.
+void JobScheduler::storeWorkerSet()
+{
+    WorkerSetRecord record;
+    std::vector<WorkerId> ids;
+    for (const auto& [id, worker] : m_workers.all()) {
+        record.workers.push_back({ id, worker.record.address });
+        ids.push_back(id);
+    }
+    m_ledger.setWorkers(std::move(record), [this, ids, session = std::weak_ptr<int>(m_session)] {
+        if (session.expired())
+            return;
+        m_storedWorkers.insert(ids.begin(), ids.end());
+        requestPass();
+    });
+}
+
+void JobScheduler::expireWorkers()
+{
+    const TimePoint now = m_runtime.now();
+    std::vector<WorkerId> expired;
+    for (auto& [id, worker] : m_workers.all()) {
+        if (!worker.link || worker.link->isReachable())
+            continue;
+        // A worker that never reported to this owner may hold a lease of an earlier one.
+        const TimePoint end = worker.reported ? worker.link->leaseExpiry() : m_unlocatedUntil;
+        if (now < end)
+            continue;
+        if (!worker.runs.empty() || !worker.reported) {
+            std::vector<TaskKey> tasks;
+            for (const auto& [task, run] : worker.runs)
+                tasks.push_back(task);
+            worker.reported = true;
+            for (const auto& task : tasks)
+                taskLost(task, "lease of an unreachable worker ended");
+        }
+        if (!worker.registered && now - worker.missingSince > m_settings.missingGrace && now > end + forgetDelay)
+            expired.push_back(id);
+    }
+    for (const auto& id : expired)
+        loseWorker(id, "unreachable and not registered");
+}
+
+void JobScheduler::loseWorker(const WorkerId& id, const char* reason)
+{
+    Worker* worker = m_workers.find(id);
+    if (worker == nullptr)
+        return;
+    m_log.record("worker_lost", { { "worker", id.value() }, { "runs", worker->runs.size() }, { "reason", reason } });
+    std::vector<TaskKey> tasks;
+    for (const auto& [task, run] : worker->runs)
+        tasks.push_back(task);
+    for (const auto& task : tasks)
+        taskLost(task, reason);
+    m_workers.erase(id);
+    m_storedWorkers.erase(id);
+    m_quarantine.forget(id);
+    storeWorkerSet();
+    requestPass();
+}
+
+void JobScheduler::workerReachabilityChanged(const WorkerId& id, bool reachable)
+{
+    m_log.record("worker_reachability", { { "worker", id.value() }, { "reachable", reachable } });
+    requestPass();
+}
+
+void JobScheduler::workerIncarnationEnded(const WorkerId& id)
+{
+    // The caller may be the worker's own link.
+    m_runtime.post([this, id, session = std::weak_ptr<int>(m_session)] {
+        if (!session.expired())
+            loseWorker(id, "another incarnation answers at its address");
+    });
+}
+
+void JobScheduler::workerFenced(const WorkerId& id)
+{
+    m_log.record("order_fenced", { { "worker", id.value() }, { "epoch", m_epoch } });
+    m_runtime.post([this, session = std::weak_ptr<int>(m_session)] {
+        if (!session.expired())
+            m_host.fenced();
+    });
+}
+
+// A draining worker ends soon, and everything on it. Tasks that run until cancelled would not end before it.
+void JobScheduler::evacuate(Worker& worker)
+{
+    std::vector<TaskKey> leaving;
+    for (const auto& [key, run] : worker.runs) {
+        Job* job = find(key.job);
+        if (job == nullptr || isFinal(job->state))
+            continue;
+        const StepSpec& spec = job->spec().steps[key.step];
+        if (spec.longRunning)
+            leaving.push_back(key);
+    }
+    for (const auto& key : leaving)
+        stopTask(*find(key.job), key, "worker drains");
+}
+
+// --- Reports ---
+
+void JobScheduler::workerReported(const WorkerId& id, const LookReport& report, TimePoint sentAt)
+{
+    Worker* worker = m_workers.find(id);
+    if (worker == nullptr)
+        return;
+    if (report.bornUnixMs != 0 && worker->record.bornUnixMs != 0 && report.bornUnixMs != worker->record.bornUnixMs
+        && report.bornUnixMs > worker->record.bornUnixMs)
+        beginNewLife(*worker, report.bornUnixMs);
+    else if (report.bornUnixMs != 0)
+        worker->record.bornUnixMs = report.bornUnixMs;
+    const bool first = !worker->reported;
+    worker->reported = true;
+    processEnds(*worker, report);
+    processRunning(*worker, report, sentAt);
+    controlPace(*worker, report);
+    if (first)
+        requestPass();
+}
+
+void JobScheduler::beginNewLife(Worker& worker, std::int64_t bornUnixMs)
+{
+    m_log.record("worker_restarted", { { "worker", worker.record.id.value() }, { "born_ms", bornUnixMs },
+                                         { "runs", worker.runs.size() } });
+    worker.record.bornUnixMs = bornUnixMs;
+    worker.processedEnds = 0;
+    worker.strays.clear();
+    worker.link->resetEnds();
+    std::vector<TaskKey> tasks;
+    for (const auto& [task, run] : worker.runs)
+        tasks.push_back(task);
+    for (const auto& task : tasks)
+        taskLost(task, "worker restarted");
+    for (auto& [id, job] : m_jobs) {
+        for (auto& [n, occurrence] : job->open) {
+            for (auto& step : occurrence.steps)
+                step.admission.tickets.erase(worker.record.id);
+        }
+    }
+}
+
+void JobScheduler::processEnds(Worker& worker, const LookReport& report)
+{
+    std::uint64_t last = worker.processedEnds;
+    auto pending = std::make_shared<std::size_t>(1);
+    const WorkerId id = worker.record.id;
+    std::set<JobId> changed;
+    for (const auto& end : report.ended) {
+        if (end.sequence <= worker.processedEnds)
+            continue;
+        last = std::max(last, end.sequence);
+        processEnd(worker, end);
+        if (const Job* job = find(end.run.task.job))
+            changed.insert(job->id);
+    }
+    if (last == worker.processedEnds)
+        return;
+    worker.processedEnds = last;
+    const auto stored = [this, pending, id, last, born = worker.record.bornUnixMs,
+                            session = std::weak_ptr<int>(m_session)] {
+        if (--*pending > 0 || session.expired())
+            return;
+        Worker* reporter = m_workers.find(id);
+        if (reporter != nullptr && reporter->link && reporter->record.bornUnixMs == born)
+            reporter->link->acknowledge(last);
+    };
+    for (const auto& job : changed) {
+        ++*pending;
+        m_ledger.changed(job, stored);
+    }
+    stored();
+    requestPass();
+}
+
+void JobScheduler::processEnd(Worker& worker, const EndedTask& end)
+{
+    const TaskKey& key = end.run.task;
+    const auto stray = worker.strays.find(key);
+    if (stray != worker.strays.end() && stray->second <= end.run.run)
+        worker.strays.erase(stray);
+    Job* job = find(key.job);
+    Task* task = job != nullptr ? job->find(key) : nullptr;
+    const TimePoint now = m_runtime.now();
+    const bool failed = end.kind == EndKind::Failed;
+    m_counters.endsDone += end.kind == EndKind::Done ? 1 : 0;
+    m_counters.endsFailed += failed ? 1 : 0;
+    m_counters.endsOther += end.kind != EndKind::Done && !failed ? 1 : 0;
+    if (end.kind == EndKind::Done)
+        m_quarantine.succeeded(worker.record.id);
+    if (failed && m_quarantine.failed(worker.record.id, key.job, now))
+        m_log.record("worker_quarantined", { { "worker", worker.record.id.value() }, { "task", describe(key) } });
+    if (task == nullptr || task->phase == TaskPhase::Done) {
+        if (task == nullptr && job != nullptr && !isFinal(job->state))
+            m_log.record("end_of_unknown_task", { { "task", describe(key) }, { "run", end.run.run } });
+        return;
+    }
+    const bool current = task->occupiesWorker() && task->run == end.run.run && task->worker == worker.record.id;
+    if (!current && task->occupiesWorker() && end.kind != EndKind::Done && task->run != end.run.run)
+        return; // an earlier run that was given up
+    m_log.record("task_ended", { { "task", describe(key) }, { "run", end.run.run },
+                                   { "worker", worker.record.id.value() }, { "how", static_cast<int>(end.kind) } });
+    if (!end.checkpoint.empty())
+        task->checkpoint = end.checkpoint;
+    const bool finished = end.kind == EndKind::Done && !isFinal(job->state) && !job->spec().steps[key.step].longRunning;
+    if (finished) {
+        job->everStarted = true;
+        if (job->state == JobState::Queued)
+            job->state = JobState::Running;
+        if (!current && task->occupiesWorker()) {
+            // Another run of the task exists; its room stays reserved until it is gone.
+            task->doneWithGang = true;
+            stopTask(*job, key, "an earlier run ended as done");
+        } else
+            taskDone(*job, key, *task);
+        return;
+    }
+    task->run = std::max(task->run, end.run.run);
+    if (current)
+        vacate(*job, key, *task);
+    if (isFinal(job->state) || task->phase == TaskPhase::Done)
+        return;
+    if (failed)
+        taskFailed(*job, key, *task, end.run.run);
+    if (isFinal(job->state))
+        return;
+    const StepSpec& spec = job->spec().steps[key.step];
+    if (spec.gang)
+        stopGang(*job, stepOf(key), "another member ended");
+    refreshReady(stepOf(key), *job, *job->find(stepOf(key)));
+}
+
+void JobScheduler::processRunning(Worker& worker, const LookReport& report, TimePoint sentAt)
+{
+    absl::flat_hash_set<RunKey> listed;
+    for (const auto& running : report.running) {
+        listed.insert(running.run);
+        const TaskKey& key = running.run.task;
+        Job* job = find(key.job);
+        Task* task = job != nullptr ? job->find(key) : nullptr;
+        const bool current = task != nullptr && task->occupiesWorker() && task->run == running.run.run
+            && task->worker == worker.record.id;
+        if (!current) {
+            adopt(worker, running);
+            continue;
+        }
+        if (task->phase == TaskPhase::Starting) {
+            task->phase = TaskPhase::Running;
+            task->confirmedAt = sentAt;
+            job->everStarted = true;
+            if (job->state == JobState::Queued) {
+                job->state = JobState::Running;
+                markChanged(*job);
+            }
+        }
+        if (!running.checkpoint.empty())
+            task->checkpoint = running.checkpoint;
+        noteProgress(*job, key, *task, running);
+    }
+    missingRuns(worker, listed, sentAt);
+}
+
+// After a takeover, or after an order that was carried out late: keeps a run that its task can use, stops any other.
+void JobScheduler::adopt(Worker& worker, const RunningTask& running)
+{
+    const TaskKey& key = running.run.task;
+    Job* job = find(key.job);
+    Task* task = job != nullptr ? job->find(key) : nullptr;
+    // Before the jobs were read from the store nothing is known of them.
+    if (!m_recovered)
+        return;
+    const bool wanted = task != nullptr && !isFinal(job->state) && job->accepted && task->phase == TaskPhase::Waiting
+        && running.run.run >= task->run && running.run.run > task->countedRun && job->find(stepOf(key))->released;
+    if (!wanted) {
+        stopStray(worker, running.run);
+        return;
+    }
+    const StepSpec& spec = job->spec().steps[key.step];
+    Step& step = *job->find(stepOf(key));
+    const TimePoint now = m_runtime.now();
+    task->phase = TaskPhase::Running;
+    task->run = running.run.run;
+    task->worker = worker.record.id;
+    task->since = now;
+    task->confirmedAt = now;
+    task->progressAt = now;
+    if (!running.checkpoint.empty())
+        task->checkpoint = running.checkpoint;
+    ++step.occupying;
+    reserve(worker, key,
+        { .run = task->run,
+            .reserved = reservationOf(spec),
+            .charged = spec.request,
+            .servesUsers = spec.latencyTarget > Duration::zero(),
+            .usesIdleCpu = spec.usesIdleCpu });
+    m_usage[job->submission.account] += spec.request;
+    job->everStarted = true;
+    if (job->state == JobState::Queued) {
+        job->state = JobState::Running;
+        markChanged(*job);
+    }
+    worker.strays.erase(key);
+    refreshReady(stepOf(key), *job, step);
+    m_log.record("run_adopted",
+        { { "task", describe(key) }, { "run", task->run }, { "worker", worker.record.id.value() } });
+}
+
+void JobScheduler::missingRuns(Worker& worker, const absl::flat_hash_set<RunKey>& listed, TimePoint sentAt)
+{
+    std::vector<TaskKey> gone;
+    for (const auto& [key, run] : worker.runs) {
+        if (listed.contains({ key, run.run }))
+            continue;
+        Job* job = find(key.job);
+        const Task* task = job != nullptr ? job->find(key) : nullptr;
+        if (task == nullptr || task->confirmedAt == TimePoint())
+            continue;
+        // A stop takes effect within a bound after it was confirmed; a start at once.
+        const Duration delay = task->phase == TaskPhase::Stopping ? m_settings.stopLimit : Duration::zero();
+        if (task->phase != TaskPhase::Starting && task->confirmedAt + delay < sentAt)
+            gone.push_back(key);
+    }
+    for (const auto& key : gone)
+        taskLost(key, "not in the worker's lists");
+    for (auto it = worker.strays.begin(); it != worker.strays.end();) {
+        const auto stray = it++;
+        if (!listed.contains({ stray->first, stray->second }))
+            worker.strays.erase(stray);
+    }
+}
+
+void JobScheduler::noteProgress(Job& job, const TaskKey& key, Task& task, const RunningTask& running)
+{
+    const TimePoint now = m_runtime.now();
+    if (running.progressPercent != task.progressPercent) {
+        task.progressPercent = running.progressPercent;
+        task.progressAt = now;
+    }
+    (void)job;
+    (void)key;
+}
+
+// Slows tasks on idle processors while a task beside them that serves users nears its latency target.
+void JobScheduler::controlPace(Worker& worker, const LookReport& report)
+{
+    worker.servingLoad = 0;
+    for (const auto& running : report.running) {
+        Job* job = find(running.run.task.job);
+        if (job == nullptr || isFinal(job->state) || running.run.task.step >= job->spec().steps.size())
+            continue;
+        const Duration target = job->spec().steps[running.run.task.step].latencyTarget;
+        if (target > Duration::zero())
+            worker.servingLoad = std::max(
+                worker.servingLoad, running.usage / std::chrono::duration<double, std::milli>(target).count());
+    }
+    for (const auto& [key, run] : worker.runs) {
+        Job* job = find(key.job);
+        Task* task = job != nullptr ? job->find(key) : nullptr;
+        if (!run.usesIdleCpu || task == nullptr || task->phase != TaskPhase::Running)
+            continue;
+        int pace = task->pacePercent;
+        if (worker.servingLoad > paceDownAt)
+            pace = worker.servingLoad > 1 ? 0 : pace / 2;
+        else if (worker.servingLoad < paceUpAt)
+            pace = std::min(100, pace + paceStepUp);
+        if (std::abs(pace - task->pacePercent) < minPaceChange && (pace != 0 || task->pacePercent == 0))
+            continue;
+        task->pacePercent = pace;
+        m_log.record("task_paced", { { "task", describe(key) }, { "percent", pace }, { "load", worker.servingLoad } });
+        m_port.pace(worker.link->target(), { key, task->run, pace, m_epoch }, m_settings.stopTimeout,
+            [this, key = key, run = task->run, pace, session = std::weak_ptr<int>(m_session)](const OrderResult& result) {
+                if (session.expired() || result.outcome == OrderOutcome::Done)
+                    return;
+                // Not confirmed: the next report decides again from full pace.
+                Job* job = find(key.job);
+                Task* task = job != nullptr ? job->find(key) : nullptr;
+                if (task != nullptr && task->run == run && task->pacePercent == pace)
+                    task->pacePercent = 100;
+            });
+    }
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -0,0 +1,412 @@
+// The owner's scheduler: starts and stops of runs, and what follows from their ends.
+
+#include "JobScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    // Runs of different owners never share a number: each epoch has a block of its own.
+    constexpr RunNumber runsPerEpoch = 1000;
+    // Lies above runs of this epoch that the owner does not know of.
+    constexpr RunNumber staleRunStep = 16;
+    // The second attempt sends the same run again, which a worker that has it confirms.
+    constexpr int maxStartAttempts = 2;
+    // A worker that is full or ill is left out until its next reports tell more.
+    constexpr Duration refusalPause = std::chrono::milliseconds(200);
+
+    const char* name(OrderOutcome outcome)
+    {
+        switch (outcome) {
+        case OrderOutcome::Done:
+            return "done";
+        case OrderOutcome::Fenced:
+            return "fenced";
+        case OrderOutcome::Stale:
+            return "stale_run";
+        case OrderOutcome::Late:
+            return "late";
+        case OrderOutcome::NoRoom:
+            return "no_room";
+        case OrderOutcome::TicketRejected:
+            return "ticket_rejected";
+        case OrderOutcome::Malformed:
+            return "malformed";
+        case OrderOutcome::Unhealthy:
+            return "unhealthy";
+        case OrderOutcome::OtherIncarnation:
+            return "other_incarnation";
+        case OrderOutcome::NotSent:
+            return "not_sent";
+        case OrderOutcome::Unknown:
+            return "no_response";
+        }
+        return "unknown";
+    }
+
+    const char* name(JobState state)
+    {
+        switch (state) {
+        case JobState::Queued:
+            return "queued";
+        case JobState::Running:
+            return "running";
+        case JobState::Completed:
+            return "completed";
+        case JobState::Failed:
+            return "failed";
+        case JobState::Cancelled:
+            return "cancelled";
+        }
+        return "unknown";
+    }
+
+} // namespace
+
+RunNumber JobScheduler::nextRun(const Step& step, const Task& task, bool gang) const
+{
+    RunNumber last = task.run;
+    if (gang) {
+        for (const auto& member : step.tasks)
+            last = std::max(last, member.run);
+    }
+    return std::max(last, (m_epoch - 1) * runsPerEpoch) + 1;
+}
+
+void JobScheduler::startTask(Job& job, const TaskKey& key, Worker& worker, RunNumber run)
+{
+    Step& step = *job.find(stepOf(key));
+    const StepSpec& spec = job.spec().steps[key.step];
+    Task& task = step.tasks[key.index];
+    task.phase = TaskPhase::Starting;
+    task.run = run;
+    task.worker = worker.record.id;
+    task.since = m_runtime.now();
+    task.confirmedAt = {};
+    task.doneWithGang = false;
+    task.progressPercent = 0;
+    task.progressAt = task.since;
+    task.pacePercent = 100;
+    ++step.occupying;
+    reserve(worker, key,
+        { .run = run,
+            .reserved = reservationOf(spec),
+            .charged = spec.request,
+            .servesUsers = spec.latencyTarget > Duration::zero(),
+            .usesIdleCpu = spec.usesIdleCpu });
+    m_usage[job.submission.account] += spec.request;
+    ++m_counters.starts;
+    sendStart(key, run, worker.record.id, 1);
+}
+
+void JobScheduler::sendStart(const TaskKey& key, RunNumber run, const WorkerId& workerId, int attempt)
+{
+    Job* job = find(key.job);
+    Worker* worker = m_workers.find(workerId);
+    if (job == nullptr || worker == nullptr || !m_host.mayOrder())
+        return;
+    const Step& step = *job->find(stepOf(key));
+    const Task& task = step.tasks[key.index];
+    const auto lease = worker->link->leaseForOrder();
+    if (!lease)
+        return;
+    StartOrder order { .task = key,
+        .run = run,
+        .payload = job->spec().payload,
+        .checkpoint = task.checkpoint,
+        .ticket = {},
+        .epoch = m_epoch,
+        .leaseUntilMs = *lease };
+    const auto ticket = step.admission.tickets.find(workerId);
+    if (ticket != step.admission.tickets.end())
+        order.ticket = ticket->second.text;
+    m_port.start(worker->link->target(), order, m_settings.startTimeout,
+        [this, key, run, workerId, attempt, session = std::weak_ptr<int>(m_session)](const OrderResult& result) {
+            if (!session.expired())
+                startAnswered(key, run, workerId, attempt, result);
+        });
+}
+
+void JobScheduler::startAnswered(
+    const TaskKey& key, RunNumber run, const WorkerId& workerId, int attempt, const OrderResult& result)
+{
+    Worker* worker = m_workers.find(workerId);
+    if (worker != nullptr && worker->link)
+        worker->link->noteClock(result.clockMs);
+    Job* job = find(key.job);
+    Task* task = job != nullptr ? job->find(key) : nullptr;
+    if (result.outcome == OrderOutcome::Fenced) {
+        m_host.fenced();
+        return;
+    }
+    if (worker == nullptr || task == nullptr || task->run != run || task->worker != workerId
+        || task->phase != TaskPhase::Starting)
+        return;
+    const TimePoint now = m_runtime.now();
+    if (result.outcome == OrderOutcome::Done) {
+        task->phase = TaskPhase::Running;
+        task->since = now;
+        task->confirmedAt = now;
+        task->progressAt = now;
+        if (!job->everStarted) {
+            job->everStarted = true;
+            job->state = JobState::Running;
+            markChanged(*job);
+        }
+        m_log.record("task_started", { { "task", describe(key) }, { "run", run }, { "worker", workerId.value() },
+                                         { "epoch", m_epoch }, { "resumed", !task->checkpoint.empty() } });
+        return;
+    }
+    m_log.record("start_refused", { { "task", describe(key) }, { "run", run }, { "worker", workerId.value() },
+                                      { "epoch", m_epoch }, { "outcome", name(result.outcome) } });
+    switch (result.outcome) {
+    case OrderOutcome::Unknown:
+        ++m_counters.startsUnanswered;
+        worker->link->suspect();
+        if (attempt < maxStartAttempts)
+            sendStart(key, run, workerId, attempt + 1);
+        else
+            stopTask(*job, key, "start not answered");
+        return;
+    case OrderOutcome::OtherIncarnation:
+        workerIncarnationEnded(workerId);
+        return;
+    case OrderOutcome::NotSent:
+        worker->link->suspect();
+        if (attempt > 1) { // the first attempt may have arrived
+            stopTask(*job, key, "start not answered");
+            return;
+        }
+        break;
+    case OrderOutcome::NoRoom:
+        ++m_counters.startsRefusedNoRoom;
+        worker->refusesUntil = now + refusalPause;
+        break;
+    case OrderOutcome::TicketRejected:
+        ++m_counters.startsRefusedTicket;
+        job->find(stepOf(key))->admission.tickets.erase(workerId);
+        break;
+    case OrderOutcome::Stale:
+        task->run += staleRunStep;
+        break;
+    case OrderOutcome::Unhealthy:
+        ++m_counters.startsRefusedOther;
+        worker->refusesUntil = now + refusalPause;
+        (void)m_quarantine.failed(workerId, key.job, now);
+        break;
+    default:
+        ++m_counters.startsRefusedOther;
+        task->notBefore = now + m_settings.failureBackoff;
+        break;
+    }
+    vacate(*job, key, *task);
+    if (job->find(stepOf(key)) != nullptr && !isFinal(job->state) && job->spec().steps[key.step].gang)
+        stopGang(*job, stepOf(key), "another member was refused");
+    requestPass();
+}
+
+// --- Stops ---
+
+void JobScheduler::stopTask(Job& job, const TaskKey& key, const char* reason)
+{
+    Task* task = job.find(key);
+    if (task == nullptr || (task->phase != TaskPhase::Starting && task->phase != TaskPhase::Running))
+        return;
+    task->phase = TaskPhase::Stopping;
+    task->since = m_runtime.now();
+    task->confirmedAt = {};
+    ++m_counters.stops;
+    m_log.record("task_stopping",
+        { { "task", describe(key) }, { "run", task->run }, { "worker", task->worker.value() }, { "reason", reason } });
+    sendStop(key, task->run, task->worker);
+}
+
+void JobScheduler::sendStop(const TaskKey& key, RunNumber run, const WorkerId& workerId)
+{
+    Worker* worker = m_workers.find(workerId);
+    if (worker == nullptr || !worker->link)
+        return;
+    m_port.stop(worker->link->target(), { key, run, m_epoch }, m_settings.stopTimeout,
+        [this, key, run, workerId, session = std::weak_ptr<int>(m_session)](const OrderResult& result) {
+            if (!session.expired())
+                stopAnswered(key, run, workerId, result);
+        });
+}
+
+void JobScheduler::stopAnswered(
+    const TaskKey& key, RunNumber run, const WorkerId& workerId, const OrderResult& result)
+{
+    if (result.outcome == OrderOutcome::Fenced) {
+        m_host.fenced();
+        return;
+    }
+    if (result.outcome == OrderOutcome::OtherIncarnation) {
+        workerIncarnationEnded(workerId);
+        return;
+    }
+    Worker* worker = m_workers.find(workerId);
+    Job* job = find(key.job);
+    Task* task = job != nullptr ? job->find(key) : nullptr;
+    const bool current = task != nullptr && task->run == run && task->worker == workerId
+        && task->phase == TaskPhase::Stopping;
+    const bool stray = worker != nullptr && worker->strays.contains(key);
+    if (!current && !stray)
+        return;
+    if (result.outcome == OrderOutcome::Done) {
+        if (current)
+            task->confirmedAt = m_runtime.now();
+        return; // the end, or its absence from the worker's lists, frees the room
+    }
+    m_runtime.after(m_settings.orderRetryPause, [this, key, run, workerId, session = std::weak_ptr<int>(m_session)] {
+        if (!session.expired() && m_host.mayOrder())
+            sendStop(key, run, workerId);
+    });
+}
+
+void JobScheduler::stopStray(Worker& worker, const RunKey& run)
+{
+    const auto [it, added] = worker.strays.try_emplace(run.task, run.run);
+    if (!added && it->second >= run.run)
+        return;
+    it->second = run.run;
+    m_log.record("stray_run_stopping",
+        { { "task", describe(run.task) }, { "run", run.run }, { "worker", worker.record.id.value() } });
+    sendStop(run.task, run.run, worker.record.id);
+}
+
+void JobScheduler::stopAll(Job& job, const char* reason)
+{
+    for (auto& [n, occurrence] : job.open) {
+        for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+            for (std::uint32_t k = 0; k < occurrence.steps[i].tasks.size(); ++k)
+                stopTask(job, { job.id, n, i, k }, reason);
+        }
+    }
+}
+
+void JobScheduler::stopGang(Job& job, const StepKey& key, const char* reason)
+{
+    Step* step = job.find(key);
+    for (std::uint32_t i = 0; step != nullptr && i < step->tasks.size(); ++i)
+        stopTask(job, { key.job, key.occurrence, key.step, i }, reason);
+}
+
+// --- Ends ---
+
+// The run has certainly ended: its room is free, and the task waits again unless it is done.
+void JobScheduler::vacate(Job& job, const TaskKey& key, Task& task)
+{
+    if (!task.occupiesWorker())
+        return;
+    Step& step = *job.find(stepOf(key));
+    if (Worker* worker = m_workers.find(task.worker)) {
+        if (const auto run = release(*worker, key))
+            m_usage[job.submission.account] -= run->charged;
+    }
+    --step.occupying;
+    task.worker = {};
+    task.phase = TaskPhase::Waiting;
+    task.confirmedAt = {};
+    if (task.doneWithGang)
+        taskDone(job, key, task);
+    refreshReady(stepOf(key), job, step);
+}
+
+void JobScheduler::taskLost(const TaskKey& key, const char* reason)
+{
+    Job* job = find(key.job);
+    Task* task = job != nullptr ? job->find(key) : nullptr;
+    if (task == nullptr || !task->occupiesWorker())
+        return;
+    ++m_counters.runsLost;
+    m_log.record("run_lost",
+        { { "task", describe(key) }, { "run", task->run }, { "worker", task->worker.value() }, { "reason", reason } });
+    vacate(*job, key, *task);
+    if (!isFinal(job->state) && job->spec().steps[key.step].gang && task->phase != TaskPhase::Done)
+        stopGang(*job, stepOf(key), "another member was lost");
+    requestPass();
+}
+
+void JobScheduler::taskDone(Job& job, const TaskKey& key, Task& task)
+{
+    if (task.phase == TaskPhase::Done)
+        return;
+    Step& step = *job.find(stepOf(key));
+    if (task.occupiesWorker()) {
+        task.doneWithGang = false;
+        vacate(job, key, task);
+    }
+    task.phase = TaskPhase::Done;
+    task.checkpoint.clear();
+    ++step.done;
+    if (isFinal(job.state))
+        return;
+    if (job.spec().steps[key.step].gang) {
+        // One member that ends as done stands for all of its run.
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+            Task& member = step.tasks[i];
+            if (member.occupiesWorker() && member.run == task.run)
+                member.doneWithGang = true;
+            else if (member.phase == TaskPhase::Waiting) {
+                member.phase = TaskPhase::Done;
+                ++step.done;
+            }
+        }
+    }
+    refreshReady(stepOf(key), job, step);
+    if (step.isDone())
+        releaseSteps(job);
+}
+
+void JobScheduler::taskFailed(Job& job, const TaskKey& key, Task& task, RunNumber run)
+{
+    if (isFinal(job.state))
+        return;
+    Step& step = *job.find(stepOf(key));
+    const StepSpec& spec = job.spec().steps[key.step];
+    task.notBefore = m_runtime.now() + m_settings.failureBackoff;
+    if (spec.longRunning)
+        return;
+    std::uint32_t failures = 0;
+    if (spec.gang) {
+        if (run > step.gangCountedRun) {
+            step.gangCountedRun = run;
+            ++step.gangFailures;
+        }
+        failures = step.gangFailures;
+    } else {
+        if (run > task.countedRun) {
+            task.countedRun = run;
+            ++task.failures;
+        }
+        failures = task.failures;
+    }
+    const QueuePolicy* queue = queueOf(job);
+    if (queue != nullptr && failures >= queue->maxAttempts)
+        finish(job, JobState::Failed, "a task used up its attempts");
+}
+
+void JobScheduler::finish(Job& job, JobState state, const char* reason)
+{
+    job.state = state;
+    job.endedUnixMs = m_host.unixMs();
+    m_finished.emplace(job.endedUnixMs, job.id);
+    m_scheduled.erase(job.id);
+    for (const auto& [n, occurrence] : job.open) {
+        for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
+            m_ready.erase({ job.id, n, i });
+    }
+    m_counters.jobsCompleted += state == JobState::Completed ? 1 : 0;
+    m_counters.jobsFailed += state == JobState::Failed ? 1 : 0;
+    m_counters.jobsCancelled += state == JobState::Cancelled ? 1 : 0;
+    m_log.record("job_ended", { { "job", job.id.value() }, { "queue", job.submission.queue },
+                                  { "account", job.submission.account.value() }, { "state", name(state) },
+                                  { "reason", reason } });
+    if (state != JobState::Completed)
+        stopAll(job, reason);
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -0,0 +1,237 @@
+// Calls of clients at the owner: routes, keys, submissions, states.
+
+#include "JobService.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    constexpr std::size_t jobIdDigits = 16;
+
+    bool isJobId(const std::string& name)
+    {
+        return name.size() == jobIdDigits
+            && std::all_of(name.begin(), name.end(), [](unsigned char c) { return std::isxdigit(c) != 0; });
+    }
+
+    ClientReply refusal(std::string reason, std::uint32_t retryAfterS)
+    {
+        return { .kind = ReplyKind::Refused, .retryAfterS = retryAfterS, .reason = std::move(reason) };
+    }
+
+    ClientReply failure(ReplyKind kind, std::string reason) { return { .kind = kind, .reason = std::move(reason) }; }
+
+} // namespace
+
+JobService::JobService(Ports ports, JobServiceSettings settings)
+    : m_runtime(ports.runtime)
+    , m_scheduler(ports.scheduler)
+    , m_ledger(ports.ledger)
+    , m_codec(ports.codec)
+    , m_log(ports.log)
+    , m_host(ports.host)
+    , m_settings(settings)
+{
+}
+
+void JobService::setConfiguration(std::shared_ptr<const ClusterConfiguration> configuration)
+{
+    m_configuration = std::move(configuration);
+    recheckPending();
+}
+
+std::optional<AccountId> JobService::accountOf(const ClientCall& call, const QueuePolicy& queue) const
+{
+    const ClientAccount* account = m_configuration->accountOfKey(call.key);
+    if (account != nullptr)
+        return account->id;
+    return queue.openToAll ? std::optional(AccountId()) : std::nullopt;
+}
+
+Duration JobService::patienceOf(const ClientCall& call) const
+{
+    const Duration stated = std::chrono::milliseconds(call.patienceMs);
+    return std::max(Duration::zero(),
+        (stated > Duration::zero() ? stated : m_settings.defaultPatience) - m_settings.replyMargin);
+}
+
+void JobService::handle(const ClientCall& call, Reply reply)
+{
+    if (!m_configuration || !m_scheduler.isActive()) {
+        reply(refusal("the scheduler is starting", 1));
+        return;
+    }
+    const QueuePolicy* queue = m_configuration->queueOf(call.host, call.path);
+    if (queue == nullptr) {
+        reply(failure(ReplyKind::NoSuchQueue, "no queue has this host and path"));
+        return;
+    }
+    const auto account = accountOf(call, *queue);
+    if (!account) {
+        ++m_counters.unauthorized;
+        m_log.record("call_unauthorized", { { "queue", queue->name }, { "version", m_configuration->version } });
+        reply(failure(ReplyKind::Unauthorized, "the key is not known"));
+        return;
+    }
+    const std::string name = call.path.substr(queue->prefix.size());
+    // The commit of a submission requires the configuration that it was checked against.
+    if (!queue->openToAll && call.verb != CallVerb::Submit
+        && m_runtime.now() - m_confirmedAt > m_settings.keyFreshness) {
+        ++m_counters.refused;
+        m_log.record("call_refused", { { "queue", queue->name }, { "reason", "configuration not confirmed" },
+                                         { "version", m_configuration->version } });
+        reply(refusal("keys cannot be checked now", 1));
+        return;
+    }
+    if (call.verb == CallVerb::Read) {
+        read(*queue, name, reply);
+        return;
+    }
+    if (!isJobId(name)) {
+        ++m_counters.malformed;
+        reply(failure(ReplyKind::BadRequest, "the job id is not 16 hexadecimal digits"));
+        return;
+    }
+    if (call.verb == CallVerb::Submit)
+        submit(call, *queue, *account, JobId(name), std::move(reply));
+    else
+        cancel(call, JobId(name), std::move(reply));
+}
+
+void JobService::read(const QueuePolicy& queue, const std::string& name, const Reply& reply)
+{
+    ++m_counters.reads;
+    if (name.empty()) {
+        reply({ .kind = ReplyKind::Count, .count = m_scheduler.waitingCount(queue.name) });
+        return;
+    }
+    const Job* job = m_scheduler.job(JobId(name));
+    if (job == nullptr || !job->accepted) {
+        reply(failure(ReplyKind::NoSuchJob, "no such job"));
+        return;
+    }
+    JobState state = job->storedState;
+    if (state == JobState::Queued && job->everStarted)
+        state = JobState::Running;
+    reply({ .kind = ReplyKind::State, .state = state });
+}
+
+void JobService::submit(
+    const ClientCall& call, const QueuePolicy& queue, const AccountId& account, const JobId& id, Reply reply)
+{
+    ++m_counters.submissions;
+    const TimePoint deadline = m_runtime.now() + patienceOf(call);
+    if (const auto it = m_pending.find(id); it != m_pending.end()) {
+        ++m_counters.repeated;
+        it->second.replies.push_back(std::move(reply));
+        return;
+    }
+    if (m_scheduler.job(id) != nullptr) {
+        ++m_counters.repeated;
+        reply({ .kind = ReplyKind::Accepted });
+        return;
+    }
+    if (m_ledger.isStalled()) {
+        ++m_counters.refused;
+        m_log.record("job_refused", { { "job", id.value() }, { "reason", "the store takes no commits" } });
+        reply(refusal("the store does not answer", m_settings.storeRetryAfterS));
+        return;
+    }
+    auto spec = m_codec.decode(call.body);
+    if (!spec.ok()) {
+        ++m_counters.malformed;
+        m_log.record("job_malformed", { { "job", id.value() }, { "error", spec.status().message() } });
+        reply(failure(ReplyKind::BadRequest, std::string(spec.status().message())));
+        return;
+    }
+    m_pending[id] = { .call = call, .replies = {}, .deadline = deadline };
+    m_pending[id].replies.push_back(std::move(reply));
+    m_scheduler.submit(id,
+        { .account = account, .queue = queue.name, .spec = *std::move(spec), .acceptedUnixMs = m_host.unixMs() },
+        [this, id] { stored(id); });
+    m_runtime.after(deadline - m_runtime.now(), [this, id, deadline] {
+        const auto it = m_pending.find(id);
+        if (it == m_pending.end() || it->second.deadline != deadline)
+            return;
+        // The commit may still be applied, so "not run" would not be true.
+        m_log.record("job_unknown", { { "job", id.value() }, { "reason", "not stored before the client's deadline" } });
+        for (auto& waiting : std::exchange(it->second.replies, {})) {
+            ++m_counters.unknown;
+            waiting({ .kind = ReplyKind::Unknown, .reason = "not stored in time" });
+        }
+    });
+}
+
+void JobService::stored(const JobId& id)
+{
+    ++m_counters.accepted;
+    resolve(id, { .kind = ReplyKind::Accepted });
+}
+
+void JobService::resolve(const JobId& id, const ClientReply& reply)
+{
+    auto node = m_pending.extract(id);
+    if (node.empty())
+        return;
+    for (auto& waiting : node.mapped().replies)
+        waiting(reply);
+}
+
+// The configuration changed before these submissions were stored: some may not be allowed any more.
+void JobService::recheckPending()
+{
+    std::vector<std::pair<JobId, ClientReply>> denied;
+    for (const auto& [id, pending] : m_pending) {
+        if (m_ledger.isCommitting(id))
+            continue; // applied under the earlier configuration, or put back and checked again
+        const QueuePolicy* queue = m_configuration->queueOf(pending.call.host, pending.call.path);
+        if (queue == nullptr)
+            denied.emplace_back(id, failure(ReplyKind::NoSuchQueue, "no queue has this host and path"));
+        else if (!accountOf(pending.call, *queue))
+            denied.emplace_back(id, failure(ReplyKind::Unauthorized, "the key is not known"));
+    }
+    for (const auto& [id, reply] : denied) {
+        m_scheduler.withdraw(id);
+        const Job* job = m_scheduler.job(id);
+        if (job == nullptr)
+            resolve(id, reply);
+    }
+}
+
+void JobService::cancel(const ClientCall& call, const JobId& id, Reply reply)
+{
+    ++m_counters.cancels;
+    const Job* job = m_scheduler.job(id);
+    if (job == nullptr) {
+        reply(failure(ReplyKind::NoSuchJob, "no such job"));
+        return;
+    }
+    const std::uint64_t n = ++m_nextCancel;
+    m_cancels[n] = std::move(reply);
+    const auto answer = [this, n](const ClientReply& result) {
+        auto node = m_cancels.extract(n);
+        if (!node.empty())
+            node.mapped()(result);
+    };
+    m_scheduler.cancel(id, [answer] { answer({ .kind = ReplyKind::Cancelled }); });
+    m_runtime.after(patienceOf(call),
+        [answer] { answer({ .kind = ReplyKind::Unknown, .reason = "not stored in time" }); });
+}
+
+void JobService::end()
+{
+    m_configuration.reset();
+    const ClientReply lost { .kind = ReplyKind::Unknown, .reason = "the owner changed" };
+    for (auto& [id, pending] : std::exchange(m_pending, {})) {
+        for (auto& reply : pending.replies)
+            reply(lost);
+    }
+    for (auto& [n, reply] : std::exchange(m_cancels, {}))
+        reply(lost);
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/JobService.h
@@ -0,0 +1,97 @@
+// Calls of clients at the owner: routes, keys, submissions, states.
+#pragma once
+
+#include "ClientCall.h"
+#include "ClusterConfiguration.h"
+#include "JobScheduler.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lycheeledge::jobs {
+
+struct JobServiceSettings {
+    /// Keyed calls are refused when the configuration was not confirmed for so long: a key may have been withdrawn.
+    Duration keyFreshness = std::chrono::milliseconds(4300);
+    Duration replyMargin = std::chrono::milliseconds(60); ///< a reply leaves this long before the client gives up
+    Duration defaultPatience = std::chrono::seconds(3); ///< for calls that state none
+    std::uint32_t storeRetryAfterS = 2; ///< Retry-After while the store takes no commits
+};
+
+struct JobServiceCounters {
+    std::uint64_t submissions = 0;
+    std::uint64_t accepted = 0;
+    std::uint64_t repeated = 0; ///< submissions of known jobs
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0; ///< submissions whose fate was not known in time
+    std::uint64_t unauthorized = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t cancels = 0;
+
+    bool operator==(const JobServiceCounters&) const = default;
+};
+
+class JobService {
+public:
+    using Reply = std::function<void(ClientReply)>;
+
+    struct Ports {
+        Runtime& runtime;
+        JobScheduler& scheduler;
+        JobLedger& ledger;
+        const SubmissionCodec& codec;
+        EventLog& log;
+        JobSchedulerHost& host;
+    };
+
+    explicit JobService(Ports ports, JobServiceSettings settings = {});
+
+    /** @brief Uses a configuration that the store confirmed for a call sent at `confirmedAt`. */
+    void setConfiguration(std::shared_ptr<const ClusterConfiguration> configuration);
+    void configurationConfirmed(TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); }
+    /** @brief Handles a call. `reply` is called once, or never if end() comes first and the reply is not known. */
+    void handle(const ClientCall& call, Reply reply);
+    /** @brief This process is not the owner any more: answers calls in progress as unknown. */
+    void end();
+
+    const JobServiceCounters& counters() const { return m_counters; }
+    std::size_t pendingSubmissions() const { return m_pending.size(); }
+
+private:
+    struct Pending {
+        ClientCall call;
+        std::vector<Reply> replies;
+        TimePoint deadline;
+    };
+
+    void submit(const ClientCall& call, const QueuePolicy& queue, const AccountId& account, const JobId& id,
+        Reply reply);
+    void cancel(const ClientCall& call, const JobId& id, Reply reply);
+    void read(const QueuePolicy& queue, const std::string& name, const Reply& reply);
+    void stored(const JobId& id);
+    void resolve(const JobId& id, const ClientReply& reply);
+    void recheckPending();
+    Duration patienceOf(const ClientCall& call) const;
+    /** @brief Account of the call's key; an empty one for a queue open to all. Nothing if the key is unknown. */
+    std::optional<AccountId> accountOf(const ClientCall& call, const QueuePolicy& queue) const;
+
+    Runtime& m_runtime;
+    JobScheduler& m_scheduler;
+    JobLedger& m_ledger;
+    const SubmissionCodec& m_codec;
+    EventLog& m_log;
+    JobSchedulerHost& m_host;
+    JobServiceSettings m_settings;
+    std::shared_ptr<const ClusterConfiguration> m_configuration;
+    TimePoint m_confirmedAt;
+    std::map<JobId, Pending> m_pending; ///< submissions that are not stored yet
+    std::map<std::uint64_t, Reply> m_cancels; ///< waiting for their commit
+    std::uint64_t m_nextCancel = 0;
+    JobServiceCounters m_counters;
+};
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/MemberMessages.h
@@ -0,0 +1,95 @@
+// Messages between the owner and the other members.
+#pragma once
+
+#include "AdmissionDesk.h"
+#include "ClientCall.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lycheeledge::jobs {
+
+/** @brief First message of a member to the owner. */
+struct Hello {
+    std::string member;
+
+    bool operator==(const Hello&) const = default;
+};
+
+/** @brief From the owner, on connecting and when it becomes active. */
+struct Welcome {
+    Epoch epoch = 0;
+    bool active = false; ///< takes calls
+
+    bool operator==(const Welcome&) const = default;
+};
+
+/** @brief A client's call, forwarded to the owner. */
+struct CallMessage {
+    std::uint64_t id = 0;
+    ClientCall call;
+
+    bool operator==(const CallMessage&) const = default;
+};
+
+struct CallReply {
+    std::uint64_t id = 0;
+    ClientReply reply;
+
+    bool operator==(const CallReply&) const = default;
+};
+
+/** @brief The owner asks a member to call the admission service. */
+struct AdmissionMessage {
+    std::uint64_t id = 0;
+    AdmissionQuestion question;
+    std::int64_t timeoutMs = 0;
+
+    bool operator==(const AdmissionMessage&) const = default;
+};
+
+struct AdmissionReply {
+    std::uint64_t id = 0;
+    bool answered = false;
+    std::vector<AdmissionGrant> grants; ///< if answered
+    std::string error; ///< if not answered
+
+    bool operator==(const AdmissionReply&) const = default;
+};
+
+/** @brief Shows that a connection still carries bytes; the receiver sends it back. */
+struct Ping {
+    std::uint64_t number = 0;
+    bool reply = false;
+
+    bool operator==(const Ping&) const = default;
+};
+
+using MemberMessage
+    = std::variant<Hello, Welcome, CallMessage, CallReply, AdmissionMessage, AdmissionReply, Ping>;
+
+using MemberConnection = std::uint64_t;
+
+/** @brief Connections to other members. Messages arrive whole and in order, or the connection closes. */
+class MemberPort {
+public:
+    virtual ~MemberPort() = default;
+
+    virtual MemberConnection connect(const std::string& host, std::uint16_t port) = 0;
+    virtual void send(MemberConnection connection, const MemberMessage& message) = 0;
+    virtual void close(MemberConnection connection) = 0;
+};
+
+/** @brief Called on the coordination thread. */
+class MemberListener {
+public:
+    virtual ~MemberListener() = default;
+
+    virtual void connected(MemberConnection connection) = 0; ///< opened by this process
+    virtual void received(MemberConnection connection, const MemberMessage& message) = 0;
+    virtual void closed(MemberConnection connection) = 0; ///< also if it could not be opened
+};
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -0,0 +1,307 @@
+// Election of the owner through a lease in the store.
+
+#include "OwnerLease.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    /** @brief Epoch in the value of the head record, "EPOCH/..."; 0 for none. */
+    Epoch epochOfHead(const std::optional<StoreEntry>& head)
+    {
+        Epoch epoch = 0;
+        if (head)
+            (void)absl::SimpleAtoi(head->value.substr(0, head->value.find('/')), &epoch);
+        return epoch;
+    }
+
+    std::string headValueOf(Epoch epoch, const OwnerRecord& self)
+    {
+        return absl::StrCat(epoch, "/", self.member, "/", self.incarnation);
+    }
+
+} // namespace
+
+std::string encodeOwner(const OwnerRecord& record)
+{
+    return absl::StrCat(
+        record.member, " ", record.incarnation, " ", record.epoch, " ", record.host, " ", record.port);
+}
+
+absl::StatusOr<OwnerRecord> decodeOwner(const std::string& text)
+{
+    const std::vector<std::string> parts = absl::StrSplit(text, ' ');
+    OwnerRecord record;
+    std::uint32_t port = 0;
+    if (parts.size() != 5 || !absl::SimpleAtoi(parts[1], &record.incarnation)
+        || !absl::SimpleAtoi(parts[2], &record.epoch) || !absl::SimpleAtoi(parts[4], &port) || port > 65535)
+        return absl::InvalidArgumentError("the owner record cannot be read");
+    record.member = parts[0];
+    record.host = parts[3];
+    record.port = static_cast<std::uint16_t>(port);
+    return record;
+}
+
+OwnerLease::OwnerLease(
+    Runtime& runtime, ClusterStore& store, EventLog& log, OwnerRecord self, OwnerLeaseSettings settings)
+    : m_runtime(runtime)
+    , m_store(store)
+    , m_log(log)
+    , m_self(std::move(self))
+    , m_settings(std::move(settings))
+{
+}
+
+void OwnerLease::start() { readOwner(); }
+
+bool OwnerLease::mayOrder() const
+{
+    return m_epoch && m_runtime.now() - m_confirmedAt < m_settings.confirmationLimit;
+}
+
+void OwnerLease::confirmed(TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); }
+
+void OwnerLease::retry(void (OwnerLease::*step)())
+{
+    m_runtime.after(m_settings.retryPause, [this, step] { (this->*step)(); });
+}
+
+void OwnerLease::readOwner()
+{
+    m_store.get(m_settings.ownerKey, m_settings.callTimeout, [this](const absl::StatusOr<StoreValue>& value) {
+        if (!value.ok()) {
+            m_log.record("store_unreachable", { { "call", "read_owner" }, { "error", value.status().message() } });
+            retry(&OwnerLease::readOwner);
+            return;
+        }
+        m_known = true;
+        learn(value->entry);
+        watch(value->asOf);
+    });
+}
+
+void OwnerLease::watch(Revision after)
+{
+    m_store.watch(m_settings.ownerKey, after, m_settings.watchWait, m_settings.callTimeout,
+        [this, after](const absl::StatusOr<StoreEvents>& events) { watched(events, after); });
+}
+
+void OwnerLease::watched(const absl::StatusOr<StoreEvents>& events, Revision after)
+{
+    if (!events.ok()) {
+        retry(&OwnerLease::readOwner);
+        return;
+    }
+    for (const auto& event : events->events) {
+        if (event.key != m_settings.ownerKey)
+            continue;
+        if (event.value)
+            learn(StoreEntry { event.key, *event.value, event.revision });
+        else
+            learn(std::nullopt);
+    }
+    watch(std::max(after, events->asOf));
+}
+
+void OwnerLease::learn(const std::optional<StoreEntry>& entry)
+{
+    std::optional<OwnerRecord> owner;
+    if (entry) {
+        const auto decoded = decodeOwner(entry->value);
+        if (decoded.ok())
+            owner = *decoded;
+        else
+            m_log.record("owner_record_unreadable", { { "error", decoded.status().message() } });
+    }
+    const bool self = owner && owner->member == m_self.member && owner->incarnation == m_self.incarnation;
+    if (m_epoch && owner && !self)
+        depose("another member holds the owner record");
+    if (m_owner != owner) {
+        m_owner = owner;
+        m_log.record("owner_learned",
+            { { "owner", owner ? owner->member : std::string("none") }, { "epoch", owner ? owner->epoch : 0 } });
+        if (!self)
+            m_listener->ownerChanged(owner);
+    }
+    if (!entry)
+        considerClaim();
+}
+
+void OwnerLease::considerClaim()
+{
+    if (m_epoch || m_claiming || m_resigned)
+        return;
+    m_claiming = true;
+    const auto jitter = m_runtime.random() % static_cast<std::uint64_t>(m_settings.claimDelay.count());
+    m_runtime.after(m_settings.claimDelay + Duration(static_cast<Duration::rep>(jitter)), [this] {
+        m_claiming = false;
+        if (!m_owner && !m_epoch && !m_resigned)
+            claim();
+    });
+}
+
+void OwnerLease::claim()
+{
+    m_claiming = true;
+    m_store.grantLease(
+        m_settings.timeToLive, m_settings.callTimeout, [this](const absl::StatusOr<StoreLeaseId>& lease) {
+            if (lease.ok()) {
+                claimWithLease(*lease);
+                return;
+            }
+            m_claiming = false;
+            retry(&OwnerLease::considerClaim);
+        });
+}
+
+void OwnerLease::claimWithLease(StoreLeaseId lease)
+{
+    m_store.get(m_settings.headKey, m_settings.callTimeout, [this, lease](const absl::StatusOr<StoreValue>& head) {
+        if (head.ok() && !m_resigned) {
+            commitClaim(lease, *head);
+            return;
+        }
+        m_claiming = false;
+        retry(&OwnerLease::considerClaim);
+    });
+}
+
+void OwnerLease::commitClaim(StoreLeaseId lease, const StoreValue& head)
+{
+    OwnerRecord record = m_self;
+    record.epoch = epochOfHead(head.entry) + 1;
+    const std::string headValue = headValueOf(record.epoch, m_self);
+    StoreTransaction transaction;
+    transaction.conditions = { { m_settings.ownerKey, 0 },
+        { m_settings.headKey, head.entry ? head.entry->modRevision : Revision { 0 } } };
+    transaction.puts
+        = { { m_settings.ownerKey, encodeOwner(record), lease }, { m_settings.headKey, headValue, std::nullopt } };
+    const TimePoint sentAt = m_runtime.now();
+    m_store.commit(transaction, m_settings.callTimeout,
+        [this, lease, sentAt, headValue, epoch = record.epoch](const absl::StatusOr<CommitResult>& result) {
+            m_claiming = false;
+            if (result.ok() && result->applied) {
+                m_confirmedAt = sentAt;
+                gained(lease, epoch, headValue, result->revision);
+                return;
+            }
+            m_log.record("claim_refused",
+                { { "epoch", epoch }, { "error", result.ok() ? "conditions" : result.status().message() } });
+            // After a lost answer the record may be ours. It is not used: its lease is not renewed and ends soon.
+            if (!result.ok())
+                m_store.endLease(lease, m_settings.callTimeout, [](const absl::Status&) {});
+            if (!m_owner)
+                considerClaim();
+        });
+}
+
+void OwnerLease::gained(StoreLeaseId lease, Epoch epoch, const std::string& headValue, Revision headRevision)
+{
+    m_lease = lease;
+    m_epoch = epoch;
+    m_owner = m_self;
+    m_owner->epoch = epoch;
+    m_log.record("ownership_gained", { { "epoch", epoch }, { "head_revision", headRevision } });
+    m_runtime.after(m_settings.renewInterval, [this, epoch] {
+        if (m_epoch == epoch)
+            renew();
+    });
+    m_listener->ownershipGained(epoch, headValue, headRevision);
+}
+
+void OwnerLease::renew()
+{
+    const TimePoint sentAt = m_runtime.now();
+    m_store.renewLease(m_lease, m_settings.callTimeout,
+        [this, sentAt, epoch = m_epoch](const absl::StatusOr<Duration>& left) {
+            if (!m_epoch || m_epoch != epoch)
+                return;
+            if (left.ok())
+                confirmed(sentAt);
+            if (absl::IsNotFound(left.status())) {
+                m_log.record("owner_lease_ended", { { "epoch", *m_epoch } });
+                reclaim();
+                return;
+            }
+            m_runtime.after(m_settings.renewInterval, [this, epoch] {
+                if (m_epoch && m_epoch == epoch)
+                    renew();
+            });
+        });
+}
+
+// The head record still names this owner unless another member has claimed; commits to the ledger find that out. So
+// the owner record may be written again under the same epoch.
+void OwnerLease::reclaim()
+{
+    const auto epoch = m_epoch;
+    if (!epoch)
+        return;
+    m_store.grantLease(
+        m_settings.timeToLive, m_settings.callTimeout, [this, epoch](const absl::StatusOr<StoreLeaseId>& lease) {
+            if (m_epoch != epoch)
+                return;
+            if (!lease.ok()) {
+                retry(&OwnerLease::reclaim);
+                return;
+            }
+            OwnerRecord record = m_self;
+            record.epoch = *epoch;
+            StoreTransaction transaction;
+            transaction.conditions = { { m_settings.ownerKey, 0 } };
+            transaction.puts = { { m_settings.ownerKey, encodeOwner(record), *lease } };
+            m_store.commit(transaction, m_settings.callTimeout,
+                [this, epoch, lease = *lease](const absl::StatusOr<CommitResult>& result) {
+                    if (m_epoch != epoch)
+                        return;
+                    if (!result.ok()) {
+                        m_store.endLease(lease, m_settings.callTimeout, [](const absl::Status&) {});
+                        retry(&OwnerLease::reclaim);
+                        return;
+                    }
+                    const auto& current = result->current;
+                    if (!result->applied && !current.empty()) {
+                        const auto holder = decodeOwner(current.front().value);
+                        if (!holder.ok() || holder->incarnation != m_self.incarnation
+                            || holder->member != m_self.member) {
+                            depose("the lease ended and another member claimed");
+                            return;
+                        }
+                        retry(&OwnerLease::reclaim); // an earlier copy of this claim; its lease ends soon
+                        return;
+                    }
+                    m_lease = lease;
+                    m_log.record("ownership_reclaimed", { { "epoch", *epoch } });
+                    renew();
+                });
+        });
+}
+
+void OwnerLease::depose(const char* reason)
+{
+    if (!m_epoch)
+        return;
+    m_log.record("ownership_lost", { { "epoch", *m_epoch }, { "reason", reason } });
+    m_epoch.reset();
+    // If the record is still ours, nobody else would claim before the lease ends.
+    m_store.endLease(m_lease, m_settings.callTimeout, [](const absl::Status&) {});
+    if (m_owner && m_owner->incarnation == m_self.incarnation && m_owner->member == m_self.member)
+        m_owner.reset();
+    m_listener->ownershipLost(reason);
+}
+
+void OwnerLease::resign()
+{
+    m_resigned = true;
+    depose("planned stop");
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/OwnerLink.cpp
@@ -0,0 +1,119 @@
+// Connection of a member to the owner: forwards calls, and calls the admission service for it.
+
+#include "OwnerLink.h"
+
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+OwnerLink::OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, EventLog& log, std::string member,
+    OwnerLinkSettings settings)
+    : m_runtime(runtime)
+    , m_port(port)
+    , m_admission(admission)
+    , m_log(log)
+    , m_member(std::move(member))
+    , m_settings(settings)
+{
+}
+
+void OwnerLink::setOwner(const std::optional<OwnerRecord>& owner)
+{
+    if (m_owner == owner)
+        return;
+    m_owner = owner;
+    drop("the owner changed");
+    connect();
+}
+
+void OwnerLink::connect()
+{
+    if (!m_owner || m_connection)
+        return;
+    m_connection = m_port.connect(m_owner->host, m_owner->port);
+    m_heardAt = m_runtime.now();
+    m_port.send(*m_connection, Hello { m_member });
+    ping(*m_connection);
+}
+
+void OwnerLink::drop(const char* reason)
+{
+    if (!m_connection)
+        return;
+    const MemberConnection connection = *std::exchange(m_connection, std::nullopt);
+    if (m_active)
+        m_log.record("owner_connection_lost", { { "reason", reason }, { "calls", m_calls.size() } });
+    m_active = false;
+    m_port.close(connection);
+    for (auto& [id, reply] : std::exchange(m_calls, {}))
+        reply({ .kind = ReplyKind::Unknown, .reason = "the connection to the owner was lost" });
+}
+
+void OwnerLink::ping(MemberConnection connection)
+{
+    if (m_connection != connection)
+        return;
+    if (m_runtime.now() - m_heardAt > m_settings.silenceLimit) {
+        drop("no bytes from the owner");
+        m_runtime.after(m_settings.reconnectPause, [this] { connect(); });
+        return;
+    }
+    m_port.send(connection, Ping { ++m_pings, false });
+    m_runtime.after(m_settings.pingInterval, [this, connection] { ping(connection); });
+}
+
+void OwnerLink::forward(const ClientCall& call, Reply reply)
+{
+    if (!isReady() || m_calls.size() >= m_settings.maxCalls) {
+        m_log.record("call_refused", { { "reason", isReady() ? "too many calls" : "no owner is connected" } });
+        reply({ .kind = ReplyKind::Refused, .retryAfterS = m_settings.retryAfterS, .reason = "no owner is known" });
+        return;
+    }
+    const std::uint64_t id = ++m_nextCall;
+    m_calls[id] = std::move(reply);
+    m_port.send(*m_connection, CallMessage { id, call });
+}
+
+void OwnerLink::connected(MemberConnection) { }
+
+void OwnerLink::received(MemberConnection connection, const MemberMessage& message)
+{
+    m_heardAt = m_runtime.now();
+    if (const auto* welcome = std::get_if<Welcome>(&message)) {
+        if (welcome->active && !m_active)
+            m_log.record("owner_connected", { { "epoch", welcome->epoch } });
+        m_active = welcome->active;
+    } else if (const auto* answer = std::get_if<CallReply>(&message)) {
+        auto node = m_calls.extract(answer->id);
+        if (!node.empty())
+            node.mapped()(answer->reply);
+    } else if (const auto* question = std::get_if<AdmissionMessage>(&message)) {
+        ask(connection, *question);
+    }
+}
+
+void OwnerLink::ask(MemberConnection connection, const AdmissionMessage& message)
+{
+    constexpr RelayId thisProcess = 0;
+    m_admission.ask(thisProcess, message.question, std::chrono::milliseconds(message.timeoutMs),
+        [this, connection, id = message.id](const absl::StatusOr<std::vector<AdmissionGrant>>& grants) {
+            if (m_connection != connection)
+                return;
+            AdmissionReply answer { .id = id, .answered = grants.ok(), .grants = {}, .error = {} };
+            if (grants.ok())
+                answer.grants = *grants;
+            else
+                answer.error = std::string(grants.status().message());
+            m_port.send(connection, answer);
+        });
+}
+
+void OwnerLink::closed(MemberConnection connection)
+{
+    if (m_connection != connection)
+        return;
+    drop("the connection closed");
+    m_runtime.after(m_settings.reconnectPause, [this] { connect(); });
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/OwnerLink.h
@@ -0,0 +1,64 @@
+// Connection of a member to the owner: forwards calls, and calls the admission service for it.
+#pragma once
+
+#include "../coordination/Runtime.h"
+#include "EventLog.h"
+#include "MemberMessages.h"
+#include "OwnerLease.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace lycheeledge::jobs {
+
+struct OwnerLinkSettings {
+    Duration pingInterval = std::chrono::milliseconds(400);
+    Duration silenceLimit = std::chrono::milliseconds(1300); ///< a connection without bytes for so long is given up
+    Duration reconnectPause = std::chrono::milliseconds(150);
+    std::size_t maxCalls = 2000; ///< in progress; further ones are refused
+    std::uint32_t retryAfterS = 1; ///< Retry-After while no owner is known; a takeover takes about 2.5 s
+};
+
+class OwnerLink {
+public:
+    using Reply = std::function<void(ClientReply)>;
+
+    OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, EventLog& log, std::string member,
+        OwnerLinkSettings settings = {});
+
+    /** @brief The owner to connect to; nothing if there is none, or if it is this process. */
+    void setOwner(const std::optional<OwnerRecord>& owner);
+    /** @brief Forwards a call. Refuses it at once if no owner is connected. */
+    void forward(const ClientCall& call, Reply reply);
+    bool isReady() const { return m_connection && m_active; }
+    std::size_t callsInProgress() const { return m_calls.size(); }
+
+    bool owns(MemberConnection connection) const { return m_connection == connection; }
+    void connected(MemberConnection connection);
+    void received(MemberConnection connection, const MemberMessage& message);
+    void closed(MemberConnection connection);
+
+private:
+    void connect();
+    void drop(const char* reason);
+    void ping(MemberConnection connection);
+    void ask(MemberConnection connection, const AdmissionMessage& message);
+
+    Runtime& m_runtime;
+    MemberPort& m_port;
+    AdmissionPort& m_admission;
+    EventLog& m_log;
+    std::string m_member;
+    OwnerLinkSettings m_settings;
+    std::optional<OwnerRecord> m_owner;
+    std::optional<MemberConnection> m_connection;
+    bool m_active = false; ///< the owner takes calls
+    TimePoint m_heardAt;
+    std::uint64_t m_pings = 0;
+    std::uint64_t m_nextCall = 0;
+    std::map<std::uint64_t, Reply> m_calls;
+};
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/OwnerSession.cpp
@@ -0,0 +1,298 @@
+// One ownership: recovery from the store, and the inputs of the scheduler while it lasts.
+
+#include "OwnerSession.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+OwnerSession::OwnerSession(Ports ports, JobSchedulerSettings scheduler, JobServiceSettings service,
+    LedgerSettings ledger, OwnerSessionSettings settings)
+    : m_runtime(ports.runtime)
+    , m_store(ports.store)
+    , m_records(ports.records)
+    , m_codec(ports.codec)
+    , m_log(ports.log)
+    , m_lease(ports.lease)
+    , m_unixMs(std::move(ports.unixMs))
+    , m_onActivated(std::move(ports.activated))
+    , m_settings(settings)
+    , m_ledger(m_runtime, m_store, m_codec, m_log, m_records.configurationKey(), ledger)
+    , m_scheduler({ m_runtime, ports.workers, ports.admission, m_ledger, m_log, *this }, scheduler)
+    , m_service({ m_runtime, m_scheduler, m_ledger, ports.submissions, m_log, *this }, service)
+{
+    m_ledger.setSource(this);
+}
+
+OwnerSession::~OwnerSession() { end(); }
+
+void OwnerSession::begin(Epoch epoch, const std::string& headValue, Revision headRevision)
+{
+    end();
+    m_session = std::make_shared<int>();
+    m_epoch = epoch;
+    m_begun = m_runtime.now();
+    m_ledger.open(headValue, headRevision);
+    m_scheduler.begin(epoch);
+    m_missingReads = 5;
+    const auto complete = [this] {
+        --m_missingReads;
+        tryRecover();
+    };
+    readConfiguration();
+    readPages(m_ledger.keys().submissionPrefix, m_submissions, complete);
+    readPages(m_ledger.keys().progressPrefix, m_progress, complete);
+    readPages(m_records.workerPrefix(), m_registry, complete);
+    readWorkerSet();
+}
+
+void OwnerSession::end()
+{
+    m_session.reset();
+    m_activated = false;
+    m_ledger.close();
+    m_service.end();
+    m_scheduler.end();
+    m_configuration.reset();
+    m_submissions.clear();
+    m_progress.clear();
+    m_registry.clear();
+    m_workerSet = {};
+    m_watchingOperator = false;
+}
+
+void OwnerSession::handle(const ClientCall& call, JobService::Reply reply) { m_service.handle(call, std::move(reply)); }
+
+// --- Configuration ---
+
+void OwnerSession::readConfiguration()
+{
+    const TimePoint sentAt = m_runtime.now();
+    m_store.get(m_records.configurationKey(), m_settings.callTimeout,
+        [this, sentAt, session = Session(m_session)](const absl::StatusOr<StoreValue>& value) {
+            if (session.expired())
+                return;
+            if (!value.ok() || !value->entry) {
+                if (!value.ok())
+                    m_log.record("store_unreachable",
+                        { { "call", "read_configuration" }, { "error", value.status().message() } });
+                m_runtime.after(m_settings.retryPause, [this, session] {
+                    if (!session.expired())
+                        readConfiguration();
+                });
+                return;
+            }
+            applyConfiguration(*value->entry);
+            m_service.configurationConfirmed(sentAt);
+            if (!std::exchange(m_watchingOperator, true)) {
+                --m_missingReads;
+                tryRecover();
+            }
+            watchOperator(value->asOf);
+        });
+}
+
+void OwnerSession::watchOperator(Revision after)
+{
+    const TimePoint sentAt = m_runtime.now();
+    m_store.watch(m_records.operatorPrefix(), after, m_settings.operatorWatchWait, m_settings.callTimeout,
+        [this, sentAt, after, session = Session(m_session)](const absl::StatusOr<StoreEvents>& events) {
+            if (session.expired())
+                return;
+            if (!events.ok()) {
+                // A gap may hide changes, so the records are read again.
+                m_runtime.after(m_settings.retryPause, [this, session] {
+                    if (!session.expired())
+                        readConfiguration();
+                });
+                return;
+            }
+            for (const auto& event : events->events) {
+                if (event.key == m_records.configurationKey() && event.value)
+                    applyConfiguration({ event.key, *event.value, event.revision });
+            }
+            m_service.configurationConfirmed(sentAt);
+            m_lease.confirmed(sentAt);
+            watchOperator(std::max(after, events->asOf));
+        });
+}
+
+void OwnerSession::applyConfiguration(const StoreEntry& entry)
+{
+    if (m_configuration && entry.modRevision < m_configuration->revision)
+        return;
+    if (!m_configuration || entry.modRevision > m_configuration->revision) {
+        auto configuration = m_records.configuration(entry);
+        if (!configuration.ok()) {
+            m_log.record("configuration_unreadable",
+                { { "revision", entry.modRevision }, { "error", configuration.status().message() } });
+            return;
+        }
+        m_configuration = std::make_shared<const ClusterConfiguration>(*std::move(configuration));
+        m_log.record("configuration_applied",
+            { { "version", m_configuration->version }, { "revision", m_configuration->revision },
+                { "queues", m_configuration->queues.size() }, { "accounts", m_configuration->accounts.size() } });
+        m_scheduler.setConfiguration(m_configuration);
+    }
+    m_service.setConfiguration(m_configuration);
+}
+
+// --- Recovery ---
+
+void OwnerSession::readPages(const std::string& prefix, std::vector<StoreEntry>& into, std::function<void()> done,
+    const std::string& after)
+{
+    m_store.list(prefix, after, m_settings.callTimeout,
+        [this, prefix, &into, done = std::move(done), after, session = Session(m_session)](
+            const absl::StatusOr<StorePage>& page) {
+            if (session.expired())
+                return;
+            if (!page.ok()) {
+                m_log.record("store_unreachable", { { "call", "list" }, { "error", page.status().message() } });
+                m_runtime.after(m_settings.retryPause, [this, prefix, &into, done, after, session] {
+                    if (!session.expired())
+                        readPages(prefix, into, done, after);
+                });
+                return;
+            }
+            into.insert(into.end(), page->entries.begin(), page->entries.end());
+            if (page->truncated && !page->entries.empty())
+                readPages(prefix, into, done, page->entries.back().key);
+            else
+                done();
+        });
+}
+
+void OwnerSession::readWorkerSet()
+{
+    m_store.get(m_ledger.keys().workers, m_settings.callTimeout,
+        [this, session = Session(m_session)](const absl::StatusOr<StoreValue>& value) {
+            if (session.expired())
+                return;
+            if (!value.ok()) {
+                m_runtime.after(m_settings.retryPause, [this, session] {
+                    if (!session.expired())
+                        readWorkerSet();
+                });
+                return;
+            }
+            if (value->entry) {
+                const auto set = m_codec.decodeWorkerSet(value->entry->value);
+                if (set.ok())
+                    m_workerSet = *set;
+                else
+                    m_log.record("worker_set_unreadable", { { "error", set.status().message() } });
+            }
+            --m_missingReads;
+            tryRecover();
+        });
+}
+
+void OwnerSession::tryRecover()
+{
+    if (m_missingReads == 0 && !m_activated)
+        recovered();
+}
+
+void OwnerSession::recovered()
+{
+    absl::flat_hash_map<std::string, SubmissionRecord> submissions;
+    const auto& keys = m_ledger.keys();
+    for (const auto& entry : m_submissions) {
+        auto record = m_codec.decodeSubmission(entry.value);
+        if (record.ok())
+            submissions.emplace(entry.key.substr(keys.submissionPrefix.size()), *std::move(record));
+        else
+            m_log.record("record_unreadable", { { "key", entry.key }, { "error", record.status().message() } });
+    }
+    for (const auto& entry : m_progress) {
+        auto record = m_codec.decodeProgress(entry.value);
+        if (!record.ok()) {
+            m_log.record("record_unreadable", { { "key", entry.key }, { "error", record.status().message() } });
+            continue;
+        }
+        const std::string id = entry.key.substr(keys.progressPrefix.size());
+        const auto it = submissions.find(id);
+        std::optional<SubmissionRecord> submission;
+        if (it != submissions.end()) {
+            submission = std::move(it->second);
+            submissions.erase(it);
+        }
+        m_scheduler.recover(JobId(id), std::move(submission), *std::move(record));
+    }
+    for (auto& [id, submission] : submissions)
+        m_scheduler.recover(JobId(id), std::move(submission), std::nullopt);
+    m_scheduler.recoverWorkers(m_workerSet);
+    m_scheduler.setWorkers(decodeRegistry(m_registry));
+    m_submissions.clear();
+    m_progress.clear();
+    m_activated = true;
+    m_scheduler.activate();
+    m_log.record("owner_recovered",
+        { { "epoch", m_epoch },
+            { "after_ms", std::chrono::duration<double, std::milli>(m_runtime.now() - m_begun).count() } });
+    scheduleRegistry();
+    m_onActivated();
+}
+
+// --- Registry ---
+
+std::vector<WorkerRecord> OwnerSession::decodeRegistry(const std::vector<StoreEntry>& entries)
+{
+    std::vector<WorkerRecord> records;
+    for (const auto& entry : entries) {
+        auto record = m_records.worker(entry);
+        if (record.ok())
+            records.push_back(*std::move(record));
+        else if (m_unreadable.insert(entry.key).second)
+            m_log.record("worker_entry_unreadable", { { "key", entry.key }, { "error", record.status().message() } });
+    }
+    return records;
+}
+
+void OwnerSession::scheduleRegistry()
+{
+    m_runtime.after(m_settings.registryInterval, [this, session = Session(m_session)] {
+        if (!session.expired())
+            readRegistry();
+    });
+}
+
+void OwnerSession::readRegistry()
+{
+    m_registry.clear();
+    readPages(m_records.workerPrefix(), m_registry, [this] {
+        m_scheduler.setWorkers(decodeRegistry(m_registry));
+        scheduleRegistry();
+    });
+}
+
+// --- Loss ---
+
+void OwnerSession::changeStored(const JobId& job, const JobChange& change)
+{
+    if (m_ledger.lastCommit())
+        m_lease.confirmed(*m_ledger.lastCommit());
+    m_scheduler.changeStored(job, change);
+}
+
+void OwnerSession::ledgerLost()
+{
+    m_runtime.post([this, session = Session(m_session)] {
+        if (!session.expired())
+            m_lease.depose("another owner wrote the head record");
+    });
+}
+
+void OwnerSession::fenced()
+{
+    m_runtime.post([this, session = Session(m_session)] {
+        if (!session.expired())
+            m_lease.depose("a worker has accepted a higher epoch");
+    });
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -0,0 +1,111 @@
+// One ownership: recovery from the store, and the inputs of the scheduler while it lasts.
+#pragma once
+
+#include "ClusterStore.h"
+#include "JobScheduler.h"
+#include "JobService.h"
+#include "OwnerLease.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lycheeledge::jobs {
+
+struct OwnerSessionSettings {
+    /// Each answer confirms the configuration, so it bounds the age of keys.
+    Duration operatorWatchWait = std::chrono::milliseconds(700);
+    Duration registryInterval = std::chrono::milliseconds(500); ///< well under the bound for draining workers
+    Duration callTimeout = std::chrono::milliseconds(900);
+    Duration retryPause = std::chrono::milliseconds(100);
+};
+
+class OwnerSession final : public LedgerSource, public JobSchedulerHost {
+public:
+    struct Ports {
+        Runtime& runtime;
+        ClusterStore& store;
+        const PlatformRecords& records;
+        const RecordCodec& codec;
+        const SubmissionCodec& submissions;
+        WorkerPort& workers;
+        AdmissionDesk& admission;
+        EventLog& log;
+        OwnerLease& lease;
+        std::function<std::int64_t()> unixMs;
+        std::function<void()> activated; ///< the session takes calls now
+    };
+
+    OwnerSession(Ports ports, JobSchedulerSettings scheduler, JobServiceSettings service, LedgerSettings ledger,
+        OwnerSessionSettings settings = {});
+    ~OwnerSession() override;
+
+    void begin(Epoch epoch, const std::string& headValue, Revision headRevision);
+    void end();
+    /** @brief Handles a client's call; refuses it while the session is not active. */
+    void handle(const ClientCall& call, JobService::Reply reply);
+    bool isActive() const { return m_activated; }
+    /** @brief Calls `done` when all changes are stored. */
+    void flush(std::function<void()> done) { m_ledger.whenFlushed(std::move(done)); }
+
+    const JobScheduler& scheduler() const { return m_scheduler; }
+    const JobService& service() const { return m_service; }
+    const JobLedger& ledger() const { return m_ledger; }
+    std::int64_t configurationVersion() const { return m_configuration ? m_configuration->version : 0; }
+
+    // LedgerSource
+    std::optional<JobChange> changeOf(const JobId& job) override { return m_scheduler.changeOf(job); }
+    void changeStored(const JobId& job, const JobChange& change) override;
+    void ledgerLost() override;
+    void configurationSuperseded(const StoreEntry& configuration) override { applyConfiguration(configuration); }
+    Revision configurationRevision() const override { return m_configuration ? m_configuration->revision : 0; }
+
+    // JobSchedulerHost
+    bool mayOrder() const override { return m_lease.mayOrder(); }
+    void fenced() override;
+    std::int64_t unixMs() const override { return m_unixMs(); }
+
+private:
+    using Session = std::weak_ptr<int>;
+
+    void readConfiguration();
+    void watchOperator(Revision after);
+    void applyConfiguration(const StoreEntry& entry);
+    void readPages(const std::string& prefix, std::vector<StoreEntry>& into, std::function<void()> done,
+        const std::string& after = {});
+    void readWorkerSet();
+    void readRegistry();
+    void scheduleRegistry();
+    void recovered();
+    void tryRecover();
+    std::vector<WorkerRecord> decodeRegistry(const std::vector<StoreEntry>& entries);
+
+    Runtime& m_runtime;
+    ClusterStore& m_store;
+    const PlatformRecords& m_records;
+    const RecordCodec& m_codec;
+    EventLog& m_log;
+    OwnerLease& m_lease;
+    std::function<std::int64_t()> m_unixMs;
+    std::function<void()> m_onActivated;
+    OwnerSessionSettings m_settings;
+    JobLedger m_ledger;
+    JobScheduler m_scheduler;
+    JobService m_service;
+    std::shared_ptr<int> m_session;
+    std::shared_ptr<const ClusterConfiguration> m_configuration;
+    Epoch m_epoch = 0;
+    TimePoint m_begun;
+    bool m_activated = false;
+    // Read at the begin; m_missingReads counts those that are not complete.
+    int m_missingReads = 0;
+    std::vector<StoreEntry> m_submissions;
+    std::vector<StoreEntry> m_progress;
+    std::vector<StoreEntry> m_registry;
+    WorkerSetRecord m_workerSet;
+    bool m_watchingOperator = false;
+    absl::flat_hash_set<std::string> m_unreadable; ///< registry keys that were logged as unreadable
+};
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/Placement.cpp
@@ -0,0 +1,118 @@
+// Choice of workers for the tasks of a step.
+
+#include "Placement.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    // Each of these outweighs any difference in room, which is at most 1; in order of their harm.
+    constexpr double farFromData = 2; // the task takes up to twice as long
+    constexpr double besideServing = 8; // filling and serving tasks disturb each other
+    constexpr double doubtfulWorker = 32; // the attempt may be lost
+
+} // namespace
+
+Resources reservationOf(const StepSpec& step)
+{
+    Resources result = step.request;
+    if (step.usesIdleCpu)
+        result.milliCpu = 0;
+    return result;
+}
+
+Placement::Placement(const StepSpec& step, std::vector<PlacementCandidate> candidates, PlacementGoal goal)
+    : m_step(step)
+    , m_candidates(std::move(candidates))
+    , m_goal(goal)
+    , m_reservation(reservationOf(step))
+{
+}
+
+bool Placement::fits(const PlacementCandidate& candidate) const
+{
+    if (m_step.maxTasksPerWorker > 0 && candidate.tasksOfStep >= m_step.maxTasksPerWorker)
+        return false;
+    return m_reservation.fitsIn(candidate.free);
+}
+
+// Lower is better.
+double Placement::score(const PlacementCandidate& candidate) const
+{
+    double result = (candidate.free - m_reservation).dominantShare(candidate.capacity);
+    const auto cpu = static_cast<double>(std::max<std::int64_t>(candidate.capacity.milliCpu, 1));
+    if (m_goal == PlacementGoal::Spread || m_step.usesIdleCpu)
+        result = 1 - static_cast<double>(candidate.free.milliCpu) / cpu;
+    if (!m_step.preferredRack.empty() && candidate.rack != m_step.preferredRack)
+        result += farFromData;
+    if (m_step.usesIdleCpu && candidate.hasServingTasks)
+        result += besideServing;
+    if (m_step.latencyTarget > Duration::zero() && candidate.hasFillingTasks)
+        result += besideServing;
+    if (candidate.preferLess)
+        result += doubtfulWorker;
+    return result;
+}
+
+std::optional<std::size_t> Placement::place()
+{
+    std::optional<std::size_t> best;
+    double bestScore = 0;
+    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+        if (!fits(m_candidates[i]))
+            continue;
+        const double value = score(m_candidates[i]);
+        if (!best || value < bestScore) {
+            best = i;
+            bestScore = value;
+        }
+    }
+    if (best) {
+        m_candidates[*best].free -= m_reservation;
+        ++m_candidates[*best].tasksOfStep;
+    }
+    return best;
+}
+
+std::vector<std::size_t> Placement::placeGang(std::size_t count)
+{
+    if (m_step.sameRack) {
+        std::set<std::string> racks;
+        for (const auto& candidate : m_candidates)
+            racks.insert(candidate.rack);
+        for (const auto& rack : racks) {
+            if (auto places = placeOn(&rack, count); !places.empty())
+                return places;
+        }
+    }
+    return placeOn(nullptr, count);
+}
+
+std::vector<std::size_t> Placement::placeOn(const std::string* rack, std::size_t count)
+{
+    const std::vector<PlacementCandidate> before = m_candidates;
+    if (rack != nullptr) {
+        for (auto& candidate : m_candidates) {
+            if (candidate.rack != *rack)
+                candidate.free = {};
+        }
+    }
+    std::vector<std::size_t> places;
+    while (places.size() < count) {
+        const auto n = place();
+        if (!n)
+            break;
+        places.push_back(*n);
+    }
+    if (places.size() < count) {
+        m_candidates = before;
+        return {};
+    }
+    return places;
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/WorkerTable.cpp
@@ -0,0 +1,35 @@
+// Workers as the owner sees them: what they hold, what is reserved, whether they may get tasks.
+
+#include "WorkerTable.h"
+
+namespace lycheeledge::jobs {
+
+Resources WorkerTable::capacity(const std::string& pool) const
+{
+    Resources sum;
+    for (const auto& [id, worker] : m_workers) {
+        if (worker.registered && worker.record.pool == pool)
+            sum += worker.record.capacity;
+    }
+    return sum;
+}
+
+void reserve(Worker& worker, const TaskKey& task, const PlacedRun& run)
+{
+    (void)release(worker, task);
+    worker.reserved += run.reserved;
+    worker.runs[task] = run;
+}
+
+std::optional<PlacedRun> release(Worker& worker, const TaskKey& task)
+{
+    const auto it = worker.runs.find(task);
+    if (it == worker.runs.end())
+        return std::nullopt;
+    const PlacedRun run = it->second;
+    worker.reserved -= run.reserved;
+    worker.runs.erase(it);
+    return run;
+}
+
+} // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/protocol/CerealRecordCodec.h
@@ -0,0 +1,28 @@
+// Binary form of job records and of messages between members, by cereal.
+#pragma once
+
+#include "../jobs/JobRecord.h"
+#include "../jobs/MemberMessages.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+namespace lycheeledge {
+
+class CerealRecordCodec final : public jobs::RecordCodec {
+public:
+    std::string encode(const jobs::SubmissionRecord& record) const override;
+    std::string encode(const jobs::ProgressRecord& record) const override;
+    std::string encode(const jobs::WorkerSetRecord& record) const override;
+    absl::StatusOr<jobs::SubmissionRecord> decodeSubmission(std::string_view buf) const override;
+    absl::StatusOr<jobs::ProgressRecord> decodeProgress(std::string_view buf) const override;
+    absl::StatusOr<jobs::WorkerSetRecord> decodeWorkerSet(std::string_view buf) const override;
+};
+
+std::string encodeMemberMessage(const jobs::MemberMessage& message);
+/** @brief Errors: `INVALID_ARGUMENT` for bytes that are no message. */
+absl::StatusOr<jobs::MemberMessage> decodeMemberMessage(std::string_view buf);
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/protocol/FramedMemberPort.h
@@ -0,0 +1,39 @@
+// Messages between members as frames of the peer transport.
+#pragma once
+
+#include "../jobs/EventLog.h"
+#include "../jobs/MemberMessages.h"
+#include "../transport/PeerTransport.h"
+#include "CompletionExecutor.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+
+namespace lycheeledge {
+
+class FramedMemberPort final : public jobs::MemberPort {
+public:
+    FramedMemberPort(PeerTransportSettings settings, CompletionExecutor& executor, jobs::EventLog& log);
+
+    void setListener(jobs::MemberListener* listener) { m_listener = listener; }
+    /** @brief Listens. @return the port. Errors: `UNAVAILABLE`. */
+    absl::StatusOr<std::uint16_t> start() { return m_transport.start(); }
+    void stop() { m_transport.stop(); }
+
+    jobs::MemberConnection connect(const std::string& host, std::uint16_t port) override;
+    void send(jobs::MemberConnection connection, const jobs::MemberMessage& message) override;
+    void close(jobs::MemberConnection connection) override;
+
+private:
+    PeerTransport::Handlers handlers();
+    void frameArrived(jobs::MemberConnection connection, const std::string& frame);
+
+    CompletionExecutor& m_executor;
+    jobs::EventLog& m_log;
+    jobs::MemberListener* m_listener = nullptr;
+    PeerTransport m_transport;
+};
+
+} // namespace lycheeledge
--- /dev/null
+++ b/src/lycheeledge/protocol/JobSerialization.h
@@ -0,0 +1,101 @@
+// cereal functions for jobs, their records and the messages between members.
+#pragma once
+
+#include "../jobs/JobRecord.h"
+#include "../jobs/MemberMessages.h"
+#include "Serialization.h"
+
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace lycheeledge::jobs {
+
+template <typename Archive> void serialize(Archive& archive, StepSpec& value)
+{
+    archive(value.taskCount, value.request, value.estimatedRunTime, value.after, value.requiredLabel,
+        value.preferredRack, value.image, value.maxTasksPerWorker, value.maxUnavailable, value.latencyTarget,
+        value.checkpoints, value.gang, value.sameRack, value.speculative, value.longRunning, value.usesIdleCpu);
+}
+
+template <typename Archive> void serialize(Archive& archive, JobSpec& value)
+{
+    archive(value.payload, value.steps, value.repetitions, value.firstDueUnixMs, value.intervalMs);
+}
+
+template <typename Archive> void serialize(Archive& archive, SubmissionRecord& value)
+{
+    archive(value.account, value.queue, value.spec, value.acceptedUnixMs);
+}
+
+template <typename Archive> void serialize(Archive& archive, TaskProgress& value)
+{
+    archive(value.index, value.done, value.failures, value.countedRun, value.checkpoint);
+}
+
+template <typename Archive> void serialize(Archive& archive, StepProgress& value)
+{
+    archive(value.gangFailures, value.gangCountedRun, value.allDone, value.tasks);
+}
+
+template <typename Archive> void serialize(Archive& archive, OccurrenceProgress& value)
+{
+    archive(value.occurrence, value.steps);
+}
+
+template <typename Archive> void serialize(Archive& archive, ProgressRecord& value)
+{
+    archive(value.state, value.account, value.queue, value.endedUnixMs, value.nextOccurrence, value.open);
+}
+
+template <typename Archive> void serialize(Archive& archive, KnownWorker& value) { archive(value.id, value.address); }
+
+template <typename Archive> void serialize(Archive& archive, WorkerSetRecord& value) { archive(value.workers); }
+
+template <typename Archive> void serialize(Archive& archive, StepKey& value)
+{
+    archive(value.job, value.occurrence, value.step);
+}
+
+template <typename Archive> void serialize(Archive& archive, ClientCall& value)
+{
+    archive(value.verb, value.host, value.path, value.key, value.patienceMs, value.body);
+}
+
+template <typename Archive> void serialize(Archive& archive, ClientReply& value)
+{
+    archive(value.kind, value.state, value.count, value.retryAfterS, value.reason);
+}
+
+template <typename Archive> void serialize(Archive& archive, AdmissionQuestion& value)
+{
+    archive(value.step, value.workers);
+}
+
+template <typename Archive> void serialize(Archive& archive, AdmissionGrant& value)
+{
+    archive(value.worker, value.ticket);
+}
+
+template <typename Archive> void serialize(Archive& archive, Hello& value) { archive(value.member); }
+
+template <typename Archive> void serialize(Archive& archive, Welcome& value) { archive(value.epoch, value.active); }
+
+template <typename Archive> void serialize(Archive& archive, CallMessage& value) { archive(value.id, value.call); }
+
+template <typename Archive> void serialize(Archive& archive, CallReply& value) { archive(value.id, value.reply); }
+
+template <typename Archive> void serialize(Archive& archive, AdmissionMessage& value)
+{
+    archive(value.id, value.question, value.timeoutMs);
+}
+
+template <typename Archive> void serialize(Archive& archive, AdmissionReply& value)
+{
+    archive(value.id, value.answered, value.grants, value.error);
+}
+
+template <typename Archive> void serialize(Archive& archive, Ping& value) { archive(value.number, value.reply); }
+
+} // namespace lycheeledge::jobs
--- a/src/lycheeledge/transport/HttpServer.cpp
+++ b/src/lycheeledge/transport/HttpServer.cpp
@@ -352,13 +352,19 @@
     return impl.usesTls() ? impl.certificate.load() : absl::FailedPreconditionError("the server does not use TLS");
 }
 
+void HttpServer::closeAfterResponses()
+{
+    auto& impl = *m_implementation;
+    if (impl.core)
+        impl.core->closing = true;
+}
+
 void HttpServer::stopAccepting()
 {
     auto& impl = *m_implementation;
-    // From now on every response closes its connection, so that kept-alive clients go elsewhere.
     if (!impl.thread.joinable())
         return;
-    impl.core->closing = true;
+    closeAfterResponses();
     asio::post(impl.core->context, [listener = impl.listener.get()] { listener->close(); });
 }
 
--- a/src/lycheeledge/transport/HttpServer.h
+++ b/src/lycheeledge/transport/HttpServer.h
@@ -52,6 +52,8 @@
      * Errors: `INVALID_ARGUMENT` if they cannot be used (the earlier ones stay), `FAILED_PRECONDITION` without TLS.
      */
     absl::Status reloadCertificate();
+    /** @brief Closes each connection after its next response, so that kept-alive clients go elsewhere. */
+    void closeAfterResponses();
     /** @brief Stops accepting connections; requests in progress continue. */
     void stopAccepting();
     /** @brief Closes all connections and joins the thread. */
