Ask the admission service in the order of the steps, and bound the cost of passes

Questions waited in a queue of their own, oldest first. Change: a question is asked only when a member is free, for the most urgent step; steps without a usable ticket are skipped before candidates are built; a pass is followed by a pause four times its length.

--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -199,7 +199,7 @@
             { "done", counters.endsDone }, { "failed", counters.endsFailed }, { "other_ends", counters.endsOther },
             { "lost", counters.runsLost }, { "no_room", counters.startsRefusedNoRoom },
             { "ticket_rejected", counters.startsRefusedTicket }, { "unanswered", counters.startsUnanswered },
-            { "questions_waiting", m_node.desk().waiting() }, { "relays", m_node.desk().relays() },
+            { "questions_open", m_node.desk().inProgress() }, { "relays", m_node.desk().relays() },
             { "questions", counters.questions }, { "commits", session.ledger().commits() },
             { "calls", m_callsTotal } });
 }
--- a/src/lycheeledge/jobs/AdmissionDesk.cpp
+++ b/src/lycheeledge/jobs/AdmissionDesk.cpp
@@ -16,6 +16,8 @@
     // Beyond the service's own time: the path to a relay in another data centre, twice, and a call in progress there.
     constexpr Duration timeoutMargin = std::chrono::milliseconds(700);
 
+    bool isSlow(const AdmissionPolicy& policy) { return policy.perCall > slowCall; }
+
     Duration serviceTime(const AdmissionPolicy& policy, std::size_t workers)
     {
         return policy.perCall + policy.perWorker * static_cast<Duration::rep>(workers);
@@ -29,8 +31,6 @@
 {
 }
 
-bool AdmissionDesk::isSlow(const Request& request) { return request.policy.perCall > slowCall; }
-
 std::size_t AdmissionDesk::maxSlow() const
 {
     const std::size_t n = m_relays.size();
@@ -40,78 +40,63 @@
 void AdmissionDesk::addRelay(RelayId relay)
 {
     m_relays[relay] = { .busy = false, .slow = false, .session = m_nextSession++, .idleSince = m_runtime.now() };
-    dispatch();
+    if (m_onFree)
+        m_onFree();
 }
 
 void AdmissionDesk::removeRelay(RelayId relay) { m_relays.erase(relay); }
 
-void AdmissionDesk::request(Request request)
-{
-    m_waiting.emplace(OrderKey { request.priority, m_nextAge++ }, std::move(request));
-    dispatch();
-}
-
 void AdmissionDesk::clear()
 {
-    m_waiting.clear();
     ++m_generation;
     for (auto& [id, relay] : m_relays)
         relay.busy = false;
 }
 
-std::optional<RelayId> AdmissionDesk::idleRelay() const
+std::size_t AdmissionDesk::inProgress() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_relays.begin(), m_relays.end(), [](const auto& it) { return it.second.busy; }));
+}
+
+// The relay that has been idle longest: its last call is certainly over at the service.
+std::map<RelayId, AdmissionDesk::Relay>::const_iterator AdmissionDesk::idleRelay() const
 {
-    // The relay that has been idle longest: its last call is certainly over at the service.
     const auto it = std::min_element(m_relays.begin(), m_relays.end(), [](const auto& a, const auto& b) {
         return std::pair(a.second.busy, a.second.idleSince) < std::pair(b.second.busy, b.second.idleSince);
     });
-    if (it == m_relays.end() || it->second.busy)
-        return std::nullopt;
-    return it->first;
+    return it == m_relays.end() || it->second.busy ? m_relays.end() : it;
 }
 
-void AdmissionDesk::dispatch()
+bool AdmissionDesk::isFree(const AdmissionPolicy& policy) const
 {
-    auto slow = static_cast<std::size_t>(std::count_if(
+    if (idleRelay() == m_relays.end())
+        return false;
+    const auto slow = static_cast<std::size_t>(std::count_if(
         m_relays.begin(), m_relays.end(), [](const auto& it) { return it.second.busy && it.second.slow; }));
-    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-        const auto relay = idleRelay();
-        if (!relay)
-            return;
-        if (isSlow(it->second) && slow >= maxSlow()) {
-            ++it;
-            continue;
-        }
-        Request request = std::move(it->second);
-        it = m_waiting.erase(it);
-        std::vector<WorkerId> workers = request.choose();
-        if (workers.empty())
-            continue;
-        slow += isSlow(request) ? 1 : 0;
-        send(*relay, std::move(request), std::move(workers));
-    }
+    return !isSlow(policy) || slow < maxSlow();
 }
 
-void AdmissionDesk::send(RelayId relay, Request request, std::vector<WorkerId> workers)
+void AdmissionDesk::ask(AdmissionQuestion question, const AdmissionPolicy& policy, Answered answered)
 {
-    Relay& state = m_relays[relay];
-    state.busy = true;
-    state.slow = isSlow(request);
-    ++m_asked;
-    const Duration timeout = serviceTime(request.policy, workers.size()) + timeoutMargin;
-    AdmissionQuestion question { request.step, workers };
-    m_port.ask(relay, question, timeout,
-        [this, relay, session = state.session, generation = m_generation, workers = std::move(workers),
-            done = std::move(request.done)](const absl::StatusOr<std::vector<AdmissionGrant>>& grants) {
+    const RelayId id = idleRelay()->first;
+    Relay& relay = m_relays[id];
+    relay.busy = true;
+    relay.slow = isSlow(policy);
+    const Duration timeout = serviceTime(policy, question.workers.size()) + timeoutMargin;
+    m_port.ask(id, question, timeout,
+        [this, id, session = relay.session, generation = m_generation, answered = std::move(answered)](
+            const absl::StatusOr<std::vector<AdmissionGrant>>& grants) {
             if (generation != m_generation)
                 return;
-            const auto it = m_relays.find(relay);
+            const auto it = m_relays.find(id);
             if (it != m_relays.end() && it->second.session == session) {
                 it->second.busy = false;
                 it->second.idleSince = m_runtime.now();
             }
-            done(workers, grants);
-            dispatch();
+            answered(grants);
+            if (m_onFree)
+                m_onFree();
         });
 }
 
--- a/src/lycheeledge/jobs/AdmissionDesk.h
+++ b/src/lycheeledge/jobs/AdmissionDesk.h
@@ -47,41 +47,30 @@
  * @brief Assigns questions to relays, one at a time each.
  *
  * The service handles one call at a time for each calling VM, and a call for batch work takes 20 times as long as one
- * for urgent work. So questions wait here in order of priority, and slow ones may not occupy every relay.
+ * for urgent work. So nothing queues at the service: who asks first is decided when a relay is free, and slow
+ * questions may not occupy every relay.
  */
 class AdmissionDesk {
 public:
-    struct Request {
-        StepKey step;
-        std::uint32_t priority = 0; ///< lower goes first
-        AdmissionPolicy policy;
-        /// Called when a relay is free. An empty list withdraws the question.
-        std::function<std::vector<WorkerId>()> choose;
-        std::function<void(const std::vector<WorkerId>& asked, const absl::StatusOr<std::vector<AdmissionGrant>>&)>
-            done;
-    };
+    using Answered = std::function<void(const absl::StatusOr<std::vector<AdmissionGrant>>&)>;
 
     AdmissionDesk(Runtime& runtime, AdmissionPort& port);
 
+    /** @param callback called when a relay has become free. */
+    void onFree(std::function<void()> callback) { m_onFree = std::move(callback); }
     void addRelay(RelayId relay);
     void removeRelay(RelayId relay);
-    void request(Request request);
-    /** @brief Drops all questions that wait, without calling back. */
+    /** @brief Whether a question of a queue with this policy can be asked now. */
+    bool isFree(const AdmissionPolicy& policy) const;
+    /** @brief Asks; requires isFree(). */
+    void ask(AdmissionQuestion question, const AdmissionPolicy& policy, Answered answered);
+    /** @brief Drops the questions in progress, without calling back. */
     void clear();
 
-    std::size_t waiting() const { return m_waiting.size(); }
+    std::size_t inProgress() const;
     std::size_t relays() const { return m_relays.size(); }
-    std::uint64_t asked() const { return m_asked; }
 
 private:
-    using OrderKey = std::pair<std::uint32_t, std::uint64_t>; ///< priority, then age
-
-    static bool isSlow(const Request& request);
-    std::size_t maxSlow() const;
-    std::optional<RelayId> idleRelay() const;
-    void dispatch();
-    void send(RelayId relay, Request request, std::vector<WorkerId> workers);
-
     struct Relay {
         bool busy = false;
         bool slow = false; ///< the question in progress is slow
@@ -89,14 +78,15 @@
         TimePoint idleSince;
     };
 
+    std::size_t maxSlow() const;
+    std::map<RelayId, Relay>::const_iterator idleRelay() const;
+
     Runtime& m_runtime;
     AdmissionPort& m_port;
+    std::function<void()> m_onFree;
     std::map<RelayId, Relay> m_relays;
-    std::map<OrderKey, Request> m_waiting;
-    std::uint64_t m_nextAge = 0;
     std::uint64_t m_nextSession = 1;
     std::uint64_t m_generation = 0; ///< answers to questions of before clear() are dropped
-    std::uint64_t m_asked = 0;
 };
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -50,6 +50,7 @@
     , m_host(ports.host)
     , m_settings(settings)
 {
+    m_admission.onFree([this] { requestPass(); });
 }
 
 JobScheduler::~JobScheduler() { end(); }
@@ -276,9 +277,13 @@
 {
     if (!m_running || m_passTimer)
         return;
-    m_passTimer = m_runtime.after(m_settings.passDelay, [this] {
+    const Duration delay = std::max(m_settings.passDelay, Duration(m_nextPass - m_runtime.now()));
+    m_passTimer = m_runtime.after(delay, [this] {
         m_passTimer.reset();
+        const TimePoint begin = m_runtime.now();
         pass();
+        const TimePoint end = m_runtime.now();
+        m_nextPass = end + (m_settings.passShare - 1) * (end - begin);
     });
 }
 
@@ -429,6 +434,11 @@
     const TimePoint now = m_runtime.now();
     std::sort(waiting.begin(), waiting.end(),
         [&order, now](const auto& a, const auto& b) { return order.before(a.first, b.first, now); });
+    m_placeable.clear();
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (isPlaceable(worker))
+            m_placeable[worker.record.pool].push_back(&worker);
+    }
     for (const auto& [urgency, key] : waiting) {
         if (Job* job = find(key.job); job != nullptr && !isFinal(job->state))
             scheduleStep(*job, key);
@@ -446,38 +456,47 @@
         && now >= worker.refusesUntil && !m_quarantine.isQuarantined(worker.record.id, now);
 }
 
-std::vector<PlacementCandidate> JobScheduler::candidates(const Job& job, const StepKey& key, bool needsTicket)
+std::vector<PlacementCandidate> JobScheduler::candidates(Job& job, const StepKey& key, bool needsTicket)
 {
     const QueuePolicy* queue = queueOf(job);
-    const Step& step = *const_cast<Job&>(job).find(key);
+    const Step& step = *job.find(key);
     const StepSpec& spec = job.spec().steps[key.step];
     const TimePoint usable = m_runtime.now() + ticketMargin;
     std::vector<PlacementCandidate> result;
-    for (const auto& [id, worker] : m_workers.all()) {
-        if (queue == nullptr || worker.record.pool != queue->pool || !isPlaceable(worker))
-            continue;
-        if (!hasLabel(worker.record, spec.requiredLabel))
+    for (const Worker* worker : m_placeable[queue->pool]) {
+        const WorkerId& id = worker->record.id;
+        if (!hasLabel(worker->record, spec.requiredLabel))
             continue;
         if (needsTicket) {
             const auto ticket = step.admission.tickets.find(id);
             if (ticket == step.admission.tickets.end() || ticket->second.expiry < usable)
                 continue;
         }
-        PlacementCandidate candidate { .worker = id,
-            .rack = worker.record.rack,
-            .free = worker.free(),
-            .capacity = worker.record.capacity,
-            .preferLess = m_quarantine.isOnProbation(id) };
-        for (const auto& [task, run] : worker.runs) {
-            candidate.hasServingTasks |= run.servesUsers;
-            candidate.hasFillingTasks |= run.usesIdleCpu;
-            candidate.tasksOfStep += stepOf(task) == key ? 1 : 0;
-        }
-        result.push_back(std::move(candidate));
+        PlacementCandidate& candidate = result.emplace_back();
+        candidate.worker = id;
+        candidate.rack = worker->record.rack;
+        candidate.free = worker->free();
+        candidate.capacity = worker->record.capacity;
+        candidate.hasServingTasks = worker->servingRuns > 0;
+        candidate.hasFillingTasks = worker->fillingRuns > 0;
+        candidate.preferLess = m_quarantine.isOnProbation(id);
+        if (spec.maxTasksPerWorker > 0)
+            candidate.tasksOfStep = static_cast<std::uint32_t>(std::count_if(step.tasks.begin(), step.tasks.end(),
+                [&id](const Task& task) { return task.occupiesWorker() && task.worker == id; }));
     }
     return result;
 }
 
+bool JobScheduler::hasTicketWithRoom(const Step& step, const Resources& reservation) const
+{
+    const TimePoint usable = m_runtime.now() + ticketMargin;
+    return std::any_of(step.admission.tickets.begin(), step.admission.tickets.end(), [&](const auto& it) {
+        const auto worker = m_workers.all().find(it.first);
+        return it.second.expiry >= usable && worker != m_workers.all().end()
+            && reservation.fitsIn(worker->second.free());
+    });
+}
+
 bool JobScheduler::withinLimit(const Job& job, const StepSpec& spec, std::uint32_t count) const
 {
     const ClientAccount* account = m_configuration->account(job.submission.account);
@@ -506,79 +525,73 @@
     }
     if (due.empty() || (spec.gang && due.size() + step->done < step->tasks.size()))
         return;
-    const auto goal = queue->priority == urgentPriority ? PlacementGoal::Spread : PlacementGoal::Pack;
-    Placement placement(spec, candidates(job, key, queue->admission.has_value()), goal);
     std::size_t placed = 0;
-    if (spec.gang) {
-        if (withinLimit(job, spec, static_cast<std::uint32_t>(due.size()))) {
-            const auto places = placement.placeGang(due.size());
-            const RunNumber run = nextRun(*step, step->tasks[due.front()], true);
-            for (; placed < places.size(); ++placed) {
-                const WorkerId worker = placement.candidate(places[placed]).worker;
-                startTask(job, { key.job, key.occurrence, key.step, due[placed] }, *m_workers.find(worker), run);
-            }
-        }
-    } else {
-        for (const auto i : due) {
-            if (!withinLimit(job, spec, 1))
-                break;
-            const auto n = placement.place();
-            if (!n)
-                break;
-            startTask(job, { key.job, key.occurrence, key.step, i }, *m_workers.find(placement.candidate(*n).worker),
-                nextRun(*step, step->tasks[i], false));
-            ++placed;
-        }
-    }
+    if (!queue->admission || hasTicketWithRoom(*step, reservationOf(spec)))
+        placed = placeTasks(job, key, *queue, due);
     if (placed < due.size() && queue->admission && withinLimit(job, spec, 1))
-        askAdmission(job, key, *queue->admission, queue->priority);
+        askAdmission(job, key, *queue->admission);
     refreshReady(key, job, *step);
 }
 
+std::size_t JobScheduler::placeTasks(
+    Job& job, const StepKey& key, const QueuePolicy& queue, const std::vector<std::uint32_t>& due)
+{
+    const Step& step = *job.find(key);
+    const StepSpec& spec = job.spec().steps[key.step];
+    const auto goal = queue.priority == urgentPriority ? PlacementGoal::Spread : PlacementGoal::Pack;
+    Placement placement(spec, candidates(job, key, queue.admission.has_value()), goal);
+    const auto start = [&](std::uint32_t index, std::size_t place, RunNumber run) {
+        const WorkerId worker = placement.candidate(place).worker;
+        startTask(job, { key.job, key.occurrence, key.step, index }, *m_workers.find(worker), run);
+    };
+    std::size_t placed = 0;
+    if (spec.gang) {
+        if (!withinLimit(job, spec, static_cast<std::uint32_t>(due.size())))
+            return 0;
+        const auto places = placement.placeGang(due.size());
+        const RunNumber run = nextRun(step, step.tasks[due.front()], true);
+        for (; placed < places.size(); ++placed)
+            start(due[placed], places[placed], run);
+        return placed;
+    }
+    for (const auto i : due) {
+        if (!withinLimit(job, spec, 1))
+            break;
+        const auto n = placement.place();
+        if (!n)
+            break;
+        start(i, *n, nextRun(step, step.tasks[i], false));
+        ++placed;
+    }
+    return placed;
+}
+
 // --- Admission ---
 
-void JobScheduler::askAdmission(
-    Job& job, const StepKey& key, const AdmissionPolicy& policy, std::uint32_t priority)
+void JobScheduler::askAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy)
 {
     Step& step = *job.find(key);
-    if (step.admission.asking || m_runtime.now() < step.admission.nextAsk)
+    if (step.admission.asking || m_runtime.now() < step.admission.nextAsk || !m_admission.isFree(policy))
         return;
-    if (chooseForQuestion(key).empty())
+    auto workers = chooseForQuestion(job, key);
+    if (workers.empty())
         return;
     step.admission.asking = true;
-    m_admission.request({ .step = key,
-        .priority = priority,
-        .policy = policy,
-        .choose = [this, key, session = std::weak_ptr<int>(m_session)] {
-            if (session.expired())
-                return std::vector<WorkerId> {};
-            auto workers = chooseForQuestion(key);
-            if (workers.empty()) {
-                Job* owner = find(key.job);
-                if (Step* asked = owner != nullptr ? owner->find(key) : nullptr)
-                    asked->admission.asking = false;
-            }
-            return workers;
-        },
-        .done = [this, key, policy](const auto& asked, const auto& grants) {
-            admissionAnswered(key, policy, asked, grants);
-        } });
+    m_admission.ask({ key, workers }, policy,
+        [this, key, policy, workers](const auto& grants) { admissionAnswered(key, policy, workers, grants); });
 }
 
 // Names the workers with room for a task that the service may allow: those it has allowed before, else those it has
 // not been asked about. Tickets last about 2 s, so a worker without room is not worth its time.
-std::vector<WorkerId> JobScheduler::chooseForQuestion(const StepKey& key)
+std::vector<WorkerId> JobScheduler::chooseForQuestion(Job& job, const StepKey& key)
 {
-    Job* job = find(key.job);
-    Step* step = job != nullptr ? job->find(key) : nullptr;
-    if (step == nullptr || isFinal(job->state) || !step->hasWaiting())
-        return {};
-    const StepSpec& spec = job->spec().steps[key.step];
+    const Step* step = job.find(key);
+    const StepSpec& spec = job.spec().steps[key.step];
     const Resources reservation = reservationOf(spec);
     const TimePoint usable = m_runtime.now() + ticketMargin;
     std::vector<std::pair<double, WorkerId>> known;
     std::vector<std::pair<double, WorkerId>> unknown;
-    for (const auto& candidate : candidates(*job, key, false)) {
+    for (const auto& candidate : candidates(job, key, false)) {
         const auto ticket = step->admission.tickets.find(candidate.worker);
         if (ticket != step->admission.tickets.end() && ticket->second.expiry >= usable)
             continue;
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -29,6 +29,7 @@
 struct JobSchedulerSettings {
     WorkerLinkSettings link;
     Duration passDelay = std::chrono::milliseconds(2); ///< groups the events that one pass of decisions answers
+    int passShare = 5; ///< passes take at most one part in this many of the time, however long they are
     Duration tickInterval = std::chrono::milliseconds(50); ///< for what only time changes
     Duration startTimeout = std::chrono::milliseconds(300); ///< healthy workers answer in 20 ms
     Duration stopTimeout = std::chrono::milliseconds(300);
@@ -160,12 +161,15 @@
     void refreshReady(const StepKey& key, const Job& job, const Step& step);
     StepUrgency urgencyOf(const Job& job, const StepKey& key) const;
     void scheduleStep(Job& job, const StepKey& key);
+    std::size_t placeTasks(
+        Job& job, const StepKey& key, const QueuePolicy& queue, const std::vector<std::uint32_t>& due);
     bool mayStart(const Job& job) const;
     bool isPlaceable(const Worker& worker) const;
-    std::vector<PlacementCandidate> candidates(const Job& job, const StepKey& key, bool needsTicket);
+    std::vector<PlacementCandidate> candidates(Job& job, const StepKey& key, bool needsTicket);
+    bool hasTicketWithRoom(const Step& step, const Resources& reservation) const;
     bool withinLimit(const Job& job, const StepSpec& spec, std::uint32_t count) const;
-    void askAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy, std::uint32_t priority);
-    std::vector<WorkerId> chooseForQuestion(const StepKey& key);
+    void askAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy);
+    std::vector<WorkerId> chooseForQuestion(Job& job, const StepKey& key);
     void admissionAnswered(const StepKey& key, const AdmissionPolicy& policy, const std::vector<WorkerId>& asked,
         const absl::StatusOr<std::vector<AdmissionGrant>>& grants);
     const QueuePolicy* queueOf(const Job& job) const;
@@ -230,6 +234,8 @@
     FailureQuarantine m_quarantine;
     std::set<std::pair<std::int64_t, JobId>> m_finished; ///< by the time they ended
     absl::flat_hash_set<JobId> m_scheduled; ///< jobs with occurrences that are not due yet
+    std::map<std::string, std::vector<const Worker*>> m_placeable; ///< by pool; valid during a pass
+    TimePoint m_nextPass;
     std::optional<Runtime::TimerId> m_passTimer;
     std::optional<Runtime::TimerId> m_tickTimer;
     JobSchedulerCounters m_counters;
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -160,6 +160,12 @@
                                          { "epoch", m_epoch }, { "resumed", !task->checkpoint.empty() } });
         return;
     }
+    if (result.outcome == OrderOutcome::Stale && attempt > 1) {
+        // The first attempt was carried out, and its run has ended: the next report lists the end.
+        task->phase = TaskPhase::Running;
+        task->confirmedAt = now;
+        return;
+    }
     m_log.record("start_refused", { { "task", describe(key) }, { "run", run }, { "worker", workerId.value() },
                                       { "epoch", m_epoch }, { "outcome", name(result.outcome) } });
     switch (result.outcome) {
--- a/src/lycheeledge/jobs/WorkerTable.cpp
+++ b/src/lycheeledge/jobs/WorkerTable.cpp
@@ -18,6 +18,8 @@
 {
     (void)release(worker, task);
     worker.reserved += run.reserved;
+    worker.servingRuns += run.servesUsers ? 1 : 0;
+    worker.fillingRuns += run.usesIdleCpu ? 1 : 0;
     worker.runs[task] = run;
 }
 
@@ -28,6 +30,8 @@
         return std::nullopt;
     const PlacedRun run = it->second;
     worker.reserved -= run.reserved;
+    worker.servingRuns -= run.servesUsers ? 1 : 0;
+    worker.fillingRuns -= run.usesIdleCpu ? 1 : 0;
     worker.runs.erase(it);
     return run;
 }
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -28,6 +28,8 @@
     WorkerRecord record;
     std::unique_ptr<WorkerLink> link;
     Resources reserved; ///< sum of the reservations in `runs`
+    std::uint32_t servingRuns = 0; ///< of `runs`, those that serve users
+    std::uint32_t fillingRuns = 0; ///< of `runs`, those that use idle processors
     absl::flat_hash_map<TaskKey, PlacedRun> runs;
     /// Runs that were found here and belong to no task; stopped, and counted until they are gone.
     absl::flat_hash_map<TaskKey, RunNumber> strays;
