--- a/src/lycheeledge/jobs/JobLedger.cpp
+++ b/src/lycheeledge/jobs/JobLedger.cpp
@@ -13,6 +13,8 @@
 
     // A new submission is refused at once after this time without an applied commit. Longer than one lost answer.
     constexpr Duration stallTime = std::chrono::milliseconds(1200);
+    // A store that only turns calls away for so long counts as down; shorter times are limits on its rate.
+    constexpr Duration rejectTime = std::chrono::milliseconds(150);
     // Rows of a transaction besides those of jobs: head condition, configuration condition, head, set of workers.
     constexpr std::size_t reservedEntries = 4;
     constexpr std::size_t maxEntriesOfJob = 2;
@@ -134,6 +136,7 @@
         return;
     }
     m_batch = std::move(batch);
+    m_batch->firstSent = m_runtime.now();
     send();
 }
 
@@ -202,15 +205,7 @@
 void JobLedger::answered(TimePoint sentAt, const absl::StatusOr<CommitResult>& result)
 {
     if (!result.ok()) {
-        if (!m_failingSince) {
-            m_failingSince = sentAt;
-            m_log.record("store_commit_failing",
-                { { "entries", m_batch->entries.size() }, { "error", result.status().message() } });
-        }
-        m_timer = m_runtime.after(m_settings.retryPause, [this] {
-            m_timer.reset();
-            send();
-        });
+        failed(sentAt, result.status());
         return;
     }
     if (m_failingSince) {
@@ -224,6 +219,47 @@
         refused(*result);
 }
 
+void JobLedger::failed(TimePoint sentAt, const absl::Status& status)
+{
+    if (!m_failingSince) {
+        m_failingSince = sentAt;
+        m_log.record(
+            "store_commit_failing", { { "entries", m_batch->entries.size() }, { "error", status.message() } });
+    }
+    // Only UNAVAILABLE says that the store did nothing.
+    m_batch->maybeApplied = m_batch->maybeApplied || !absl::IsUnavailable(status);
+    if (!m_batch->maybeApplied && m_runtime.now() - m_batch->firstSent > rejectTime) {
+        rejectSubmissions();
+        return;
+    }
+    m_timer = m_runtime.after(m_settings.retryPause, [this] {
+        m_timer.reset();
+        send();
+    });
+}
+
+// The store certainly has nothing of this batch, so its submissions can be refused instead of leaving their clients
+// in doubt. Everything else is put back.
+void JobLedger::rejectSubmissions()
+{
+    Batch batch = *std::exchange(m_batch, std::nullopt);
+    std::vector<JobId> rejected;
+    std::erase_if(batch.entries, [&rejected](const Entry& entry) {
+        if (!entry.change.submission)
+            return false;
+        rejected.push_back(entry.job);
+        return true;
+    });
+    putBack(std::move(batch));
+    const std::weak_ptr<int> session = m_session;
+    if (!rejected.empty())
+        m_source->submissionsRejected(rejected);
+    if (session.expired())
+        return;
+    m_nextCommit = m_runtime.now() + m_settings.retryPause;
+    schedule();
+}
+
 void JobLedger::applied(TimePoint sentAt, Revision revision)
 {
     m_headRevision = revision;
--- a/src/lycheeledge/jobs/JobLedger.h
+++ b/src/lycheeledge/jobs/JobLedger.h
@@ -52,6 +52,8 @@
     virtual void changeStored(const JobId& job, const JobChange& change) = 0;
     /** @brief The epoch in the store is another's: this process is not the owner any more. */
     virtual void ledgerLost() = 0;
+    /** @brief These submissions were not stored and will not be: the store did nothing. */
+    virtual void submissionsRejected(const std::vector<JobId>& jobs) = 0;
     /** @brief A new configuration stopped a commit with submissions, which are offered again afterwards. */
     virtual void configurationSuperseded(const StoreEntry& configuration) = 0;
     /** @brief Store revision of the configuration against which waiting submissions were checked. */
@@ -105,6 +107,8 @@
         StoreTransaction transaction;
         bool checksConfiguration = false;
         std::string headValue;
+        bool maybeApplied = false; ///< a copy of it may have been executed, or may be later
+        TimePoint firstSent;
     };
 
     void schedule();
@@ -115,6 +119,8 @@
     void answered(TimePoint sentAt, const absl::StatusOr<CommitResult>& result);
     void applied(TimePoint sentAt, Revision revision);
     void refused(const CommitResult& result);
+    void failed(TimePoint sentAt, const absl::Status& status);
+    void rejectSubmissions();
     void putBack(Batch batch);
     std::string nextHeadValue();
 
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -72,7 +72,6 @@
 {
     m_running = false;
     m_recovered = false;
-    m_active = false;
     m_session.reset();
     for (auto* timer : { &m_passTimer, &m_tickTimer }) {
         if (*timer)
@@ -416,10 +415,6 @@
 {
     if (!m_recovered || !m_configuration || !m_host.mayOrder())
         return;
-    if (!m_active) {
-        m_active = true;
-        m_log.record("scheduler_active", { { "epoch", m_epoch }, { "after_ms", toMs(m_runtime.now() - m_begun) } });
-    }
     std::vector<std::pair<StepUrgency, StepKey>> waiting;
     double weights = 0;
     absl::flat_hash_set<AccountId> accounts;
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -110,7 +110,7 @@
     /** @brief Everything was read: starts tasks once the workers have reported. */
     void activate();
     void end();
-    bool isActive() const { return m_active; }
+    bool isActive() const { return m_recovered; }
 
     // --- Inputs ---
 
@@ -182,6 +182,7 @@
         const TaskKey& key, RunNumber run, const WorkerId& worker, int attempt, const OrderResult& result);
     void stopTask(Job& job, const TaskKey& key, const char* reason);
     void sendStop(const TaskKey& key, RunNumber run, const WorkerId& worker);
+    void retryStop(const TaskKey& key, RunNumber run, const WorkerId& worker);
     void stopAnswered(const TaskKey& key, RunNumber run, const WorkerId& worker, const OrderResult& result);
     void stopStray(Worker& worker, const RunKey& run);
     void stopAll(Job& job, const char* reason);
@@ -221,7 +222,6 @@
     Epoch m_epoch = 0;
     bool m_running = false; ///< between begin() and end()
     bool m_recovered = false; ///< everything was read from the store
-    bool m_active = false;
     TimePoint m_begun;
     /// Tasks of before the takeover that were not found may still run on workers that have not reported, until then.
     TimePoint m_unlocatedUntil;
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -43,7 +43,10 @@
         }
         const bool drains = record.draining && !known->record.draining;
         const bool moved = record.address != known->record.address;
+        // The registry lags behind the worker's own reports.
+        const std::int64_t bornUnixMs = std::max(record.bornUnixMs, known->record.bornUnixMs);
         known->record = record;
+        known->record.bornUnixMs = bornUnixMs;
         known->registered = true;
         if (moved)
             connect(*known);
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -106,13 +106,19 @@
 {
     Job* job = find(key.job);
     Worker* worker = m_workers.find(workerId);
-    if (job == nullptr || worker == nullptr || !m_host.mayOrder())
-        return;
+    if (job == nullptr || worker == nullptr)
+        return; // the run was given up with its worker
     const Step& step = *job->find(stepOf(key));
-    const Task& task = step.tasks[key.index];
     const auto lease = worker->link->leaseForOrder();
-    if (!lease)
+    if (!lease || !m_host.mayOrder()) {
+        // A first attempt was not sent, so there is no run.
+        if (attempt > 1)
+            stopTask(*job, key, "start not answered");
+        else
+            startAnswered(key, run, workerId, attempt, { OrderOutcome::NotSent, {} });
         return;
+    }
+    const Task& task = step.tasks[key.index];
     StartOrder order { .task = key,
         .run = run,
         .payload = job->spec().payload,
@@ -266,9 +272,18 @@
             task->confirmedAt = m_runtime.now();
         return; // the end, or its absence from the worker's lists, frees the room
     }
+    retryStop(key, run, workerId);
+}
+
+void JobScheduler::retryStop(const TaskKey& key, RunNumber run, const WorkerId& workerId)
+{
     m_runtime.after(m_settings.orderRetryPause, [this, key, run, workerId, session = std::weak_ptr<int>(m_session)] {
-        if (!session.expired() && m_host.mayOrder())
+        if (session.expired())
+            return;
+        if (m_host.mayOrder())
             sendStop(key, run, workerId);
+        else
+            retryStop(key, run, workerId);
     });
 }
 
--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -106,7 +106,7 @@
 {
     ++m_counters.reads;
     if (name.empty()) {
-        reply({ .kind = ReplyKind::Count, .count = m_scheduler.waitingCount(queue.name) });
+        reply({ .kind = ReplyKind::Count, .count = m_scheduler.waitingCount(queue.name), .reason = {} });
         return;
     }
     const Job* job = m_scheduler.job(JobId(name));
@@ -117,7 +117,7 @@
     JobState state = job->storedState;
     if (state == JobState::Queued && job->everStarted)
         state = JobState::Running;
-    reply({ .kind = ReplyKind::State, .state = state });
+    reply({ .kind = ReplyKind::State, .state = state, .reason = {} });
 }
 
 void JobService::submit(
@@ -132,7 +132,7 @@
     }
     if (m_scheduler.job(id) != nullptr) {
         ++m_counters.repeated;
-        reply({ .kind = ReplyKind::Accepted });
+        reply({ .kind = ReplyKind::Accepted, .reason = {} });
         return;
     }
     if (m_ledger.isStalled()) {
@@ -169,7 +169,20 @@
 void JobService::stored(const JobId& id)
 {
     ++m_counters.accepted;
-    resolve(id, { .kind = ReplyKind::Accepted });
+    resolve(id, { .kind = ReplyKind::Accepted, .reason = {} });
+}
+
+void JobService::rejected(const std::vector<JobId>& jobs)
+{
+    for (const auto& id : jobs) {
+        const Job* job = m_scheduler.job(id);
+        if (job == nullptr || job->accepted)
+            continue;
+        m_scheduler.withdraw(id);
+        ++m_counters.refused;
+        m_log.record("job_refused", { { "job", id.value() }, { "reason", "the store takes no commits" } });
+        resolve(id, refusal("the store does not answer", m_settings.storeRetryAfterS));
+    }
 }
 
 void JobService::resolve(const JobId& id, const ClientReply& reply)
@@ -217,7 +230,7 @@
         if (!node.empty())
             node.mapped()(result);
     };
-    m_scheduler.cancel(id, [answer] { answer({ .kind = ReplyKind::Cancelled }); });
+    m_scheduler.cancel(id, [answer] { answer({ .kind = ReplyKind::Cancelled, .reason = {} }); });
     m_runtime.after(patienceOf(call),
         [answer] { answer({ .kind = ReplyKind::Unknown, .reason = "not stored in time" }); });
 }
--- a/src/lycheeledge/jobs/JobService.h
+++ b/src/lycheeledge/jobs/JobService.h
@@ -55,6 +55,8 @@
     void configurationConfirmed(TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); }
     /** @brief Handles a call. `reply` is called once, or never if end() comes first and the reply is not known. */
     void handle(const ClientCall& call, Reply reply);
+    /** @brief These submissions were not stored and will not be. */
+    void rejected(const std::vector<JobId>& jobs);
     /** @brief This process is not the owner any more: answers calls in progress as unknown. */
     void end();
 
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -58,6 +58,7 @@
     std::optional<JobChange> changeOf(const JobId& job) override { return m_scheduler.changeOf(job); }
     void changeStored(const JobId& job, const JobChange& change) override;
     void ledgerLost() override;
+    void submissionsRejected(const std::vector<JobId>& jobs) override { m_service.rejected(jobs); }
     void configurationSuperseded(const StoreEntry& configuration) override { applyConfiguration(configuration); }
     Revision configurationRevision() const override { return m_configuration ? m_configuration->revision : 0; }
 
--- a/src/lycheeledge/jobs/WorkerLink.cpp
+++ b/src/lycheeledge/jobs/WorkerLink.cpp
@@ -50,7 +50,6 @@
 {
     m_acknowledged = 0;
     m_listed = 0;
-    m_clockMs.reset();
     m_leaseExpiry = m_runtime.now();
 }
 
@@ -91,7 +90,10 @@
         scheduleLook(m_settings.retryPause);
         return;
     }
-    LookRequest request { .epoch = m_epoch, .acknowledged = m_acknowledged, .leaseUntilMs = leaseForOrder() };
+    LookRequest request { .epoch = m_epoch, .acknowledged = m_acknowledged, .leaseUntilMs = {} };
+    // A worker that does not answer gets no longer lease: its tasks can start elsewhere when the last one has ended.
+    if (m_failures == 0)
+        request.leaseUntilMs = leaseForOrder();
     // A worker with ends that are not acknowledged responds at once, so waiting would be a busy loop.
     if (m_reachable && m_failures == 0 && m_acknowledged >= m_listed)
         request.wait = m_settings.lookWait;
--- /dev/null
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -0,0 +1,321 @@
+// Jobs through a whole cluster of members on a paused clock: steps, limits, failures of workers.
+
+#include "support/JobCluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheeledge;
+using namespace lycheeledge::jobs;
+using namespace lycheeledge::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TaskKey taskOf(std::uint64_t job, std::uint32_t step, std::uint32_t index, std::uint32_t occurrence = 0)
+{
+    return { JobId(jobName(job)), occurrence, step, index };
+}
+
+/** @brief A cluster of one member with workers of 8 cores each. */
+JobCluster& withWorkers(JobCluster& cluster, int count)
+{
+    for (int i = 0; i < count; ++i)
+        cluster.addWorker("w" + std::to_string(i), 8000, "r" + std::to_string(i / 2));
+    cluster.advance(seconds(2));
+    return cluster;
+}
+
+const RecordedStart* firstStart(const JobCluster& cluster, const TaskKey& task)
+{
+    for (const auto& start : cluster.workers.starts()) {
+        if (start.run.task == task)
+            return &start;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+TEST_CASE("a job of ordered steps completes", "[jobs]")
+{
+    JobCluster cluster(1);
+    withWorkers(cluster, 3);
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = "x", .steps = { simpleStep(4, 1000), simpleStep(2, 2000, { 0 }) } }));
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+    CHECK(cluster.workers.starts().size() == 6);
+    // No task of the second step may start before all of the first have ended.
+    const auto* second = firstStart(cluster, taskOf(1, 1, 0));
+    REQUIRE(second != nullptr);
+    for (std::uint32_t i = 0; i < 4; ++i)
+        CHECK(*firstStart(cluster, taskOf(1, 0, i))->endedAt <= second->at);
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("workers never hold more than they can, while more waits than fits", "[jobs]")
+{
+    JobCluster cluster(1);
+    cluster.workers.sizeOf = [](const TaskKey&) { return capacityOf(3000); };
+    cluster.workers.sizeOf = [](const TaskKey&) {
+        Resources size;
+        size.milliCpu = 3000;
+        return size;
+    };
+    withWorkers(cluster, 2);
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(20, 3000) } }));
+    REQUIRE(cluster.waitForState(1, "batch", JobState::Completed, seconds(30)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("an account never has more running than its upper limit", "[jobs]")
+{
+    JobCluster cluster(1);
+    auto configuration = simpleConfiguration();
+    configuration.accounts[0].upperLimit.milliCpu = 4000;
+    cluster.setConfiguration(configuration);
+    withWorkers(cluster, 3);
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(10, 1000) } }));
+    std::size_t most = 0;
+    cluster.waitFor([&] {
+        most = std::max(most, cluster.workers.running());
+        return cluster.state("m0", "batch", 1) == JobState::Completed;
+    });
+    CHECK(most == 4);
+}
+
+TEST_CASE("a start whose answer was lost is not carried out a second time", "[jobs]")
+{
+    // The first order runs and ends before its repetition arrives, which the worker calls stale. A scheduler that
+    // takes this for a refusal starts the task again after it has ended as done.
+    JobCluster cluster(1);
+    cluster.workers.runTime = [](const TaskKey&) { return milliseconds(100); };
+    int orders = 0;
+    cluster.workers.startFault = [&orders](const std::string&) {
+        return orders++ == 0 ? FakeJobWorkers::OrderFault::AnswerLost : FakeJobWorkers::OrderFault::None;
+    };
+    withWorkers(cluster, 1);
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+    CHECK(cluster.workers.startsOf(taskOf(1, 0, 0)) == 1);
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("orders that are carried out late start nothing twice", "[jobs]")
+{
+    JobCluster cluster(1);
+    int orders = 0;
+    cluster.workers.startFault = [&orders](const std::string&) {
+        return orders++ % 3 == 0 ? FakeJobWorkers::OrderFault::Late : FakeJobWorkers::OrderFault::None;
+    };
+    withWorkers(cluster, 3);
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(9, 1000) } }));
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(30)));
+    cluster.advance(seconds(10));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("a failing task uses up its attempts, and then its job fails", "[jobs]")
+{
+    JobCluster cluster(1);
+    cluster.workers.endOf = [](const TaskKey& task, const std::string&) {
+        return task.index == 1 ? EndKind::Failed : EndKind::Done;
+    };
+    withWorkers(cluster, 2);
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(2, 1000) } }));
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Failed, seconds(20)));
+    CHECK(cluster.workers.startsOf(taskOf(1, 0, 1)) == 3);
+    CHECK(cluster.workers.startsOf(taskOf(1, 0, 0)) == 1);
+}
+
+TEST_CASE("the failures of a task on one ill worker do not fail its job", "[jobs]")
+{
+    JobCluster cluster(1);
+    cluster.workers.endOf = [](const TaskKey&, const std::string& worker) {
+        return worker == "w0" ? EndKind::Failed : EndKind::Done;
+    };
+    withWorkers(cluster, 4);
+    for (std::uint64_t n = 1; n <= 10; ++n)
+        REQUIRE(cluster.submit("m0", "urgent", n, { .payload = {}, .steps = { simpleStep(3, 1000) } }));
+    for (std::uint64_t n = 1; n <= 10; ++n)
+        CHECK(cluster.waitForState(n, "urgent", JobState::Completed, seconds(20)));
+}
+
+TEST_CASE("a cancelled job stops, and stays cancelled", "[jobs]")
+{
+    JobCluster cluster(1);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(60); };
+    withWorkers(cluster, 2);
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 4; }));
+    const auto reply = cluster.call("m0", CallVerb::Cancel, "/batch/" + jobName(1));
+    REQUIRE(cluster.waitFor([&] { return reply->has_value(); }));
+    CHECK((*reply)->kind == ReplyKind::Cancelled);
+    CHECK(cluster.waitFor([&] { return cluster.workers.running() == 0; }, seconds(1)));
+    cluster.advance(seconds(3));
+    CHECK(cluster.workers.starts().size() == 4);
+    CHECK(cluster.state("m0", "batch", 1) == JobState::Cancelled);
+}
+
+TEST_CASE("tasks of an unreachable worker start elsewhere only after its lease", "[jobs]")
+{
+    JobCluster cluster(1);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(3); };
+    withWorkers(cluster, 2);
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(10, 1000) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 10; }));
+    cluster.workers.cut("w0", true);
+    cluster.unregisterWorker("w0");
+    REQUIRE(cluster.waitForState(1, "batch", JobState::Completed, seconds(30)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("a worker that restarts under its id has lost its tasks", "[jobs]")
+{
+    JobCluster cluster(1);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(2); };
+    withWorkers(cluster, 1);
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(3, 1000) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 3; }));
+    cluster.workers.restart("w0");
+    REQUIRE(cluster.waitForState(1, "batch", JobState::Completed, seconds(10)));
+    CHECK(cluster.workers.starts().size() == 6);
+}
+
+TEST_CASE("a gang starts whole and ends with one member", "[jobs]")
+{
+    JobCluster cluster(1);
+    withWorkers(cluster, 4);
+    auto step = simpleStep(6, 2000);
+    step.gang = true;
+    step.sameRack = true;
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { step } }));
+    REQUIRE(cluster.waitForState(1, "batch", JobState::Completed, seconds(5)));
+    REQUIRE(cluster.workers.starts().size() == 6);
+    // A rack has two workers, with room for eight of its tasks.
+    const bool firstRack = cluster.workers.starts()[0].worker < "w2";
+    for (const auto& start : cluster.workers.starts()) {
+        CHECK(start.run.run == cluster.workers.starts()[0].run.run);
+        CHECK((start.worker < "w2") == firstRack);
+    }
+}
+
+TEST_CASE("a gang that fits nowhere starts no member", "[jobs]")
+{
+    JobCluster cluster(1);
+    withWorkers(cluster, 2);
+    auto step = simpleStep(20, 2000);
+    step.gang = true;
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { step } }));
+    cluster.advance(seconds(3));
+    CHECK(cluster.workers.starts().empty());
+}
+
+TEST_CASE("tasks of a step are spread as it asks", "[jobs]")
+{
+    JobCluster cluster(1);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(60); };
+    withWorkers(cluster, 3);
+    auto step = simpleStep(5, 100);
+    step.maxTasksPerWorker = 1;
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { step } }));
+    cluster.advance(seconds(3));
+    CHECK(cluster.workers.starts().size() == 3);
+}
+
+TEST_CASE("a step runs only on workers with the label that it asks for", "[jobs]")
+{
+    JobCluster cluster(1);
+    withWorkers(cluster, 4);
+    auto step = simpleStep(4, 1000);
+    step.requiredLabel = "r1";
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { step } }));
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+    for (const auto& start : cluster.workers.starts())
+        CHECK(start.worker >= "w2");
+}
+
+TEST_CASE("a long-running task is restarted however it ends", "[jobs]")
+{
+    JobCluster cluster(1);
+    withWorkers(cluster, 2);
+    auto step = simpleStep(1, 1000);
+    step.longRunning = true;
+    cluster.workers.endOf = [](const TaskKey&, const std::string&) { return EndKind::Failed; };
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { step } }));
+    cluster.advance(seconds(20));
+    CHECK(cluster.workers.starts().size() > 5);
+    CHECK(cluster.state("m0", "batch", 1) == JobState::Running);
+}
+
+TEST_CASE("occurrences of a scheduled job start at their times", "[jobs]")
+{
+    JobCluster cluster(1);
+    withWorkers(cluster, 2);
+    const std::int64_t first = cluster.unixMs() + 2000;
+    JobSpec spec { .payload = {}, .steps = { simpleStep(1, 1000) }, .repetitions = 3, .firstDueUnixMs = first, .intervalMs = 1000 };
+    REQUIRE(cluster.submit("m0", "batch", 1, spec));
+    REQUIRE(cluster.waitForState(1, "batch", JobState::Completed, seconds(10)));
+    REQUIRE(cluster.workers.starts().size() == 3);
+    for (std::uint32_t k = 0; k < 3; ++k) {
+        const auto* start = firstStart(cluster, taskOf(1, 0, 0, k));
+        REQUIRE(start != nullptr);
+        const auto at = std::chrono::duration_cast<milliseconds>(start->at.time_since_epoch()).count();
+        CHECK(at >= first + 1000 * k);
+        CHECK(at < first + 1000 * k + 300);
+    }
+}
+
+TEST_CASE("a draining worker gets no new task", "[jobs]")
+{
+    JobCluster cluster(1);
+    withWorkers(cluster, 2);
+    auto record = cluster.workers.record("w0", "r0");
+    record.draining = true;
+    cluster.registerWorker(record);
+    cluster.advance(seconds(2)); // the bound for noticing
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+    for (const auto& start : cluster.workers.starts())
+        CHECK(start.worker == "w1");
+}
+
+TEST_CASE("tasks that use idle processors are slowed while a neighbour nears its latency target", "[jobs]")
+{
+    JobCluster cluster(1);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(60); };
+    withWorkers(cluster, 1);
+    auto serving = simpleStep(1, 4000);
+    serving.longRunning = true;
+    serving.latencyTarget = milliseconds(100);
+    auto filling = simpleStep(1, 4000);
+    filling.usesIdleCpu = true;
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { serving } }));
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { filling } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 2; }));
+    cluster.advance(seconds(2));
+    CHECK(cluster.workers.paces.empty());
+    cluster.workers.usageOf = [](const TaskKey& task) { return task.job == JobId(jobName(1)) ? 150.0 : 0.0; };
+    REQUIRE(cluster.waitFor([&] { return !cluster.workers.paces.empty(); }, seconds(2)));
+    CHECK(cluster.workers.paces.back().percent == 0);
+    CHECK(cluster.workers.paces.back().task.job == JobId(jobName(2)));
+    cluster.workers.usageOf = [](const TaskKey&) { return 10.0; };
+    CHECK(cluster.waitFor([&] { return cluster.workers.paces.back().percent == 100; }, seconds(20)));
+}
+
+TEST_CASE("tickets are asked for before a start, and again when they have run out", "[jobs]")
+{
+    JobCluster cluster(1);
+    auto configuration = simpleConfiguration();
+    configuration.queues[0].admission = AdmissionPolicy { milliseconds(15), std::chrono::microseconds(200), seconds(2) };
+    cluster.setConfiguration(configuration);
+    cluster.admission.allows = [](const WorkerId& worker) { return worker.value() == "w1"; };
+    withWorkers(cluster, 3);
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(24, 1000) } }));
+    cluster.workers.runTime = [](const TaskKey&) { return milliseconds(1500); };
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(20)));
+    for (const auto& start : cluster.workers.starts())
+        CHECK(start.worker == "w1");
+    REQUIRE(cluster.admission.asked.size() >= 2);
+    // The answers do not change, so later questions name only workers that were allowed or not asked about.
+    CHECK(cluster.admission.asked.back().question.workers == std::vector<WorkerId> { WorkerId("w1") });
+}
--- /dev/null
+++ b/test/jobs/JobServiceTest.cpp
@@ -0,0 +1,137 @@
+// What clients get: acceptance, repetition, keys, refusals.
+
+#include "support/JobCluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheeledge;
+using namespace lycheeledge::jobs;
+using namespace lycheeledge::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::optional<ClientReply> replyOf(JobCluster& cluster, const std::shared_ptr<std::optional<ClientReply>>& reply)
+{
+    cluster.waitFor([&] { return reply->has_value(); }, seconds(4));
+    return *reply;
+}
+
+} // namespace
+
+TEST_CASE("a repeated submission remains one job", "[service]")
+{
+    JobCluster cluster(2);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    const JobSpec spec { .payload = {}, .steps = { simpleStep(2, 1000) } };
+    REQUIRE(cluster.submit("m0", "urgent", 1, spec));
+    REQUIRE(cluster.submit("m1", "urgent", 1, spec));
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+    REQUIRE(cluster.submit("m1", "urgent", 1, spec));
+    cluster.advance(seconds(2));
+    CHECK(cluster.workers.starts().size() == 2);
+}
+
+TEST_CASE("calls that the configuration does not allow are answered with the reason", "[service]")
+{
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    const std::string path = "/urgent/" + jobName(1);
+    CHECK(replyOf(cluster, cluster.call("m0", CallVerb::Submit, path, "x", "no-key"))->kind == ReplyKind::Unauthorized);
+    CHECK(replyOf(cluster, cluster.call("m0", CallVerb::Submit, "/other/1", "x"))->kind == ReplyKind::NoSuchQueue);
+    CHECK(replyOf(cluster, cluster.call("m0", CallVerb::Submit, path, "malformed"))->kind == ReplyKind::BadRequest);
+    CHECK(replyOf(cluster, cluster.call("m0", CallVerb::Submit, "/urgent/short", "x"))->kind == ReplyKind::BadRequest);
+    CHECK(replyOf(cluster, cluster.call("m0", CallVerb::Read, path))->kind == ReplyKind::NoSuchJob);
+    CHECK(replyOf(cluster, cluster.call("m0", CallVerb::Cancel, path))->kind == ReplyKind::NoSuchJob);
+}
+
+TEST_CASE("a submission is not accepted under a key that was withdrawn before its commit", "[service]")
+{
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(1, 1000) } };
+    // The member has not heard of the change yet when the call arrives.
+    auto configuration = simpleConfiguration();
+    configuration.version = 2;
+    configuration.accounts[0].keys = { "key-2" };
+    cluster.setConfiguration(configuration);
+    const auto reply = replyOf(cluster, cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(1), "x"));
+    REQUIRE(reply.has_value());
+    CHECK(reply->kind == ReplyKind::Unauthorized);
+    cluster.advance(seconds(3));
+    CHECK(cluster.workers.starts().empty());
+    CHECK(cluster.store.count("lycheeledge/submission/") == 0);
+}
+
+TEST_CASE("keyed reads are refused once the configuration is not confirmed any more", "[service]")
+{
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    cluster.store.setFault(FakeClusterStore::Fault::Silent);
+    cluster.advance(seconds(3));
+    CHECK(cluster.state("m0", "urgent", 1).has_value());
+    cluster.advance(seconds(2)); // the bound for withdrawn keys is 5 s
+    CHECK(replyOf(cluster, cluster.call("m0", CallVerb::Read, "/urgent/" + jobName(1)))->kind == ReplyKind::Refused);
+}
+
+TEST_CASE("a refused submission never runs", "[service]")
+{
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(1, 1000) } };
+    cluster.store.setFault(FakeClusterStore::Fault::Refuse);
+    const auto first = cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(1), "x");
+    cluster.advance(seconds(2));
+    // Now the store is known to fail: the next submission is refused at once.
+    const auto second = cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(2), "x");
+    cluster.advance(milliseconds(20));
+    REQUIRE(second->has_value());
+    CHECK((*second)->kind == ReplyKind::Refused);
+    CHECK((*second)->retryAfterS > 0);
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    cluster.advance(seconds(3));
+    for (const auto& start : cluster.workers.starts())
+        CHECK(start.run.task.job != JobId(jobName(2)));
+    const bool firstRefused = first->has_value() && (*first)->kind == ReplyKind::Refused;
+    for (const auto& start : cluster.workers.starts())
+        CHECK_FALSE((firstRefused && start.run.task.job == JobId(jobName(1))));
+}
+
+TEST_CASE("a submission that the store certainly did not get is refused, not left open", "[service]")
+{
+    // A store that refuses connections does nothing, so the client can be told at once that the job has not run.
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(1, 1000) } };
+    cluster.store.setFault(FakeClusterStore::Fault::Refuse);
+    const auto reply = cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(1), "x");
+    cluster.advance(milliseconds(600));
+    REQUIRE(reply->has_value());
+    CHECK((*reply)->kind == ReplyKind::Refused);
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    cluster.advance(seconds(3));
+    CHECK(cluster.workers.starts().empty());
+}
+
+TEST_CASE("the number of waiting jobs counts accepted ones of which no task has started", "[service]")
+{
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 1000);
+    cluster.advance(seconds(2));
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(60); };
+    for (std::uint64_t n = 1; n <= 4; ++n)
+        REQUIRE(cluster.submit("m0", "urgent", n, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    cluster.advance(milliseconds(500));
+    const auto reply = replyOf(cluster, cluster.call("m0", CallVerb::Read, "/urgent/"));
+    REQUIRE(reply.has_value());
+    CHECK(reply->kind == ReplyKind::Count);
+    CHECK(reply->count == 3);
+}
--- /dev/null
+++ b/test/jobs/TakeoverTest.cpp
@@ -0,0 +1,183 @@
+// Loss of the owner: takeover, fencing, what survives, and outages of the store.
+
+#include "support/JobCluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheeledge;
+using namespace lycheeledge::jobs;
+using namespace lycheeledge::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+void addWorkers(JobCluster& cluster, int count)
+{
+    for (int i = 0; i < count; ++i)
+        cluster.addWorker("w" + std::to_string(i), 8000);
+    cluster.advance(seconds(2));
+}
+
+/** @brief Whether a member other than `gone` owns the jobs. */
+bool hasOtherOwner(JobCluster& cluster, const std::string& gone)
+{
+    const auto names = cluster.memberNames();
+    return std::any_of(names.begin(), names.end(),
+        [&](const auto& name) { return name != gone && cluster.member(name).node.session().isActive(); });
+}
+
+std::string survivor(const JobCluster& cluster) { return cluster.memberNames().front(); }
+
+} // namespace
+
+TEST_CASE("another member takes over from a killed owner and continues its jobs", "[takeover]")
+{
+    JobCluster cluster(3);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(4); };
+    addWorkers(cluster, 3);
+    const auto owner = cluster.owner();
+    REQUIRE(owner.has_value());
+    REQUIRE(cluster.submit(*owner, "batch", 1, { .payload = {}, .steps = { simpleStep(6, 1000), simpleStep(2, 1000, { 0 }) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 6; }));
+    cluster.kill(*owner);
+    // The lease of the dead owner lasts at most 2 s; the recovery takes some calls to the store.
+    REQUIRE(cluster.waitFor([&] { return cluster.owner().has_value(); }, seconds(3)));
+    REQUIRE(cluster.waitForState(1, "batch", JobState::Completed, seconds(20)));
+    CHECK(cluster.workers.starts().size() == 8); // the running tasks were adopted, not started again
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("an accepted job survives the loss of all members", "[takeover]")
+{
+    JobCluster cluster(3);
+    addWorkers(cluster, 2);
+    for (std::uint64_t n = 1; n <= 5; ++n)
+        REQUIRE(cluster.submit("m1", "urgent", n, { .payload = {}, .steps = { simpleStep(3, 1000), simpleStep(1, 500, { 0 }) } }));
+    for (const auto& name : cluster.memberNames())
+        cluster.kill(name);
+    cluster.advance(seconds(1));
+    for (const auto* name : { "m0", "m1", "m2" })
+        cluster.startMember(name);
+    for (std::uint64_t n = 1; n <= 5; ++n)
+        CHECK(cluster.waitForState(n, "urgent", JobState::Completed, seconds(30)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("an owner that was frozen orders nothing after it was replaced", "[takeover]")
+{
+    JobCluster cluster(3);
+    cluster.workers.runTime = [](const TaskKey&) { return milliseconds(700); };
+    addWorkers(cluster, 3);
+    const std::string owner = *cluster.owner();
+    for (std::uint64_t n = 1; n <= 8; ++n)
+        REQUIRE(cluster.submit(owner, "urgent", n, { .payload = {}, .steps = { simpleStep(6, 1500), simpleStep(6, 1500, { 0 }) } }));
+    cluster.member(owner).runtime.pause();
+    REQUIRE(cluster.waitFor([&] { return hasOtherOwner(cluster, owner); }, seconds(4)));
+    cluster.advance(seconds(1));
+    cluster.member(owner).runtime.resume();
+    for (std::uint64_t n = 1; n <= 8; ++n)
+        CHECK(cluster.waitForState(n, "urgent", JobState::Completed, seconds(30)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("only an owner that is cut off from the store is replaced", "[takeover]")
+{
+    JobCluster cluster(3);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(1); };
+    addWorkers(cluster, 3);
+    const std::string owner = *cluster.owner();
+    for (std::uint64_t n = 1; n <= 4; ++n)
+        REQUIRE(cluster.submit(owner, "batch", n, { .payload = {}, .steps = { simpleStep(10, 1000) } }));
+    cluster.store.setFault(owner, FakeClusterStore::Fault::Silent);
+    REQUIRE(cluster.waitFor([&] { return hasOtherOwner(cluster, owner); }, seconds(4)));
+    for (std::uint64_t n = 1; n <= 4; ++n)
+        CHECK(cluster.waitFor([&] {
+            const auto names = cluster.memberNames();
+            return std::any_of(names.begin(), names.end(), [&](const auto& name) {
+                return name != owner && cluster.state(name, "batch", n) == JobState::Completed;
+            });
+        }, seconds(30)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("the owner goes on starting known work while the store is down", "[takeover]")
+{
+    JobCluster cluster(2);
+    cluster.workers.runTime = [](const TaskKey&) { return milliseconds(500); };
+    addWorkers(cluster, 1);
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(40, 1000) } }));
+    cluster.store.setFault(FakeClusterStore::Fault::Silent);
+    const std::size_t before = cluster.workers.starts().size();
+    cluster.advance(seconds(4));
+    // Eight tasks run at a time, each for half a second.
+    CHECK(cluster.workers.starts().size() >= before + 24);
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(20)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("writes that are applied late do not undo later ones", "[takeover]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 2);
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(4, 1000), simpleStep(4, 1000, { 0 }) } }));
+    cluster.store.setFault(FakeClusterStore::Fault::ExecuteLate);
+    cluster.advance(milliseconds(600));
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(20)));
+    cluster.advance(seconds(5));
+    // A late copy of an earlier commit would bring an earlier state back, which the next owner would read.
+    cluster.kill("m0");
+    cluster.startMember("m0");
+    REQUIRE(cluster.waitFor([&] { return cluster.owner().has_value(); }, seconds(5)));
+    CHECK(cluster.state("m0", "urgent", 1) == JobState::Completed);
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("commits whose answers are lost are not lost themselves", "[takeover]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 2);
+    cluster.store.setFault(FakeClusterStore::Fault::LoseAnswers);
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(2, 1000) } };
+    const auto reply = cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(1), "x");
+    cluster.advance(milliseconds(500));
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    REQUIRE(cluster.waitFor([&] { return reply->has_value(); }, seconds(3)));
+    CHECK((*reply)->kind == ReplyKind::Accepted);
+    CHECK(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+}
+
+TEST_CASE("an owner whose lease lapsed with the store continues under its epoch", "[takeover]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    REQUIRE(cluster.owner().has_value());
+    const Epoch epoch = cluster.member("m0").node.lease().epoch();
+    cluster.store.setFault(FakeClusterStore::Fault::Refuse);
+    cluster.advance(seconds(4));
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    cluster.advance(seconds(2));
+    CHECK(cluster.member("m0").node.lease().epoch() == epoch);
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(2, 1000) } }));
+    CHECK(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+}
+
+TEST_CASE("a planned stop hands over at once", "[takeover]")
+{
+    JobCluster cluster(3);
+    addWorkers(cluster, 2);
+    const std::string owner = *cluster.owner();
+    bool resigned = false;
+    cluster.member(owner).node.resign([&resigned] { resigned = true; });
+    REQUIRE(cluster.waitFor([&] {
+        const auto next = cluster.owner();
+        return resigned && next && *next != owner;
+    }, milliseconds(500)));
+    // The member that stops forwards its clients' calls to the new owner.
+    REQUIRE(cluster.waitFor([&] { return cluster.member(owner).node.isReady(); }, seconds(1)));
+    CHECK(cluster.submit(owner, "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    CHECK(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+    CHECK(survivor(cluster) == "m0");
+}
--- /dev/null
+++ b/test/support/FakeJobWorkers.h
@@ -0,0 +1,382 @@
+// Workers on the paused clock: fencing, leases, runs, lists of ends, and orders that are lost or carried out late.
+#pragma once
+
+#include "ManualRuntime.h"
+
+#include <lycheeledge/jobs/AdmissionDesk.h>
+#include <lycheeledge/jobs/WorkerPort.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheeledge::test {
+
+/** @brief A start that a worker carried out. */
+struct RecordedStart {
+    jobs::RunKey run;
+    std::string worker;
+    std::string checkpoint;
+    TimePoint at;
+    std::optional<TimePoint> endedAt;
+    std::optional<jobs::EndKind> end;
+    bool acknowledged = false; ///< the end was taken note of
+    bool leaseLapsed = false; ///< between the end and its acknowledgement, so that the end does not count
+};
+
+/** @brief All workers of a test. Decides by the platform's page, not by the product's code. */
+class FakeJobWorkers final : public jobs::WorkerPort {
+public:
+    enum class OrderFault { None, Lost, AnswerLost, Late };
+
+    explicit FakeJobWorkers(ManualRuntime& runtime, Duration latency = std::chrono::milliseconds(4))
+        : m_runtime(runtime)
+        , m_latency(latency)
+    {
+    }
+
+    /** @brief How long the work of a task takes; the first one that returns something decides how it ends. */
+    std::function<Duration(const jobs::TaskKey&)> runTime
+        = [](const jobs::TaskKey&) { return Duration(std::chrono::milliseconds(500)); };
+    std::function<jobs::EndKind(const jobs::TaskKey&, const std::string& worker)> endOf
+        = [](const jobs::TaskKey&, const std::string&) { return jobs::EndKind::Done; };
+    std::function<OrderFault(const std::string& worker)> startFault
+        = [](const std::string&) { return OrderFault::None; };
+    Duration lateBy = std::chrono::seconds(4);
+
+    jobs::WorkerRecord add(const std::string& id, Resources capacity, const std::string& rack = "r1")
+    {
+        Worker& worker = m_workers[id];
+        worker.capacity = capacity;
+        worker.born = ++m_births;
+        return record(id, rack);
+    }
+    jobs::WorkerRecord record(const std::string& id, const std::string& rack = "r1") const
+    {
+        jobs::WorkerRecord result;
+        result.id = jobs::WorkerId(id);
+        result.address = id + ":80";
+        result.pool = "pool";
+        result.rack = rack;
+        result.labels = { "a", rack };
+        result.capacity = m_workers.at(id).capacity;
+        result.bornUnixMs = m_workers.at(id).born;
+        return result;
+    }
+
+    /** @brief The worker no longer answers, but its runs go on. */
+    void cut(const std::string& id, bool isCut) { m_workers.at(id).cut = isCut; }
+    /** @brief Everything on the worker ends; it comes back empty under its id. */
+    void restart(const std::string& id)
+    {
+        Worker& worker = m_workers.at(id);
+        endAll(worker, std::nullopt);
+        const Resources capacity = worker.capacity;
+        const bool isCut = worker.cut;
+        worker = Worker {};
+        worker.capacity = capacity;
+        worker.cut = isCut;
+        worker.born = ++m_births;
+    }
+    /** @brief Does the work that is due. Called by the test as it advances the clock. */
+    void settle()
+    {
+        for (auto& [id, worker] : m_workers)
+            settle(id, worker);
+    }
+
+    const std::vector<RecordedStart>& starts() const { return m_starts; }
+    std::size_t startsOf(const jobs::TaskKey& task) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            m_starts.begin(), m_starts.end(), [&task](const auto& it) { return it.run.task == task; }));
+    }
+    std::size_t running() const
+    {
+        std::size_t n = 0;
+        for (const auto& [id, worker] : m_workers)
+            n += worker.runs.size();
+        return n;
+    }
+    /** @brief Rules of the users that were broken, in words; empty if none. */
+    const std::vector<std::string>& violations() const { return m_violations; }
+    /** @brief Told by the test: size of a task, to check that no worker holds more than it can. */
+    std::function<Resources(const jobs::TaskKey&)> sizeOf = [](const jobs::TaskKey&) { return Resources {}; };
+
+    void start(const jobs::WorkerTarget& to, const jobs::StartOrder& order, Duration timeout,
+        std::function<void(jobs::OrderResult)> done) override
+    {
+        const std::string id = to.id.value();
+        const OrderFault fault = startFault(id);
+        send(id, fault, timeout, [this, id, order] { return startNow(id, order); }, std::move(done));
+    }
+
+    void stop(const jobs::WorkerTarget& to, const jobs::StopOrder& order, Duration timeout,
+        std::function<void(jobs::OrderResult)> done) override
+    {
+        const std::string id = to.id.value();
+        send(
+            id, OrderFault::None, timeout,
+            [this, id, order] {
+                Worker& worker = m_workers.at(id);
+                settle(id, worker);
+                if (order.epoch < worker.epoch)
+                    return refusal(worker, jobs::OrderOutcome::Fenced);
+                worker.epoch = order.epoch;
+                auto& highest = worker.endedRuns[order.task];
+                highest = std::max(highest, order.run);
+                const auto it = worker.runs.find(order.task);
+                if (it != worker.runs.end() && it->second.run <= order.run)
+                    end(worker, order.task, jobs::EndKind::Stopped);
+                return refusal(worker, jobs::OrderOutcome::Done);
+            },
+            std::move(done));
+    }
+
+    void pace(const jobs::WorkerTarget& to, const jobs::PaceOrder& order, Duration timeout,
+        std::function<void(jobs::OrderResult)> done) override
+    {
+        const std::string id = to.id.value();
+        paces.push_back(order);
+        send(
+            id, OrderFault::None, timeout,
+            [this, id] { return refusal(m_workers.at(id), jobs::OrderOutcome::Done); }, std::move(done));
+    }
+    std::vector<jobs::PaceOrder> paces;
+    std::function<double(const jobs::TaskKey&)> usageOf = [](const jobs::TaskKey&) { return 0.0; };
+
+    void look(const jobs::WorkerTarget& to, const jobs::LookRequest& request, Duration timeout,
+        std::function<void(jobs::LookResult)> done) override
+    {
+        const std::string id = to.id.value();
+        if (m_workers.at(id).cut) {
+            m_runtime.after(request.wait + timeout, [done] { done({}); });
+            return;
+        }
+        m_runtime.after(m_latency / 2, [this, id, request, done] {
+            hold(id, request);
+            waitForEnd(id, request, m_runtime.now() + request.wait, done);
+        });
+    }
+
+private:
+    struct Run {
+        jobs::RunNumber run = 0;
+        TimePoint endsAt;
+        std::size_t start = 0; ///< index in m_starts
+    };
+    struct Worker {
+        Resources capacity;
+        std::int64_t born = 0;
+        bool cut = false;
+        Epoch epoch = 0;
+        TimePoint leaseEnd;
+        std::map<jobs::TaskKey, Run> runs;
+        std::map<jobs::TaskKey, jobs::RunNumber> endedRuns; ///< highest run that ended or was stopped here
+        std::vector<jobs::EndedTask> ended;
+        std::uint64_t sequence = 0;
+    };
+
+    std::int64_t clockMs() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.now().time_since_epoch()).count();
+    }
+    TimePoint atClock(std::int64_t ms) const { return TimePoint(std::chrono::milliseconds(ms)); }
+
+    jobs::OrderResult refusal(const Worker&, jobs::OrderOutcome outcome) const { return { outcome, clockMs() }; }
+
+    void send(const std::string& id, OrderFault fault, Duration timeout, std::function<jobs::OrderResult()> execute,
+        std::function<void(jobs::OrderResult)> done)
+    {
+        const bool isCut = m_workers.at(id).cut;
+        if (isCut || fault == OrderFault::Lost || fault == OrderFault::AnswerLost || fault == OrderFault::Late) {
+            if (!isCut && fault == OrderFault::AnswerLost)
+                m_runtime.after(m_latency / 2, [execute] { (void)execute(); });
+            if (!isCut && fault == OrderFault::Late)
+                m_runtime.after(lateBy, [execute] { (void)execute(); });
+            m_runtime.after(timeout, [done] { done({}); });
+            return;
+        }
+        m_runtime.after(m_latency / 2, [this, execute, done] {
+            m_runtime.after(m_latency / 2, [done, result = execute()] { done(result); });
+        });
+    }
+
+    jobs::OrderResult startNow(const std::string& id, const jobs::StartOrder& order)
+    {
+        Worker& worker = m_workers.at(id);
+        settle(id, worker);
+        if (order.epoch < worker.epoch)
+            return refusal(worker, jobs::OrderOutcome::Fenced);
+        worker.epoch = order.epoch;
+        const TimePoint lease = atClock(order.leaseUntilMs);
+        if (lease <= m_runtime.now())
+            return refusal(worker, jobs::OrderOutcome::Late);
+        worker.leaseEnd = std::max(worker.leaseEnd, lease);
+        const auto it = worker.runs.find(order.task);
+        if (it != worker.runs.end() && it->second.run == order.run)
+            return refusal(worker, jobs::OrderOutcome::Done);
+        if (worker.endedRuns[order.task] >= order.run || it != worker.runs.end())
+            return refusal(worker, jobs::OrderOutcome::Stale);
+        checkStart(id, worker, order);
+        worker.runs[order.task]
+            = { order.run, m_runtime.now() + runTime(order.task), m_starts.size() };
+        m_starts.push_back({ { order.task, order.run }, id, order.checkpoint, m_runtime.now(), {}, {} });
+        return refusal(worker, jobs::OrderOutcome::Done);
+    }
+
+    void checkStart(const std::string& id, const Worker& worker, const jobs::StartOrder& order)
+    {
+        for (const auto& earlier : m_starts) {
+            if (earlier.run.task != order.task)
+                continue;
+            if (!earlier.endedAt)
+                m_violations.push_back("a task runs twice at a time, on " + earlier.worker + " and " + id);
+            else if (earlier.end == jobs::EndKind::Done && earlier.acknowledged)
+                m_violations.push_back("a task starts on " + id + " after it ended as done on " + earlier.worker);
+        }
+        Resources used = sizeOf(order.task);
+        for (const auto& [task, run] : worker.runs)
+            used += sizeOf(task);
+        if (!used.fitsIn(worker.capacity))
+            m_violations.push_back("worker " + id + " holds more than it can");
+    }
+
+    void hold(const std::string& id, const jobs::LookRequest& request)
+    {
+        Worker& worker = m_workers.at(id);
+        settle(id, worker);
+        if (request.epoch < worker.epoch)
+            return;
+        worker.epoch = request.epoch;
+        if (request.leaseUntilMs)
+            worker.leaseEnd = std::max(worker.leaseEnd, atClock(*request.leaseUntilMs));
+        std::erase_if(worker.ended, [this, &id, &request](const auto& it) {
+            if (it.sequence > request.acknowledged)
+                return false;
+            acknowledge(id, it);
+            return true;
+        });
+    }
+
+    // A run that ended as done while its worker was unreachable may be repeated, but then its end must not count.
+    void acknowledge(const std::string& id, const jobs::EndedTask& end)
+    {
+        for (std::size_t i = 0; i < m_starts.size(); ++i) {
+            if (m_starts[i].run != end.run || m_starts[i].worker != id || m_starts[i].leaseLapsed)
+                continue;
+            m_starts[i].acknowledged = true;
+            if (end.kind != jobs::EndKind::Done)
+                continue;
+            for (const auto& later : m_starts) {
+                if (later.run.task == end.run.task && later.at > *m_starts[i].endedAt)
+                    m_violations.push_back("an end as done on " + id + " counts, but the task was started again");
+            }
+        }
+    }
+
+    void waitForEnd(const std::string& id, const jobs::LookRequest& request, TimePoint until,
+        const std::function<void(jobs::LookResult)>& done)
+    {
+        constexpr Duration step = std::chrono::milliseconds(5);
+        Worker& worker = m_workers.at(id);
+        settle(id, worker);
+        const bool fenced = request.epoch < worker.epoch;
+        const bool unseen = std::any_of(worker.ended.begin(), worker.ended.end(),
+            [&request](const auto& it) { return it.sequence > request.acknowledged; });
+        if (!fenced && !unseen && m_runtime.now() < until) {
+            m_runtime.after(step, [this, id, request, until, done] { waitForEnd(id, request, until, done); });
+            return;
+        }
+        jobs::LookResult result { fenced ? jobs::OrderOutcome::Fenced : jobs::OrderOutcome::Done, {} };
+        result.report.clockMs = clockMs();
+        result.report.bornUnixMs = worker.born;
+        for (const auto& [task, run] : worker.runs)
+            result.report.running.push_back({ { task, run.run }, "checkpoint-" + std::to_string(run.run), 0,
+                usageOf(task) });
+        for (const auto& ended : worker.ended)
+            result.report.ended.push_back(ended);
+        if (worker.cut) // the answer is lost
+            m_runtime.after(std::chrono::milliseconds(400), [done] { done({}); });
+        else
+            m_runtime.after(m_latency / 2, [done, result] { done(result); });
+    }
+
+    void settle(const std::string& id, Worker& worker)
+    {
+        std::vector<jobs::TaskKey> due;
+        for (const auto& [task, run] : worker.runs) {
+            if (run.endsAt <= m_runtime.now() && run.endsAt <= worker.leaseEnd)
+                due.push_back(task);
+        }
+        for (const auto& task : due)
+            end(worker, task, endOf(task, id));
+        if (worker.leaseEnd > m_runtime.now())
+            return;
+        endAll(worker, jobs::EndKind::LeaseExpired);
+        for (auto& start : m_starts)
+            start.leaseLapsed = start.leaseLapsed || (start.worker == id && start.endedAt && !start.acknowledged);
+    }
+
+    void endAll(Worker& worker, std::optional<jobs::EndKind> kind)
+    {
+        while (!worker.runs.empty())
+            end(worker, worker.runs.begin()->first, kind);
+    }
+
+    void end(Worker& worker, const jobs::TaskKey& task, std::optional<jobs::EndKind> kind)
+    {
+        const Run run = worker.runs.at(task);
+        worker.runs.erase(task);
+        auto& highest = worker.endedRuns[task];
+        highest = std::max(highest, run.run);
+        m_starts[run.start].endedAt = m_runtime.now();
+        m_starts[run.start].end = kind;
+        if (kind)
+            worker.ended.push_back({ ++worker.sequence, { task, run.run }, *kind, "saved-" + std::to_string(run.run) });
+    }
+
+    ManualRuntime& m_runtime;
+    Duration m_latency;
+    std::map<std::string, Worker> m_workers;
+    std::int64_t m_births = 1000;
+    std::vector<RecordedStart> m_starts;
+    std::vector<std::string> m_violations;
+};
+
+/** @brief Admission service that allows every worker, after the time that it states. */
+class FakeAdmission final : public jobs::AdmissionPort {
+public:
+    explicit FakeAdmission(ManualRuntime& runtime)
+        : m_runtime(runtime)
+    {
+    }
+
+    Duration answerTime = std::chrono::milliseconds(20);
+    std::function<bool(const jobs::WorkerId&)> allows = [](const jobs::WorkerId&) { return true; };
+    struct Asked {
+        jobs::RelayId relay;
+        jobs::AdmissionQuestion question;
+    };
+    std::vector<Asked> asked;
+
+    void ask(jobs::RelayId relay, const jobs::AdmissionQuestion& question, Duration, Done done) override
+    {
+        asked.push_back({ relay, question });
+        std::vector<jobs::AdmissionGrant> grants;
+        for (const auto& worker : question.workers) {
+            if (allows(worker))
+                grants.push_back({ worker, "ticket" });
+        }
+        m_runtime.after(answerTime, [done, grants] { done(grants); });
+    }
+
+private:
+    ManualRuntime& m_runtime;
+};
+
+} // namespace lycheeledge::test
--- /dev/null
+++ b/test/support/JobCluster.h
@@ -0,0 +1,458 @@
+// Several members, a store and workers on one paused clock.
+#pragma once
+
+#include "FakeClusterStore.h"
+#include "FakeJobWorkers.h"
+#include "ManualRuntime.h"
+
+#include <lycheeledge/jobs/EntryNode.h>
+#include <lycheeledge/protocol/CerealRecordCodec.h>
+
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheeledge::test {
+
+/** @brief Counts the log lines of each kind; prints them if SHOW_EVENTS is set in the environment. */
+class RecordingLog final : public jobs::EventLog {
+public:
+    void record(std::string_view event, std::initializer_list<jobs::LogField> fields) override
+    {
+        ++counts[std::string(event)];
+        if (std::getenv("SHOW_EVENTS") == nullptr)
+            return;
+        std::cerr << event;
+        for (const auto& field : fields) {
+            std::cerr << ' ' << field.name << '=';
+            std::visit([](const auto& value) { std::cerr << value; }, field.value);
+        }
+        std::cerr << std::endl;
+    }
+    std::map<std::string, std::size_t> counts;
+};
+
+/** @brief Records of the platform in a form of the test's own: values name objects that the test holds. */
+class FakeRecords final : public jobs::PlatformRecords {
+public:
+    std::map<std::string, jobs::ClusterConfiguration> configurations;
+    std::map<std::string, jobs::WorkerRecord> workers;
+
+    std::string operatorPrefix() const override { return "operator/"; }
+    std::string configurationKey() const override { return "operator/configuration"; }
+    std::string workerPrefix() const override { return "workers/"; }
+    std::string wavePrefix() const override { return "operator/wave/"; }
+    std::string waveStatusKey(std::uint64_t wave) const override { return "wave-status/" + std::to_string(wave); }
+    std::string encodeWaveStatus(std::uint64_t, bool completed) const override { return completed ? "done" : "begun"; }
+    absl::StatusOr<jobs::ClusterConfiguration> configuration(const StoreEntry& entry) const override
+    {
+        auto result = configurations.at(entry.value);
+        result.revision = entry.modRevision;
+        return result;
+    }
+    absl::StatusOr<jobs::WorkerRecord> worker(const StoreEntry& entry) const override
+    {
+        const auto it = workers.find(entry.value);
+        if (it == workers.end())
+            return absl::InvalidArgumentError("unreadable");
+        return it->second;
+    }
+    absl::StatusOr<jobs::MaintenanceWave> wave(const StoreEntry&) const override
+    {
+        return absl::InvalidArgumentError("no waves here");
+    }
+};
+
+/** @brief Submissions are looked up by their body. */
+class FakeSubmissions final : public jobs::SubmissionCodec {
+public:
+    std::map<std::string, jobs::JobSpec> specs;
+    absl::StatusOr<jobs::JobSpec> decode(std::string_view body) const override
+    {
+        const auto it = specs.find(std::string(body));
+        if (it == specs.end())
+            return absl::InvalidArgumentError("malformed");
+        return it->second;
+    }
+};
+
+/** @brief Connections between members; a member that is gone neither sends nor receives. */
+class FakeMemberNetwork {
+public:
+    explicit FakeMemberNetwork(ManualRuntime& runtime)
+        : m_runtime(runtime)
+    {
+    }
+
+    class Port;
+
+private:
+    struct Side {
+        Port* port = nullptr;
+        jobs::MemberConnection peer = 0;
+    };
+
+    ManualRuntime& m_runtime;
+    std::map<std::string, Port*> m_ports; // by host
+    std::map<jobs::MemberConnection, Side> m_sides;
+    jobs::MemberConnection m_next = 1;
+};
+
+class FakeMemberNetwork::Port final : public jobs::MemberPort {
+public:
+    /** @param process takes the messages. */
+    Port(FakeMemberNetwork& network, std::string host, ProcessRuntime& process)
+        : m_network(network)
+        , m_host(std::move(host))
+        , m_process(process)
+    {
+        m_network.m_ports[m_host] = this;
+    }
+    ~Port() override { disconnect(); }
+    /** @brief The process is gone; its connections close. */
+    void disconnect()
+    {
+        if (m_network.m_ports[m_host] == this)
+            m_network.m_ports.erase(m_host);
+        std::vector<jobs::MemberConnection> own;
+        for (const auto& [id, side] : m_network.m_sides) {
+            if (side.port == this)
+                own.push_back(id);
+        }
+        for (const auto id : own)
+            close(id);
+    }
+    Port(const Port&) = delete;
+    Port& operator=(const Port&) = delete;
+
+    jobs::MemberListener* listener = nullptr;
+
+    jobs::MemberConnection connect(const std::string& host, std::uint16_t) override
+    {
+        const auto own = m_network.m_next++;
+        const auto it = m_network.m_ports.find(host);
+        if (it == m_network.m_ports.end()) {
+            m_network.m_sides[own] = { this, 0 };
+            notifyClosed(own);
+            return own;
+        }
+        const auto other = m_network.m_next++;
+        m_network.m_sides[own] = { this, other };
+        m_network.m_sides[other] = { it->second, own };
+        return own;
+    }
+
+    void send(jobs::MemberConnection connection, const jobs::MemberMessage& message) override
+    {
+        const auto it = m_network.m_sides.find(connection);
+        if (it == m_network.m_sides.end())
+            return;
+        const auto peer = it->second.peer;
+        // Through the codec, so that every message is checked to survive it.
+        const std::string bytes = encodeMemberMessage(message);
+        m_network.m_runtime.after(std::chrono::milliseconds(4), [network = &m_network, peer, bytes] {
+            const auto side = network->m_sides.find(peer);
+            if (side == network->m_sides.end())
+                return;
+            Port* port = side->second.port;
+            port->m_process.deliver(
+                [port, peer, bytes] { port->listener->received(peer, *decodeMemberMessage(bytes)); });
+        });
+    }
+
+    void close(jobs::MemberConnection connection) override
+    {
+        const auto it = m_network.m_sides.find(connection);
+        if (it == m_network.m_sides.end())
+            return;
+        const auto peer = it->second.peer;
+        m_network.m_sides.erase(it);
+        const auto other = m_network.m_sides.find(peer);
+        if (other != m_network.m_sides.end())
+            other->second.port->notifyClosed(peer);
+    }
+
+private:
+    void notifyClosed(jobs::MemberConnection connection)
+    {
+        m_network.m_runtime.after(std::chrono::milliseconds(4), [network = &m_network, connection] {
+            const auto it = network->m_sides.find(connection);
+            if (it == network->m_sides.end())
+                return;
+            Port* port = it->second.port;
+            network->m_sides.erase(it);
+            port->m_process.deliver([port, connection] { port->listener->closed(connection); });
+        });
+    }
+
+    FakeMemberNetwork& m_network;
+    std::string m_host;
+    ProcessRuntime& m_process;
+};
+
+/** @brief A configuration with one pool, an urgent and a batch queue open to key "key-1" of account "account-1". */
+inline jobs::ClusterConfiguration simpleConfiguration()
+{
+    jobs::ClusterConfiguration result;
+    result.version = 1;
+    jobs::QueuePolicy urgent;
+    urgent.name = "urgent";
+    urgent.host = "host";
+    urgent.prefix = "/urgent/";
+    urgent.pool = "pool";
+    urgent.maxAttempts = 3;
+    urgent.stretch = 1.5;
+    urgent.latencyObjective = std::chrono::milliseconds(300);
+    jobs::QueuePolicy batch = urgent;
+    batch.name = "batch";
+    batch.prefix = "/batch/";
+    batch.priority = 2;
+    result.queues = { urgent, batch };
+    result.pools = { { .name = "pool" } };
+    jobs::ClientAccount account;
+    account.id = jobs::AccountId("account-1");
+    account.keys = { "key-1" };
+    account.weight = 10;
+    result.accounts = { account };
+    return result;
+}
+
+inline jobs::StepSpec simpleStep(std::uint32_t tasks, std::int64_t milliCpu, std::vector<std::uint32_t> after = {})
+{
+    jobs::StepSpec step;
+    step.taskCount = tasks;
+    step.request.milliCpu = milliCpu;
+    step.request.memoryMb = 100;
+    step.estimatedRunTime = std::chrono::milliseconds(500);
+    step.after = std::move(after);
+    return step;
+}
+
+inline Resources capacityOf(std::int64_t milliCpu)
+{
+    Resources result;
+    result.milliCpu = milliCpu;
+    result.memoryMb = 100000;
+    return result;
+}
+
+/** @brief A job id from a number. */
+inline std::string jobName(std::uint64_t n)
+{
+    std::string digits = std::to_string(n);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+class JobCluster {
+public:
+    explicit JobCluster(std::size_t members, std::uint64_t seed = 1)
+        : runtime(seed)
+        , store(runtime)
+        , workers(runtime)
+        , admission(runtime)
+        , m_network(runtime)
+    {
+        setConfiguration(simpleConfiguration());
+        for (std::size_t i = 0; i < members; ++i)
+            startMember("m" + std::to_string(i));
+    }
+
+    ManualRuntime runtime;
+    FakeClusterStore store;
+    FakeJobWorkers workers;
+    FakeAdmission admission;
+    FakeRecords records;
+    FakeSubmissions submissions;
+    RecordingLog log;
+    jobs::EntryNodeSettings settings;
+
+    void setConfiguration(const jobs::ClusterConfiguration& configuration)
+    {
+        const std::string name = "c" + std::to_string(++m_configurations);
+        records.configurations[name] = configuration;
+        store.put(records.configurationKey(), name);
+    }
+
+    void addWorker(const std::string& id, std::int64_t milliCpu, const std::string& rack = "r1")
+    {
+        registerWorker(workers.add(id, capacityOf(milliCpu), rack));
+    }
+    void registerWorker(const jobs::WorkerRecord& record)
+    {
+        const std::string name = record.id.value() + "#" + std::to_string(++m_registrations);
+        records.workers[name] = record;
+        store.put(records.workerPrefix() + record.id.value(), name);
+    }
+    void unregisterWorker(const std::string& id) { store.erase(records.workerPrefix() + id); }
+
+    /** @brief Orders of one member; responses go to its process. */
+    class MemberWorkers final : public jobs::WorkerPort {
+    public:
+        MemberWorkers(FakeJobWorkers& workers, ProcessRuntime& process)
+            : m_workers(workers)
+            , m_process(process)
+        {
+        }
+        void start(const jobs::WorkerTarget& to, const jobs::StartOrder& order, Duration timeout,
+            std::function<void(jobs::OrderResult)> done) override
+        {
+            m_workers.start(to, order, timeout, delivered(std::move(done)));
+        }
+        void stop(const jobs::WorkerTarget& to, const jobs::StopOrder& order, Duration timeout,
+            std::function<void(jobs::OrderResult)> done) override
+        {
+            m_workers.stop(to, order, timeout, delivered(std::move(done)));
+        }
+        void pace(const jobs::WorkerTarget& to, const jobs::PaceOrder& order, Duration timeout,
+            std::function<void(jobs::OrderResult)> done) override
+        {
+            m_workers.pace(to, order, timeout, delivered(std::move(done)));
+        }
+        void look(const jobs::WorkerTarget& to, const jobs::LookRequest& request, Duration timeout,
+            std::function<void(jobs::LookResult)> done) override
+        {
+            m_workers.look(to, request, timeout, delivered(std::move(done)));
+        }
+
+    private:
+        template <typename T> std::function<void(T)> delivered(std::function<void(T)> done)
+        {
+            return [process = &m_process, done = std::move(done)](
+                       const T& result) { process->deliver([done, result] { done(result); }); };
+        }
+
+        FakeJobWorkers& m_workers;
+        ProcessRuntime& m_process;
+    };
+
+    struct Member {
+        explicit Member(JobCluster& cluster, const std::string& name, std::uint64_t incarnation)
+            : runtime(cluster.runtime)
+            , store(cluster.store, name, runtime)
+            , network(std::make_unique<FakeMemberNetwork::Port>(cluster.m_network, name, runtime))
+            , workers(cluster.workers, runtime)
+            , node({ runtime, store, cluster.records, cluster.codec, cluster.submissions, workers,
+                       cluster.admission, *network, cluster.log, [&cluster] { return cluster.unixMs(); } },
+                  { .member = name, .incarnation = incarnation, .epoch = 0, .host = name, .port = 1 }, cluster.settings)
+        {
+            network->listener = &node.memberListener();
+        }
+
+        ProcessRuntime runtime;
+        FakeClusterStore::Port store;
+        std::unique_ptr<FakeMemberNetwork::Port> network;
+        MemberWorkers workers;
+        jobs::EntryNode node;
+    };
+
+    Member& startMember(const std::string& name)
+    {
+        auto& member = m_members[name] = std::make_unique<Member>(*this, name, ++m_incarnations);
+        member->node.start();
+        return *member;
+    }
+    /** @brief The process ends at once; nothing of it runs any more. */
+    void kill(const std::string& name)
+    {
+        const auto node = m_members.extract(name);
+        if (node.empty())
+            return;
+        node.mapped()->runtime.kill();
+        node.mapped()->network->disconnect();
+        m_dead.push_back(std::move(node.mapped()));
+    }
+    Member& member(const std::string& name) { return *m_members.at(name); }
+    std::vector<std::string> memberNames() const
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, member] : m_members)
+            names.push_back(name);
+        return names;
+    }
+    std::optional<std::string> owner() const
+    {
+        for (const auto& [name, member] : m_members) {
+            if (member->node.lease().isOwner() && member->node.session().isActive())
+                return name;
+        }
+        return std::nullopt;
+    }
+
+    /** @brief Advances the clock in small steps, letting the workers work. */
+    void advance(Duration duration)
+    {
+        constexpr Duration step = std::chrono::milliseconds(5);
+        for (Duration passed {}; passed < duration; passed += step) {
+            runtime.advance(step);
+            workers.settle();
+        }
+    }
+    /** @return whether the condition came true in time. */
+    bool waitFor(const std::function<bool()>& condition, Duration limit = std::chrono::seconds(30))
+    {
+        constexpr Duration step = std::chrono::milliseconds(10);
+        for (Duration passed {}; passed < limit; passed += step) {
+            if (condition())
+                return true;
+            advance(step);
+        }
+        return condition();
+    }
+
+    /** @brief Calls a member. The reply is empty until it has come. */
+    std::shared_ptr<std::optional<jobs::ClientReply>> call(const std::string& name, jobs::CallVerb verb,
+        const std::string& path, const std::string& body = {}, const std::string& key = "key-1")
+    {
+        auto reply = std::make_shared<std::optional<jobs::ClientReply>>();
+        jobs::ClientCall call { .verb = verb, .host = "host", .path = path, .key = key, .patienceMs = 3000, .body = body };
+        member(name).node.handle(call, [reply](const jobs::ClientReply& given) { *reply = given; });
+        return reply;
+    }
+    /** @brief Submits a job and waits until it was accepted. */
+    bool submit(const std::string& name, const std::string& queue, std::uint64_t job, const jobs::JobSpec& spec)
+    {
+        const std::string body = "body-" + std::to_string(job);
+        submissions.specs[body] = spec;
+        const auto reply = call(name, jobs::CallVerb::Submit, "/" + queue + "/" + jobName(job), body);
+        waitFor([&] { return reply->has_value(); }, std::chrono::seconds(4));
+        return reply->has_value() && (*reply)->kind == jobs::ReplyKind::Accepted;
+    }
+    /** @brief State of a job as a client sees it; nothing if the call failed. */
+    std::optional<jobs::JobState> state(const std::string& name, const std::string& queue, std::uint64_t job)
+    {
+        const auto reply = call(name, jobs::CallVerb::Read, "/" + queue + "/" + jobName(job));
+        waitFor([&] { return reply->has_value(); }, std::chrono::milliseconds(200));
+        if (!reply->has_value() || (*reply)->kind != jobs::ReplyKind::State)
+            return std::nullopt;
+        return (*reply)->state;
+    }
+    bool waitForState(std::uint64_t job, const std::string& queue, jobs::JobState wanted,
+        Duration limit = std::chrono::seconds(30))
+    {
+        return waitFor(
+            [&] { return !m_members.empty() && state(m_members.begin()->first, queue, job) == wanted; }, limit);
+    }
+
+    std::int64_t unixMs() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(runtime.now().time_since_epoch()).count();
+    }
+
+    CerealRecordCodec codec;
+
+private:
+    FakeMemberNetwork m_network;
+    std::map<std::string, std::unique_ptr<Member>> m_members;
+    std::vector<std::unique_ptr<Member>> m_dead; ///< kept, since callbacks that were on their way name them
+    std::uint64_t m_incarnations = 0;
+    int m_configurations = 0;
+    int m_registrations = 0;
+};
+
+} // namespace lycheeledge::test
--- a/test/support/ProcessRuntime.h
+++ b/test/support/ProcessRuntime.h
@@ -52,6 +52,8 @@
     /** @brief Runs `task` now, or on resume(). */
     void deliver(std::function<void()> task)
     {
+        if (m_killed)
+            return;
         if (m_paused)
             m_backlog.push_back(std::move(task));
         else
@@ -60,6 +62,14 @@
 
     void pause() { m_paused = true; }
 
+    /** @brief Nothing of the process runs any more. */
+    void kill()
+    {
+        m_killed = true;
+        m_backlog.clear();
+        m_timers.clear();
+    }
+
     void resume()
     {
         m_paused = false;
@@ -92,6 +102,7 @@
     std::map<TimerId, std::function<void()>> m_timers;
     TimerId m_next = 1;
     bool m_paused = false;
+    bool m_killed = false;
     std::deque<std::function<void()>> m_backlog;
 };
 
