--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -64,9 +64,8 @@
     , m_callSeconds(m_metrics.summary("lycheeledge_call_seconds", "Time from a client's call to its response."))
     , m_ingressServer(serverSettings(m_settings.ingress, m_settings),
           [this](HttpRequest request, const HttpServer::Respond& respond) {
-              m_executor.execute([this, request = std::move(request), respond]() mutable {
-                  handleCall(std::move(request), respond);
-              });
+              m_executor.execute(
+                  [this, request = std::move(request), respond]() mutable { handleCall(std::move(request), respond); });
           })
     , m_readinessServer(serverSettings(m_settings.readiness, m_settings),
           [this](const HttpRequest& request, const HttpServer::Respond& respond) {
@@ -76,8 +75,8 @@
     m_members.setListener(&m_node.memberListener());
     if (m_settings.metricsPort != 0) {
         const ListenAddress address { m_settings.host, m_settings.metricsPort };
-        m_metricsServer = std::make_unique<HttpServer>(serverSettings(address, m_settings),
-            [this](const HttpRequest&, const HttpServer::Respond& respond) {
+        m_metricsServer = std::make_unique<HttpServer>(
+            serverSettings(address, m_settings), [this](const HttpRequest&, const HttpServer::Respond& respond) {
                 m_executor.execute([this, respond] { handleMetrics(respond); });
             });
     }
@@ -97,7 +96,8 @@
         if (const auto port = m_metricsServer->start(); !port.ok())
             return port.status();
     }
-    m_log.record("process_started", { { "incarnation", m_settings.incarnation }, { "peer_port", m_settings.peerPort } });
+    m_log.record(
+        "process_started", { { "incarnation", m_settings.incarnation }, { "peer_port", m_settings.peerPort } });
     m_loop.post([this] {
         m_node.start();
         report();
@@ -206,7 +206,8 @@
 
 void JobDaemon::updateMetrics()
 {
-    const auto set = [this](const char* name, const char* help, double value) { m_metrics.gauge(name, help).set(value); };
+    const auto set
+        = [this](const char* name, const char* help, double value) { m_metrics.gauge(name, help).set(value); };
     const auto& session = m_node.session();
     const auto& counters = session.scheduler().counters();
     const auto& calls = session.service().counters();
--- a/src/lycheeledge/daemon/JsonEventLog.cpp
+++ b/src/lycheeledge/daemon/JsonEventLog.cpp
@@ -4,11 +4,10 @@
 
 #include "../protocol/JsonObject.h"
 
+#include <algorithm>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
-
-#include <algorithm>
 #include <utility>
 
 namespace lycheeledge {
--- a/src/lycheeledge/daemon/JsonEventLog.h
+++ b/src/lycheeledge/daemon/JsonEventLog.h
@@ -33,8 +33,8 @@
 class JsonEventLog final : public jobs::EventLog {
 public:
     /** @param member name of this process, in every line. @param unixMs time of day of the lines. */
-    JsonEventLog(Runtime& runtime, std::string member, std::function<std::int64_t()> unixMs,
-        EventLogSettings settings = {});
+    JsonEventLog(
+        Runtime& runtime, std::string member, std::function<std::int64_t()> unixMs, EventLogSettings settings = {});
     ~JsonEventLog() override;
 
     void record(std::string_view event, std::initializer_list<jobs::LogField> fields) override;
--- a/src/lycheeledge/jobs/EventLog.h
+++ b/src/lycheeledge/jobs/EventLog.h
@@ -27,7 +27,13 @@
     }
     /** @brief Any other kind of text, such as that of a status. */
     template <typename Text>
-    requires requires(const Text& text) { { text.data() } -> std::convertible_to<const char*>; text.size(); }
+    requires requires(const Text& text)
+    {
+        {
+            text.data()
+            } -> std::convertible_to<const char*>;
+        text.size();
+    }
     LogField(std::string_view fieldName, const Text& text)
         : LogField(fieldName, std::string_view(text.data(), text.size()))
     {
--- a/src/lycheeledge/jobs/FailureQuarantine.cpp
+++ b/src/lycheeledge/jobs/FailureQuarantine.cpp
@@ -18,8 +18,8 @@
     const bool probationFailed = state.length > Duration::zero() && now >= state.until;
     if (!probationFailed && (state.failedJobs.size() < m_settings.failures || now < state.until))
         return false;
-    state.length = state.length == Duration::zero() ? m_settings.length
-                                                    : std::min(m_settings.maxLength, 2 * state.length);
+    state.length
+        = state.length == Duration::zero() ? m_settings.length : std::min(m_settings.maxLength, 2 * state.length);
     state.until = now + state.length;
     return true;
 }
--- a/src/lycheeledge/jobs/JobLedger.cpp
+++ b/src/lycheeledge/jobs/JobLedger.cpp
@@ -108,9 +108,9 @@
 
 bool JobLedger::isCommitting(const JobId& job) const
 {
-    return m_batch
-        && std::any_of(m_batch->entries.begin(), m_batch->entries.end(),
-            [&job](const Entry& entry) { return entry.job == job; });
+    return m_batch && std::any_of(m_batch->entries.begin(), m_batch->entries.end(), [&job](const Entry& entry) {
+        return entry.job == job;
+    });
 }
 
 bool JobLedger::isStalled() const { return m_failingSince && m_runtime.now() - *m_failingSince > stallTime; }
@@ -223,8 +223,7 @@
 {
     if (!m_failingSince) {
         m_failingSince = sentAt;
-        m_log.record(
-            "store_commit_failing", { { "entries", m_batch->entries.size() }, { "error", status.message() } });
+        m_log.record("store_commit_failing", { { "entries", m_batch->entries.size() }, { "error", status.message() } });
     }
     // Only UNAVAILABLE says that the store did nothing.
     m_batch->maybeApplied = m_batch->maybeApplied || !absl::IsUnavailable(status);
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -30,8 +30,7 @@
 
     bool hasLabel(const WorkerRecord& record, const std::string& label)
     {
-        return label.empty()
-            || std::find(record.labels.begin(), record.labels.end(), label) != record.labels.end();
+        return label.empty() || std::find(record.labels.begin(), record.labels.end(), label) != record.labels.end();
     }
 
 } // namespace
@@ -114,8 +113,8 @@
         return;
     }
     job->mayRunElsewhere = true;
-    const Duration age = std::chrono::milliseconds(
-        std::max<std::int64_t>(0, m_host.unixMs() - job->submission.acceptedUnixMs));
+    const Duration age
+        = std::chrono::milliseconds(std::max<std::int64_t>(0, m_host.unixMs() - job->submission.acceptedUnixMs));
     Job& stored = *(m_jobs[id] = std::move(job));
     releaseDueOccurrences(stored);
     for (auto& [n, occurrence] : stored.open) {
@@ -208,8 +207,8 @@
     if (change.submission) {
         job->accepted = true;
         m_log.record("job_accepted",
-            { { "job", id.value() }, { "account", job->submission.account.value() },
-                { "queue", job->submission.queue }, { "steps", job->spec().steps.size() } });
+            { { "job", id.value() }, { "account", job->submission.account.value() }, { "queue", job->submission.queue },
+                { "steps", job->spec().steps.size() } });
         releaseDueOccurrences(*job);
     }
     if (change.progress) {
@@ -297,8 +296,8 @@
             releaseDueOccurrences(*job);
     }
     expireWorkers();
-    const std::int64_t oldest = m_host.unixMs()
-        - std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.statusRetention).count();
+    const std::int64_t oldest
+        = m_host.unixMs() - std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.statusRetention).count();
     while (!m_finished.empty() && m_finished.begin()->first < oldest) {
         const JobId id = m_finished.begin()->second;
         m_finished.erase(m_finished.begin());
@@ -381,8 +380,8 @@
 bool JobScheduler::mayStart(const Job& job) const
 {
     return !job.mayRunElsewhere || m_runtime.now() >= m_unlocatedUntil
-        || std::all_of(m_workers.all().begin(), m_workers.all().end(),
-            [](const auto& it) { return it.second.reported; });
+        || std::all_of(
+            m_workers.all().begin(), m_workers.all().end(), [](const auto& it) { return it.second.reported; });
 }
 
 StepUrgency JobScheduler::urgencyOf(const Job& job, const StepKey& key) const
@@ -390,8 +389,7 @@
     StepUrgency result;
     const QueuePolicy* queue = queueOf(job);
     result.priority = queue != nullptr ? queue->priority : 0;
-    const ClientAccount* account
-        = m_configuration ? m_configuration->account(job.submission.account) : nullptr;
+    const ClientAccount* account = m_configuration ? m_configuration->account(job.submission.account) : nullptr;
     if (account != nullptr && queue != nullptr && account->weight > 0) {
         const double share = usage(account->id).dominantShare(m_workers.capacity(queue->pool));
         result.shareOfAccount = share / account->weight;
@@ -400,8 +398,7 @@
     if (open != job.open.end()) {
         const Occurrence& occurrence = open->second;
         result.objective = occurrence.objective;
-        result.worthlessAt
-            = occurrence.releasedAt + worthlessFactor * (occurrence.objective - occurrence.releasedAt);
+        result.worthlessAt = occurrence.releasedAt + worthlessFactor * (occurrence.objective - occurrence.releasedAt);
         for (std::size_t i = key.step; i < occurrence.steps.size(); ++i) {
             if (!occurrence.steps[i].isDone())
                 result.remaining += job.spec().steps[i].estimatedRunTime;
@@ -623,8 +620,9 @@
     const TimePoint now = m_runtime.now();
     if (!grants.ok()) {
         admission.nextAsk = now + admissionRetryPause;
-        m_log.record("admission_failed", { { "job", key.job.value() }, { "step", key.step },
-                                             { "asked", asked.size() }, { "error", grants.status().message() } });
+        m_log.record("admission_failed",
+            { { "job", key.job.value() }, { "step", key.step }, { "asked", asked.size() },
+                { "error", grants.status().message() } });
         requestPass();
         return;
     }
@@ -635,8 +633,8 @@
         admission.tickets[grant.worker] = { grant.ticket, now + policy.validity };
     }
     admission.nextAsk = now + admissionRepeatPause;
-    m_log.record("admission_answered", { { "job", key.job.value() }, { "step", key.step }, { "asked", asked.size() },
-                                           { "granted", grants->size() } });
+    m_log.record("admission_answered",
+        { { "job", key.job.value() }, { "step", key.step }, { "asked", asked.size() }, { "granted", grants->size() } });
     requestPass();
 }
 
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -1,6 +1,7 @@
 // The owner's scheduler: which task starts where and when, and what became of it.
 #pragma once
 
+#include "../coordination/Runtime.h"
 #include "AdmissionDesk.h"
 #include "ClusterConfiguration.h"
 #include "EventLog.h"
@@ -11,8 +12,6 @@
 #include "StepOrder.h"
 #include "WorkerTable.h"
 
-#include "../coordination/Runtime.h"
-
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -37,8 +37,9 @@
             worker.registered = true;
             connect(worker);
             grown = grown || !m_storedWorkers.contains(record.id);
-            m_log.record("worker_joined", { { "worker", record.id.value() }, { "address", record.address },
-                                              { "milli_cpu", record.capacity.milliCpu } });
+            m_log.record("worker_joined",
+                { { "worker", record.id.value() }, { "address", record.address },
+                    { "milli_cpu", record.capacity.milliCpu } });
             continue;
         }
         const bool drains = record.draining && !known->record.draining;
@@ -77,7 +78,8 @@
 
 void JobScheduler::connect(Worker& worker)
 {
-    worker.link = std::make_unique<WorkerLink>(m_runtime, m_port, static_cast<WorkerLinkListener&>(*this),
+    worker.link = std::make_unique<WorkerLink>(
+        m_runtime, m_port, static_cast<WorkerLinkListener&>(*this),
         WorkerTarget { worker.record.id, worker.record.address }, m_epoch, [this] { return m_host.mayOrder(); },
         m_settings.link);
     worker.link->begin();
@@ -207,8 +209,8 @@
 
 void JobScheduler::beginNewLife(Worker& worker, std::int64_t bornUnixMs)
 {
-    m_log.record("worker_restarted", { { "worker", worker.record.id.value() }, { "born_ms", bornUnixMs },
-                                         { "runs", worker.runs.size() } });
+    m_log.record("worker_restarted",
+        { { "worker", worker.record.id.value() }, { "born_ms", bornUnixMs }, { "runs", worker.runs.size() } });
     worker.record.bornUnixMs = bornUnixMs;
     worker.processedEnds = 0;
     worker.strays.clear();
@@ -243,14 +245,14 @@
     if (last == worker.processedEnds)
         return;
     worker.processedEnds = last;
-    const auto stored = [this, pending, id, last, born = worker.record.bornUnixMs,
-                            session = std::weak_ptr<int>(m_session)] {
-        if (--*pending > 0 || session.expired())
-            return;
-        Worker* reporter = m_workers.find(id);
-        if (reporter != nullptr && reporter->link && reporter->record.bornUnixMs == born)
-            reporter->link->acknowledge(last);
-    };
+    const auto stored
+        = [this, pending, id, last, born = worker.record.bornUnixMs, session = std::weak_ptr<int>(m_session)] {
+              if (--*pending > 0 || session.expired())
+                  return;
+              Worker* reporter = m_workers.find(id);
+              if (reporter != nullptr && reporter->link && reporter->record.bornUnixMs == born)
+                  reporter->link->acknowledge(last);
+          };
     for (const auto& job : changed) {
         ++*pending;
         m_ledger.changed(job, stored);
@@ -284,8 +286,9 @@
     const bool current = task->occupiesWorker() && task->run == end.run.run && task->worker == worker.record.id;
     if (!current && task->occupiesWorker() && end.kind != EndKind::Done && task->run != end.run.run)
         return; // an earlier run that was given up
-    m_log.record("task_ended", { { "task", describe(key) }, { "run", end.run.run },
-                                   { "worker", worker.record.id.value() }, { "how", static_cast<int>(end.kind) } });
+    m_log.record("task_ended",
+        { { "task", describe(key) }, { "run", end.run.run }, { "worker", worker.record.id.value() },
+            { "how", static_cast<int>(end.kind) } });
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
     const bool finished = end.kind == EndKind::Done && !isFinal(job->state) && !job->spec().steps[key.step].longRunning;
@@ -387,8 +390,8 @@
     }
     worker.strays.erase(key);
     refreshReady(stepOf(key), *job, step);
-    m_log.record("run_adopted",
-        { { "task", describe(key) }, { "run", task->run }, { "worker", worker.record.id.value() } });
+    m_log.record(
+        "run_adopted", { { "task", describe(key) }, { "run", task->run }, { "worker", worker.record.id.value() } });
 }
 
 void JobScheduler::missingRuns(Worker& worker, const absl::flat_hash_set<RunKey>& listed, TimePoint sentAt)
@@ -454,7 +457,8 @@
         task->pacePercent = pace;
         m_log.record("task_paced", { { "task", describe(key) }, { "percent", pace }, { "load", worker.servingLoad } });
         m_port.pace(worker.link->target(), { key, task->run, pace, m_epoch }, m_settings.stopTimeout,
-            [this, key = key, run = task->run, pace, session = std::weak_ptr<int>(m_session)](const OrderResult& result) {
+            [this, key = key, run = task->run, pace, session = std::weak_ptr<int>(m_session)](
+                const OrderResult& result) {
                 if (session.expired() || result.outcome == OrderOutcome::Done)
                     return;
                 // Not confirmed: the next report decides again from full pace.
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -162,8 +162,9 @@
             job->state = JobState::Running;
             markChanged(*job);
         }
-        m_log.record("task_started", { { "task", describe(key) }, { "run", run }, { "worker", workerId.value() },
-                                         { "epoch", m_epoch }, { "resumed", !task->checkpoint.empty() } });
+        m_log.record("task_started",
+            { { "task", describe(key) }, { "run", run }, { "worker", workerId.value() }, { "epoch", m_epoch },
+                { "resumed", !task->checkpoint.empty() } });
         return;
     }
     if (result.outcome == OrderOutcome::Stale && attempt > 1) {
@@ -172,8 +173,9 @@
         task->confirmedAt = now;
         return;
     }
-    m_log.record("start_refused", { { "task", describe(key) }, { "run", run }, { "worker", workerId.value() },
-                                      { "epoch", m_epoch }, { "outcome", name(result.outcome) } });
+    m_log.record("start_refused",
+        { { "task", describe(key) }, { "run", run }, { "worker", workerId.value() }, { "epoch", m_epoch },
+            { "outcome", name(result.outcome) } });
     switch (result.outcome) {
     case OrderOutcome::Unknown:
         ++m_counters.startsUnanswered;
@@ -248,8 +250,7 @@
         });
 }
 
-void JobScheduler::stopAnswered(
-    const TaskKey& key, RunNumber run, const WorkerId& workerId, const OrderResult& result)
+void JobScheduler::stopAnswered(const TaskKey& key, RunNumber run, const WorkerId& workerId, const OrderResult& result)
 {
     if (result.outcome == OrderOutcome::Fenced) {
         m_host.fenced();
@@ -262,8 +263,8 @@
     Worker* worker = m_workers.find(workerId);
     Job* job = find(key.job);
     Task* task = job != nullptr ? job->find(key) : nullptr;
-    const bool current = task != nullptr && task->run == run && task->worker == workerId
-        && task->phase == TaskPhase::Stopping;
+    const bool current
+        = task != nullptr && task->run == run && task->worker == workerId && task->phase == TaskPhase::Stopping;
     const bool stray = worker != nullptr && worker->strays.contains(key);
     if (!current && !stray)
         return;
@@ -423,9 +424,9 @@
     m_counters.jobsCompleted += state == JobState::Completed ? 1 : 0;
     m_counters.jobsFailed += state == JobState::Failed ? 1 : 0;
     m_counters.jobsCancelled += state == JobState::Cancelled ? 1 : 0;
-    m_log.record("job_ended", { { "job", job.id.value() }, { "queue", job.submission.queue },
-                                  { "account", job.submission.account.value() }, { "state", name(state) },
-                                  { "reason", reason } });
+    m_log.record("job_ended",
+        { { "job", job.id.value() }, { "queue", job.submission.queue }, { "account", job.submission.account.value() },
+            { "state", name(state) }, { "reason", reason } });
     if (state != JobState::Completed)
         stopAll(job, reason);
 }
--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -55,8 +55,8 @@
 Duration JobService::patienceOf(const ClientCall& call) const
 {
     const Duration stated = std::chrono::milliseconds(call.patienceMs);
-    return std::max(Duration::zero(),
-        (stated > Duration::zero() ? stated : m_settings.defaultPatience) - m_settings.replyMargin);
+    return std::max(
+        Duration::zero(), (stated > Duration::zero() ? stated : m_settings.defaultPatience) - m_settings.replyMargin);
 }
 
 void JobService::handle(const ClientCall& call, Reply reply)
@@ -82,8 +82,9 @@
     if (!queue->openToAll && call.verb != CallVerb::Submit
         && m_runtime.now() - m_confirmedAt > m_settings.keyFreshness) {
         ++m_counters.refused;
-        m_log.record("call_refused", { { "queue", queue->name }, { "reason", "configuration not confirmed" },
-                                         { "version", m_configuration->version } });
+        m_log.record("call_refused",
+            { { "queue", queue->name }, { "reason", "configuration not confirmed" },
+                { "version", m_configuration->version } });
         reply(refusal("keys cannot be checked now", 1));
         return;
     }
@@ -231,8 +232,8 @@
             node.mapped()(result);
     };
     m_scheduler.cancel(id, [answer] { answer({ .kind = ReplyKind::Cancelled, .reason = {} }); });
-    m_runtime.after(patienceOf(call),
-        [answer] { answer({ .kind = ReplyKind::Unknown, .reason = "not stored in time" }); });
+    m_runtime.after(
+        patienceOf(call), [answer] { answer({ .kind = ReplyKind::Unknown, .reason = "not stored in time" }); });
 }
 
 void JobService::end()
--- a/src/lycheeledge/jobs/JobService.h
+++ b/src/lycheeledge/jobs/JobService.h
@@ -70,8 +70,8 @@
         TimePoint deadline;
     };
 
-    void submit(const ClientCall& call, const QueuePolicy& queue, const AccountId& account, const JobId& id,
-        Reply reply);
+    void submit(
+        const ClientCall& call, const QueuePolicy& queue, const AccountId& account, const JobId& id, Reply reply);
     void cancel(const ClientCall& call, const JobId& id, Reply reply);
     void read(const QueuePolicy& queue, const std::string& name, const Reply& reply);
     void stored(const JobId& id);
--- a/src/lycheeledge/jobs/MemberMessages.h
+++ b/src/lycheeledge/jobs/MemberMessages.h
@@ -67,8 +67,7 @@
     bool operator==(const Ping&) const = default;
 };
 
-using MemberMessage
-    = std::variant<Hello, Welcome, CallMessage, CallReply, AdmissionMessage, AdmissionReply, Ping>;
+using MemberMessage = std::variant<Hello, Welcome, CallMessage, CallReply, AdmissionMessage, AdmissionReply, Ping>;
 
 using MemberConnection = std::uint64_t;
 
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -32,8 +32,7 @@
 
 std::string encodeOwner(const OwnerRecord& record)
 {
-    return absl::StrCat(
-        record.member, " ", record.incarnation, " ", record.epoch, " ", record.host, " ", record.port);
+    return absl::StrCat(record.member, " ", record.incarnation, " ", record.epoch, " ", record.host, " ", record.port);
 }
 
 absl::StatusOr<OwnerRecord> decodeOwner(const std::string& text)
@@ -62,10 +61,7 @@
 
 void OwnerLease::start() { readOwner(); }
 
-bool OwnerLease::mayOrder() const
-{
-    return m_epoch && m_runtime.now() - m_confirmedAt < m_settings.confirmationLimit;
-}
+bool OwnerLease::mayOrder() const { return m_epoch && m_runtime.now() - m_confirmedAt < m_settings.confirmationLimit; }
 
 void OwnerLease::confirmed(TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); }
 
@@ -180,8 +176,8 @@
     record.epoch = epochOfHead(head.entry) + 1;
     const std::string headValue = headValueOf(record.epoch, m_self);
     StoreTransaction transaction;
-    transaction.conditions = { { m_settings.ownerKey, 0 },
-        { m_settings.headKey, head.entry ? head.entry->modRevision : Revision { 0 } } };
+    transaction.conditions
+        = { { m_settings.ownerKey, 0 }, { m_settings.headKey, head.entry ? head.entry->modRevision : Revision { 0 } } };
     transaction.puts
         = { { m_settings.ownerKey, encodeOwner(record), lease }, { m_settings.headKey, headValue, std::nullopt } };
     const TimePoint sentAt = m_runtime.now();
@@ -220,8 +216,8 @@
 void OwnerLease::renew()
 {
     const TimePoint sentAt = m_runtime.now();
-    m_store.renewLease(m_lease, m_settings.callTimeout,
-        [this, sentAt, epoch = m_epoch](const absl::StatusOr<Duration>& left) {
+    m_store.renewLease(
+        m_lease, m_settings.callTimeout, [this, sentAt, epoch = m_epoch](const absl::StatusOr<Duration>& left) {
             if (!m_epoch || m_epoch != epoch)
                 return;
             if (left.ok())
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -56,7 +56,8 @@
 class OwnerLease {
 public:
     /** @param self epoch is ignored. */
-    OwnerLease(Runtime& runtime, ClusterStore& store, EventLog& log, OwnerRecord self, OwnerLeaseSettings settings = {});
+    OwnerLease(
+        Runtime& runtime, ClusterStore& store, EventLog& log, OwnerRecord self, OwnerLeaseSettings settings = {});
     OwnerLease(const OwnerLease&) = delete;
     OwnerLease& operator=(const OwnerLease&) = delete;
 
--- a/src/lycheeledge/jobs/OwnerSession.cpp
+++ b/src/lycheeledge/jobs/OwnerSession.cpp
@@ -142,8 +142,8 @@
 
 // --- Recovery ---
 
-void OwnerSession::readPages(const std::string& prefix, std::vector<StoreEntry>& into, std::function<void()> done,
-    const std::string& after)
+void OwnerSession::readPages(
+    const std::string& prefix, std::vector<StoreEntry>& into, std::function<void()> done, const std::string& after)
 {
     m_store.list(prefix, after, m_settings.callTimeout,
         [this, prefix, &into, done = std::move(done), after, session = Session(m_session)](
--- a/src/lycheeledge/jobs/StepOrder.cpp
+++ b/src/lycheeledge/jobs/StepOrder.cpp
@@ -12,8 +12,8 @@
         const bool worthless = now + it.remaining > it.worthlessAt;
         const bool late = now + it.remaining > it.objective;
         const bool overShare = it.shareOfAccount > m_fairShare;
-        return std::tuple(it.priority, worthless, overShare, late, late ? TimePoint() + it.remaining : it.objective,
-            it.age);
+        return std::tuple(
+            it.priority, worthless, overShare, late, late ? TimePoint() + it.remaining : it.objective, it.age);
     };
     return rank(a) < rank(b);
 }
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -1,9 +1,8 @@
 // Connection to one worker: renews its lease and reads what runs and ended there.
 #pragma once
 
-#include "WorkerPort.h"
-
 #include "../coordination/Runtime.h"
+#include "WorkerPort.h"
 
 #include <functional>
 #include <memory>
--- a/src/lycheeledge/jobs/WorkerPort.h
+++ b/src/lycheeledge/jobs/WorkerPort.h
@@ -134,8 +134,8 @@
 public:
     virtual ~WorkerPort() = default;
 
-    virtual void start(const WorkerTarget& to, const StartOrder& order, Duration timeout,
-        std::function<void(OrderResult)> done)
+    virtual void start(
+        const WorkerTarget& to, const StartOrder& order, Duration timeout, std::function<void(OrderResult)> done)
         = 0;
     virtual void stop(
         const WorkerTarget& to, const StopOrder& order, Duration timeout, std::function<void(OrderResult)> done)
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -41,7 +41,8 @@
 {
     JobCluster cluster(1);
     withWorkers(cluster, 3);
-    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = "x", .steps = { simpleStep(4, 1000), simpleStep(2, 2000, { 0 }) } }));
+    REQUIRE(cluster.submit(
+        "m0", "urgent", 1, { .payload = "x", .steps = { simpleStep(4, 1000), simpleStep(2, 2000, { 0 }) } }));
     REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
     CHECK(cluster.workers.starts().size() == 6);
     // No task of the second step may start before all of the first have ended.
@@ -117,9 +118,8 @@
 TEST_CASE("a failing task uses up its attempts, and then its job fails", "[jobs]")
 {
     JobCluster cluster(1);
-    cluster.workers.endOf = [](const TaskKey& task, const std::string&) {
-        return task.index == 1 ? EndKind::Failed : EndKind::Done;
-    };
+    cluster.workers.endOf
+        = [](const TaskKey& task, const std::string&) { return task.index == 1 ? EndKind::Failed : EndKind::Done; };
     withWorkers(cluster, 2);
     REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(2, 1000) } }));
     REQUIRE(cluster.waitForState(1, "urgent", JobState::Failed, seconds(20)));
@@ -130,9 +130,8 @@
 TEST_CASE("the failures of a task on one ill worker do not fail its job", "[jobs]")
 {
     JobCluster cluster(1);
-    cluster.workers.endOf = [](const TaskKey&, const std::string& worker) {
-        return worker == "w0" ? EndKind::Failed : EndKind::Done;
-    };
+    cluster.workers.endOf
+        = [](const TaskKey&, const std::string& worker) { return worker == "w0" ? EndKind::Failed : EndKind::Done; };
     withWorkers(cluster, 4);
     for (std::uint64_t n = 1; n <= 10; ++n)
         REQUIRE(cluster.submit("m0", "urgent", n, { .payload = {}, .steps = { simpleStep(3, 1000) } }));
@@ -252,7 +251,9 @@
     JobCluster cluster(1);
     withWorkers(cluster, 2);
     const std::int64_t first = cluster.unixMs() + 2000;
-    JobSpec spec { .payload = {}, .steps = { simpleStep(1, 1000) }, .repetitions = 3, .firstDueUnixMs = first, .intervalMs = 1000 };
+    JobSpec spec {
+        .payload = {}, .steps = { simpleStep(1, 1000) }, .repetitions = 3, .firstDueUnixMs = first, .intervalMs = 1000
+    };
     REQUIRE(cluster.submit("m0", "batch", 1, spec));
     REQUIRE(cluster.waitForState(1, "batch", JobState::Completed, seconds(10)));
     REQUIRE(cluster.workers.starts().size() == 3);
@@ -306,7 +307,8 @@
 {
     JobCluster cluster(1);
     auto configuration = simpleConfiguration();
-    configuration.queues[0].admission = AdmissionPolicy { milliseconds(15), std::chrono::microseconds(200), seconds(2) };
+    configuration.queues[0].admission
+        = AdmissionPolicy { milliseconds(15), std::chrono::microseconds(200), seconds(2) };
     cluster.setConfiguration(configuration);
     cluster.admission.allows = [](const WorkerId& worker) { return worker.value() == "w1"; };
     withWorkers(cluster, 3);
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -38,7 +38,8 @@
     addWorkers(cluster, 3);
     const auto owner = cluster.owner();
     REQUIRE(owner.has_value());
-    REQUIRE(cluster.submit(*owner, "batch", 1, { .payload = {}, .steps = { simpleStep(6, 1000), simpleStep(2, 1000, { 0 }) } }));
+    REQUIRE(cluster.submit(
+        *owner, "batch", 1, { .payload = {}, .steps = { simpleStep(6, 1000), simpleStep(2, 1000, { 0 }) } }));
     REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 6; }));
     cluster.kill(*owner);
     // The lease of the dead owner lasts at most 2 s; the recovery takes some calls to the store.
@@ -53,7 +54,8 @@
     JobCluster cluster(3);
     addWorkers(cluster, 2);
     for (std::uint64_t n = 1; n <= 5; ++n)
-        REQUIRE(cluster.submit("m1", "urgent", n, { .payload = {}, .steps = { simpleStep(3, 1000), simpleStep(1, 500, { 0 }) } }));
+        REQUIRE(cluster.submit(
+            "m1", "urgent", n, { .payload = {}, .steps = { simpleStep(3, 1000), simpleStep(1, 500, { 0 }) } }));
     for (const auto& name : cluster.memberNames())
         cluster.kill(name);
     cluster.advance(seconds(1));
@@ -71,7 +73,8 @@
     addWorkers(cluster, 3);
     const std::string owner = *cluster.owner();
     for (std::uint64_t n = 1; n <= 8; ++n)
-        REQUIRE(cluster.submit(owner, "urgent", n, { .payload = {}, .steps = { simpleStep(6, 1500), simpleStep(6, 1500, { 0 }) } }));
+        REQUIRE(cluster.submit(
+            owner, "urgent", n, { .payload = {}, .steps = { simpleStep(6, 1500), simpleStep(6, 1500, { 0 }) } }));
     cluster.member(owner).runtime.pause();
     REQUIRE(cluster.waitFor([&] { return hasOtherOwner(cluster, owner); }, seconds(4)));
     cluster.advance(seconds(1));
@@ -92,12 +95,14 @@
     cluster.store.setFault(owner, FakeClusterStore::Fault::Silent);
     REQUIRE(cluster.waitFor([&] { return hasOtherOwner(cluster, owner); }, seconds(4)));
     for (std::uint64_t n = 1; n <= 4; ++n)
-        CHECK(cluster.waitFor([&] {
-            const auto names = cluster.memberNames();
-            return std::any_of(names.begin(), names.end(), [&](const auto& name) {
-                return name != owner && cluster.state(name, "batch", n) == JobState::Completed;
-            });
-        }, seconds(30)));
+        CHECK(cluster.waitFor(
+            [&] {
+                const auto names = cluster.memberNames();
+                return std::any_of(names.begin(), names.end(), [&](const auto& name) {
+                    return name != owner && cluster.state(name, "batch", n) == JobState::Completed;
+                });
+            },
+            seconds(30)));
     CHECK(cluster.workers.violations().empty());
 }
 
@@ -121,7 +126,8 @@
 {
     JobCluster cluster(1);
     addWorkers(cluster, 2);
-    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(4, 1000), simpleStep(4, 1000, { 0 }) } }));
+    REQUIRE(cluster.submit(
+        "m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(4, 1000), simpleStep(4, 1000, { 0 }) } }));
     cluster.store.setFault(FakeClusterStore::Fault::ExecuteLate);
     cluster.advance(milliseconds(600));
     cluster.store.setFault(FakeClusterStore::Fault::None);
@@ -171,10 +177,12 @@
     const std::string owner = *cluster.owner();
     bool resigned = false;
     cluster.member(owner).node.resign([&resigned] { resigned = true; });
-    REQUIRE(cluster.waitFor([&] {
-        const auto next = cluster.owner();
-        return resigned && next && *next != owner;
-    }, milliseconds(500)));
+    REQUIRE(cluster.waitFor(
+        [&] {
+            const auto next = cluster.owner();
+            return resigned && next && *next != owner;
+        },
+        milliseconds(500)));
     // The member that stops forwards its clients' calls to the new owner.
     REQUIRE(cluster.waitFor([&] { return cluster.member(owner).node.isReady(); }, seconds(1)));
     CHECK(cluster.submit(owner, "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
--- /dev/null
+++ b/test/platform/CodecTest.cpp
@@ -0,0 +1,191 @@
+// Codecs of the platform: clients' calls, records in the store, workers' lists. Each reads what strangers sent.
+
+#include "support/Property.h"
+
+#include <catch2/catch.hpp>
+
+#include <platform/HttpWorkers.h>
+#include <platform/Ingress.h>
+#include <platform/PlatformSettings.h>
+#include <platform/StoreRecords.h>
+
+using namespace lycheeledge;
+using namespace lycheeledge::platform;
+using std::chrono::milliseconds;
+
+namespace {
+
+jobs::ClientCall callOf(HttpRequest request)
+{
+    return std::get<jobs::ClientCall>(Ingress().decodeCall(std::move(request)));
+}
+
+StoreEntry entry(const std::string& key, const std::string& value) { return { key, value, 7 }; }
+
+const std::string workerText = R"({"service":"pool","addr":"10.1.0.1:80","zone":"north","version":"v1","slots":8,
+    "state":"ready","coldLeftMs":0,"capacity":{"cpu":32000,"memMb":131072,"gpu":0},"labels":["a","r1-3"],"seq":4,
+    "born":1700000000000})";
+
+} // namespace
+
+TEST_CASE("a client's call is decoded", "[ingress]")
+{
+    const auto call = callOf({ .method = "POST",
+        .target = "/queue/0123456789abcdef?x=1",
+        .headers = { { "host", "a.example:80" }, { "authorization", "Bearer key" }, { "x-deadline-ms", "2500" } },
+        .body = "{}" });
+    CHECK(call.verb == jobs::CallVerb::Submit);
+    CHECK(call.host == "a.example");
+    CHECK(call.path == "/queue/0123456789abcdef");
+    CHECK(call.key == "key");
+    CHECK(call.patienceMs == 2500);
+    CHECK(std::holds_alternative<HttpResponse>(
+        Ingress().decodeCall({ .method = "PUT", .target = "/", .headers = {}, .body = {} })));
+}
+
+TEST_CASE("a submission is decoded, with defaults for fields that are left out", "[ingress]")
+{
+    const auto spec = Ingress().decode(
+        R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estRuntimeMs":900,"affinity":"r1-3"},
+            {"count":2,"cpu":2000,"after":[0],"checkpointing":true,"gang":true,"mayMiss":1,"targetMs":80}],
+            "repetitions":3,"startAtMs":1700000000000,"intervalMs":500})");
+    REQUIRE(spec.ok());
+    REQUIRE(spec->steps.size() == 2);
+    CHECK(spec->payload == "text");
+    CHECK(spec->steps[0].request.milliCpu == 500);
+    CHECK(spec->steps[0].estimatedRunTime == milliseconds(900));
+    CHECK(spec->steps[0].preferredRack == "r1-3");
+    CHECK_FALSE(spec->steps[0].gang);
+    CHECK(spec->steps[1].after == std::vector<std::uint32_t> { 0 });
+    CHECK(spec->steps[1].maxUnavailable == 1);
+    CHECK(spec->steps[1].latencyTarget == milliseconds(80));
+    CHECK(spec->occurrenceCount() == 3);
+}
+
+TEST_CASE("malformed submissions are refused", "[ingress]")
+{
+    const Ingress ingress;
+    for (const char* text :
+        { "", "[]", "{", R"({"steps":[]})", R"({"steps":[{"count":0}]})", R"({"steps":[{"cpu":5}]})",
+            R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":1,"after":[-1]}]})",
+            R"({"steps":[{"count":1,"cpu":-5}]})", R"({"steps":[{"count":1000000000}]})" })
+        CHECK_FALSE(ingress.decode(text).ok());
+    CHECK_FALSE(ingress.decode(R"({"spec":")" + std::string(4001, 'x') + R"(","steps":[{"count":1}]})").ok());
+    // Nesting must not exhaust the stack.
+    CHECK_FALSE(ingress.decode(std::string(100000, '[')).ok());
+}
+
+TEST_CASE("replies have the statuses that clients understand", "[ingress]")
+{
+    const Ingress ingress;
+    const auto status = [&ingress](jobs::ReplyKind kind) {
+        return ingress.encodeReply({ .kind = kind, .retryAfterS = 2, .reason = "why" });
+    };
+    CHECK(status(jobs::ReplyKind::Accepted).status == 200);
+    CHECK(status(jobs::ReplyKind::NoSuchJob).status == 410);
+    CHECK(status(jobs::ReplyKind::NoSuchQueue).status == 404);
+    CHECK(status(jobs::ReplyKind::Unauthorized).status == 401);
+    CHECK(status(jobs::ReplyKind::BadRequest).status == 400);
+    CHECK(status(jobs::ReplyKind::Unknown).status == 504);
+    const auto refused = status(jobs::ReplyKind::Refused);
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.at("Retry-After") == "2");
+    CHECK(ingress.encodeReply({ .kind = jobs::ReplyKind::State, .state = jobs::JobState::Completed, .reason = {} }).body
+        == R"({"state":"completed"})");
+    CHECK(ingress.encodeReply({ .kind = jobs::ReplyKind::Count, .count = 12, .reason = {} }).body
+        == R"({"waitingCount":12})");
+}
+
+TEST_CASE("a worker's entry is decoded", "[records]")
+{
+    const auto worker = StoreRecords().worker(entry("servers/i-1", workerText));
+    REQUIRE(worker.ok());
+    CHECK(worker->id.value() == "i-1");
+    CHECK(worker->capacity.milliCpu == 32000);
+    CHECK(worker->rack == "r1-3");
+    CHECK(worker->bornUnixMs == 1700000000000);
+    CHECK_FALSE(worker->draining);
+}
+
+TEST_CASE("an entry of another writer names no worker", "[records]")
+{
+    const StoreRecords records;
+    const auto changed = [&records](const std::string& from, const std::string& to) {
+        std::string text = workerText;
+        text.replace(text.find(from), from.size(), to);
+        return records.worker(entry("servers/i-1", text)).ok();
+    };
+    CHECK_FALSE(changed(R"("state":"ready")", R"("state":"sleeping")"));
+    CHECK_FALSE(changed(R"("state":"ready")", R"("state":5)"));
+    CHECK_FALSE(changed(R"("addr":"10.1.0.1:80")", R"("addr":17)"));
+    CHECK_FALSE(changed(R"("capacity":{"cpu":32000,"memMb":131072,"gpu":0})", R"("capacity":3)"));
+    CHECK_FALSE(records.worker(entry("servers/i-1", "\xff\xfe bytes")).ok());
+    CHECK_FALSE(records.worker(entry("servers/i-1", "")).ok());
+}
+
+TEST_CASE("a configuration is decoded", "[records]")
+{
+    const auto configuration = StoreRecords().configuration(entry("op/config",
+        R"({"version":7,"routes":[{"name":"r-1","host":"a.example","prefix":"/q/","targetLatencyMs":1200,"priority":2,
+            "service":"pool","maxAttempts":2,"stretch":2.2,"advice":{"decideMs":400.0,"periodMs":5.7,"validMs":2500}},
+            {"name":"r-2","host":"a.example","prefix":"/q/long/","service":"pool","noAuth":true}],
+            "services":[{"name":"pool","admissionCheck":false}],"limits":{"maxBodyBytes":1000},
+            "tenants":[{"name":"t","apiKeys":["k"],"weight":12,"upperLimit":{"cpu":100,"memMb":200,"gpu":0}}]})"));
+    REQUIRE(configuration.ok());
+    CHECK(configuration->revision == 7);
+    const auto* queue = configuration->queueOf("a.example", "/q/1");
+    REQUIRE(queue != nullptr);
+    CHECK(queue->name == "r-1");
+    CHECK(queue->admission->perCall == milliseconds(400));
+    CHECK(queue->admission->validity == milliseconds(2500));
+    CHECK(configuration->queueOf("a.example", "/q/long/1")->name == "r-2");
+    CHECK(configuration->queueOf("b.example", "/q/1") == nullptr);
+    REQUIRE(configuration->accountOfKey("k") != nullptr);
+    CHECK(configuration->accountOfKey("k")->upperLimit.milliCpu == 100);
+    CHECK(configuration->accountOfKey("") == nullptr);
+}
+
+TEST_CASE("a worker's lists are decoded; rows that cannot be read are left out", "[workers]")
+{
+    const auto report = decodeLookReport(
+        R"({"clockMs":482113,"born":1700000000000,
+            "runningTasks":[["5c0e7a21d94b36f8.0.1.17",2,"save",41,12.5],["bad",1,"",0],7,[]],
+            "finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.8",1,"vanished",""]]})");
+    REQUIRE(report.ok());
+    CHECK(report->clockMs == 482113);
+    CHECK(report->bornUnixMs == 1700000000000);
+    REQUIRE(report->running.size() == 1);
+    CHECK(report->running[0].run == jobs::RunKey { { jobs::JobId("5c0e7a21d94b36f8"), 0, 1, 17 }, 2 });
+    CHECK(report->running[0].progressPercent == 41);
+    CHECK(report->running[0].usage == 12.5);
+    REQUIRE(report->ended.size() == 1);
+    CHECK(report->ended[0].sequence == 58);
+    CHECK(report->ended[0].kind == jobs::EndKind::Done);
+    CHECK_FALSE(decodeLookReport("nothing").ok());
+}
+
+TEST_CASE("decoders survive any bytes", "[fuzz]")
+{
+    const Ingress ingress;
+    const StoreRecords records;
+    CHECK(test::holds("platform decoders survive any bytes", 20261204, 500, [&](const std::string& text) {
+        // Half of the inputs begin like a real one, so that more than the first byte is read.
+        for (const std::string& bytes : { text, workerText.substr(0, text.size() * 7 % workerText.size()) + text }) {
+            (void)ingress.decode(bytes);
+            (void)records.worker(entry("servers/i-1", bytes));
+            (void)records.configuration(entry("op/config", bytes));
+            (void)records.wave(entry("op/wave/1", bytes));
+            (void)decodeLookReport(bytes);
+            (void)decodeTaskName(bytes);
+            (void)parsePlatformSettings(bytes);
+        }
+    }));
+}
+
+TEST_CASE("names of tasks survive their text form", "[workers]")
+{
+    const jobs::TaskKey key { jobs::JobId("5c0e7a21d94b36f8"), 3, 1, 17 };
+    const auto decoded = decodeTaskName(encodeTaskName(key));
+    REQUIRE(decoded.ok());
+    CHECK(*decoded == key);
+}
--- a/test/support/FakeClusterStore.h
+++ b/test/support/FakeClusterStore.h
@@ -158,8 +158,8 @@
         });
     }
 
-    void list(const std::string& prefix, const std::string& after, Duration timeout,
-        Callback<jobs::StorePage> done) override
+    void list(
+        const std::string& prefix, const std::string& after, Duration timeout, Callback<jobs::StorePage> done) override
     {
         call<jobs::StorePage>(timeout, std::move(done), [this, prefix, after]() -> absl::StatusOr<jobs::StorePage> {
             constexpr std::size_t pageSize = 100;
@@ -221,13 +221,11 @@
 private:
     template <typename T> Callback<T> delivered(Callback<T> done)
     {
-        return [process = &m_process, done = std::move(done)](const absl::StatusOr<T>& result) {
-            process->deliver([done, result] { done(result); });
-        };
+        return [process = &m_process, done = std::move(done)](
+                   const absl::StatusOr<T>& result) { process->deliver([done, result] { done(result); }); };
     }
 
-    template <typename T>
-    void call(Duration timeout, Callback<T> caller, std::function<absl::StatusOr<T>()> execute)
+    template <typename T> void call(Duration timeout, Callback<T> caller, std::function<absl::StatusOr<T>()> execute)
     {
         const Callback<T> done = delivered(std::move(caller));
         auto& runtime = m_store.m_runtime;
@@ -263,8 +261,8 @@
         });
     }
 
-    void poll(const std::string& prefix, Revision after, TimePoint end, Duration timeout,
-        Callback<jobs::StoreEvents> done)
+    void poll(
+        const std::string& prefix, Revision after, TimePoint end, Duration timeout, Callback<jobs::StoreEvents> done)
     {
         constexpr Duration step = std::chrono::milliseconds(5);
         const Fault fault = m_store.faultOf(m_member);
--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -92,8 +92,8 @@
     const std::vector<RecordedStart>& starts() const { return m_starts; }
     std::size_t startsOf(const jobs::TaskKey& task) const
     {
-        return static_cast<std::size_t>(std::count_if(
-            m_starts.begin(), m_starts.end(), [&task](const auto& it) { return it.run.task == task; }));
+        return static_cast<std::size_t>(
+            std::count_if(m_starts.begin(), m_starts.end(), [&task](const auto& it) { return it.run.task == task; }));
     }
     std::size_t running() const
     {
@@ -112,7 +112,8 @@
     {
         const std::string id = to.id.value();
         const OrderFault fault = startFault(id);
-        send(id, fault, timeout, [this, id, order] { return startNow(id, order); }, std::move(done));
+        send(
+            id, fault, timeout, [this, id, order] { return startNow(id, order); }, std::move(done));
     }
 
     void stop(const jobs::WorkerTarget& to, const jobs::StopOrder& order, Duration timeout,
@@ -143,8 +144,8 @@
         const std::string id = to.id.value();
         paces.push_back(order);
         send(
-            id, OrderFault::None, timeout,
-            [this, id] { return refusal(m_workers.at(id), jobs::OrderOutcome::Done); }, std::move(done));
+            id, OrderFault::None, timeout, [this, id] { return refusal(m_workers.at(id), jobs::OrderOutcome::Done); },
+            std::move(done));
     }
     std::vector<jobs::PaceOrder> paces;
     std::function<double(const jobs::TaskKey&)> usageOf = [](const jobs::TaskKey&) { return 0.0; };
@@ -201,9 +202,8 @@
             m_runtime.after(timeout, [done] { done({}); });
             return;
         }
-        m_runtime.after(m_latency / 2, [this, execute, done] {
-            m_runtime.after(m_latency / 2, [done, result = execute()] { done(result); });
-        });
+        m_runtime.after(m_latency / 2,
+            [this, execute, done] { m_runtime.after(m_latency / 2, [done, result = execute()] { done(result); }); });
     }
 
     jobs::OrderResult startNow(const std::string& id, const jobs::StartOrder& order)
@@ -223,8 +223,7 @@
         if (worker.endedRuns[order.task] >= order.run || it != worker.runs.end())
             return refusal(worker, jobs::OrderOutcome::Stale);
         checkStart(id, worker, order);
-        worker.runs[order.task]
-            = { order.run, m_runtime.now() + runTime(order.task), m_starts.size() };
+        worker.runs[order.task] = { order.run, m_runtime.now() + runTime(order.task), m_starts.size() };
         m_starts.push_back({ { order.task, order.run }, id, order.checkpoint, m_runtime.now(), {}, {} });
         return refusal(worker, jobs::OrderOutcome::Done);
     }
@@ -296,8 +295,8 @@
         result.report.clockMs = clockMs();
         result.report.bornUnixMs = worker.born;
         for (const auto& [task, run] : worker.runs)
-            result.report.running.push_back({ { task, run.run }, "checkpoint-" + std::to_string(run.run), 0,
-                usageOf(task) });
+            result.report.running.push_back(
+                { { task, run.run }, "checkpoint-" + std::to_string(run.run), 0, usageOf(task) });
         for (const auto& ended : worker.ended)
             result.report.ended.push_back(ended);
         if (worker.cut) // the answer is lost
--- a/test/support/JobCluster.h
+++ b/test/support/JobCluster.h
@@ -337,8 +337,8 @@
             , store(cluster.store, name, runtime)
             , network(std::make_unique<FakeMemberNetwork::Port>(cluster.m_network, name, runtime))
             , workers(cluster.workers, runtime)
-            , node({ runtime, store, cluster.records, cluster.codec, cluster.submissions, workers,
-                       cluster.admission, *network, cluster.log, [&cluster] { return cluster.unixMs(); } },
+            , node({ runtime, store, cluster.records, cluster.codec, cluster.submissions, workers, cluster.admission,
+                       *network, cluster.log, [&cluster] { return cluster.unixMs(); } },
                   { .member = name, .incarnation = incarnation, .epoch = 0, .host = name, .port = 1 }, cluster.settings)
         {
             network->listener = &node.memberListener();
@@ -410,7 +410,9 @@
         const std::string& path, const std::string& body = {}, const std::string& key = "key-1")
     {
         auto reply = std::make_shared<std::optional<jobs::ClientReply>>();
-        jobs::ClientCall call { .verb = verb, .host = "host", .path = path, .key = key, .patienceMs = 3000, .body = body };
+        jobs::ClientCall call {
+            .verb = verb, .host = "host", .path = path, .key = key, .patienceMs = 3000, .body = body
+        };
         member(name).node.handle(call, [reply](const jobs::ClientReply& given) { *reply = given; });
         return reply;
     }
@@ -432,8 +434,8 @@
             return std::nullopt;
         return (*reply)->state;
     }
-    bool waitForState(std::uint64_t job, const std::string& queue, jobs::JobState wanted,
-        Duration limit = std::chrono::seconds(30))
+    bool waitForState(
+        std::uint64_t job, const std::string& queue, jobs::JobState wanted, Duration limit = std::chrono::seconds(30))
     {
         return waitFor(
             [&] { return !m_members.empty() && state(m_members.begin()->first, queue, job) == wanted; }, limit);
