Acknowledge ends in order, and count failures of any run

Change: acknowledgements wait for all earlier groups of ends; failed runs are kept as a list. Both tests failed before.

--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -44,17 +44,16 @@
         OccurrenceProgress entry { .occurrence = n, .steps = {} };
         for (const auto& step : occurrence.steps) {
             StepProgress& progress = entry.steps.emplace_back();
-            progress.gangFailures = step.gangFailures;
-            progress.gangCountedRun = step.gangCountedRun;
+            progress.failedGangRuns = step.failedGangRuns;
             progress.allDone = step.isDone();
             if (progress.allDone)
                 continue;
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                 const Task& task = step.tasks[i];
                 const bool done = task.phase == TaskPhase::Done;
-                if (done || task.failures > 0 || !task.checkpoint.empty())
+                if (done || !task.failedRuns.empty() || !task.checkpoint.empty())
                     progress.tasks.push_back(
-                        { i, done, task.failures, task.countedRun, done ? std::string() : task.checkpoint });
+                        { i, done, task.failedRuns, done ? std::string() : task.checkpoint });
             }
         }
         record.open.push_back(std::move(entry));
@@ -74,8 +73,7 @@
         for (std::size_t i = 0; i < entry.steps.size() && i < occurrence.steps.size(); ++i) {
             const StepProgress& progress = entry.steps[i];
             Step& step = occurrence.steps[i];
-            step.gangFailures = progress.gangFailures;
-            step.gangCountedRun = progress.gangCountedRun;
+            step.failedGangRuns = progress.failedGangRuns;
             if (progress.allDone) {
                 for (auto& task : step.tasks)
                     task.phase = TaskPhase::Done;
@@ -85,8 +83,7 @@
                 if (taskProgress.index >= step.tasks.size())
                     continue;
                 Task& task = step.tasks[taskProgress.index];
-                task.failures = taskProgress.failures;
-                task.countedRun = taskProgress.countedRun;
+                task.failedRuns = taskProgress.failedRuns;
                 task.checkpoint = taskProgress.checkpoint;
                 if (taskProgress.done && task.phase != TaskPhase::Done) {
                     task.phase = TaskPhase::Done;
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -22,8 +22,7 @@
 struct Task {
     TaskPhase phase = TaskPhase::Waiting;
     RunNumber run = 0; ///< of the latest start; 0 before the first
-    std::uint32_t failures = 0;
-    RunNumber countedRun = 0; ///< latest run whose end was counted
+    std::vector<RunNumber> failedRuns; ///< as many as count against the attempts
     WorkerId worker; ///< set while Starting, Running or Stopping; capacity is reserved there exactly then
     TimePoint since; ///< when the phase began
     TimePoint confirmedAt; ///< when the worker confirmed the start or the stop; zero before
@@ -58,8 +57,7 @@
     std::uint32_t done = 0;
     std::uint32_t storedDone = 0; ///< ends that are stored; later steps wait for these
     std::uint32_t occupying = 0; ///< tasks with reserved capacity
-    std::uint32_t gangFailures = 0;
-    RunNumber gangCountedRun = 0; ///< latest run of the gang whose failure was counted
+    std::vector<RunNumber> failedGangRuns; ///< of a gang, as many as count against the attempts
     bool released = false; ///< all earlier steps that it names are done, and that is stored
     StepAdmission admission;
 
--- a/src/lycheeledge/jobs/JobRecord.h
+++ b/src/lycheeledge/jobs/JobRecord.h
@@ -33,16 +33,14 @@
 struct TaskProgress {
     std::uint32_t index = 0;
     bool done = false;
-    std::uint32_t failures = 0;
-    RunNumber countedRun = 0; ///< latest run whose end was counted; a repeated report of it is ignored
+    std::vector<RunNumber> failedRuns; ///< a repeated report of one of them is ignored
     std::string checkpoint;
 
     bool operator==(const TaskProgress&) const = default;
 };
 
 struct StepProgress {
-    std::uint32_t gangFailures = 0;
-    RunNumber gangCountedRun = 0; ///< latest run of the gang whose failure was counted
+    std::vector<RunNumber> failedGangRuns;
     bool allDone = false; ///< then `tasks` is empty
     std::vector<TaskProgress> tasks; ///< by index; tasks without progress are left out
 
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -213,6 +213,7 @@
         { { "worker", worker.record.id.value() }, { "born_ms", bornUnixMs }, { "runs", worker.runs.size() } });
     worker.record.bornUnixMs = bornUnixMs;
     worker.processedEnds = 0;
+    worker.acknowledgements.reset();
     worker.strays.clear();
     worker.link->resetEnds();
     std::vector<TaskKey> tasks;
@@ -245,13 +246,16 @@
     if (last == worker.processedEnds)
         return;
     worker.processedEnds = last;
+    worker.acknowledgements.listed(last);
     const auto stored
         = [this, pending, id, last, born = worker.record.bornUnixMs, session = std::weak_ptr<int>(m_session)] {
               if (--*pending > 0 || session.expired())
                   return;
               Worker* reporter = m_workers.find(id);
-              if (reporter != nullptr && reporter->link && reporter->record.bornUnixMs == born)
-                  reporter->link->acknowledge(last);
+              if (reporter == nullptr || !reporter->link || reporter->record.bornUnixMs != born)
+                  return;
+              if (const auto acknowledged = reporter->acknowledgements.stored(last))
+                  reporter->link->acknowledge(acknowledged);
           };
     for (const auto& job : changed) {
         ++*pending;
@@ -284,8 +288,12 @@
         return;
     }
     const bool current = task->occupiesWorker() && task->run == end.run.run && task->worker == worker.record.id;
-    if (!current && task->occupiesWorker() && end.kind != EndKind::Done && task->run != end.run.run)
-        return; // an earlier run that was given up
+    if (!current && task->occupiesWorker() && end.kind != EndKind::Done) {
+        // An earlier run that was given up. Its failure counts against the attempts all the same.
+        if (failed)
+            taskFailed(*job, key, *task, end.run.run);
+        return;
+    }
     m_log.record("task_ended",
         { { "task", describe(key) }, { "run", end.run.run }, { "worker", worker.record.id.value() },
             { "how", static_cast<int>(end.kind) } });
@@ -359,7 +367,9 @@
     if (!m_recovered)
         return;
     const bool wanted = task != nullptr && !isFinal(job->state) && job->accepted && task->phase == TaskPhase::Waiting
-        && running.run.run >= task->run && running.run.run > task->countedRun && job->find(stepOf(key))->released;
+        && running.run.run >= task->run
+        && std::find(task->failedRuns.begin(), task->failedRuns.end(), running.run.run) == task->failedRuns.end()
+        && job->find(stepOf(key))->released;
     if (!wanted) {
         stopStray(worker, running.run);
         return;
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -392,22 +392,11 @@
     task.notBefore = m_runtime.now() + m_settings.failureBackoff;
     if (spec.longRunning)
         return;
-    std::uint32_t failures = 0;
-    if (spec.gang) {
-        if (run > step.gangCountedRun) {
-            step.gangCountedRun = run;
-            ++step.gangFailures;
-        }
-        failures = step.gangFailures;
-    } else {
-        if (run > task.countedRun) {
-            task.countedRun = run;
-            ++task.failures;
-        }
-        failures = task.failures;
-    }
+    auto& failedRuns = spec.gang ? step.failedGangRuns : task.failedRuns;
+    if (std::find(failedRuns.begin(), failedRuns.end(), run) == failedRuns.end())
+        failedRuns.push_back(run);
     const QueuePolicy* queue = queueOf(job);
-    if (queue != nullptr && failures >= queue->maxAttempts)
+    if (queue != nullptr && failedRuns.size() >= queue->maxAttempts)
         finish(job, JobState::Failed, "a task used up its attempts");
 }
 
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -1,6 +1,7 @@
 // Workers as the owner sees them: what they hold, what is reserved, whether they may get tasks.
 #pragma once
 
+#include "EndAcknowledgements.h"
 #include "FailureQuarantine.h"
 #include "WorkerLink.h"
 
@@ -37,6 +38,7 @@
     TimePoint missingSince; ///< if not registered
     bool reported = false; ///< under the current epoch
     std::uint64_t processedEnds = 0; ///< highest number of an end that was processed in this life
+    EndAcknowledgements acknowledgements;
     TimePoint refusesUntil; ///< after it refused a start
     double servingLoad = 0; ///< highest quotient of tail latency and target among its serving tasks
 
--- a/src/lycheeledge/protocol/JobSerialization.h
+++ b/src/lycheeledge/protocol/JobSerialization.h
@@ -31,12 +31,12 @@
 
 template <typename Archive> void serialize(Archive& archive, TaskProgress& value)
 {
-    archive(value.index, value.done, value.failures, value.countedRun, value.checkpoint);
+    archive(value.index, value.done, value.failedRuns, value.checkpoint);
 }
 
 template <typename Archive> void serialize(Archive& archive, StepProgress& value)
 {
-    archive(value.gangFailures, value.gangCountedRun, value.allDone, value.tasks);
+    archive(value.failedGangRuns, value.allDone, value.tasks);
 }
 
 template <typename Archive> void serialize(Archive& archive, OccurrenceProgress& value)
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -189,3 +189,83 @@
     CHECK(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
     CHECK(survivor(cluster) == "m0");
 }
+
+TEST_CASE("an end is acknowledged only after all earlier ends of its worker are stored", "[takeover]")
+{
+    // Commits of one job each, far apart. Job 2 changes before job 1, so its snapshot is stored first, and it holds an
+    // end that the worker listed after the end of job 1. Acknowledging that end would lose the end of job 1.
+    JobCluster cluster(0);
+    cluster.settings.ledger.commitInterval = milliseconds(1500);
+    cluster.settings.ledger.maxEntries = 6;
+    cluster.startMember("m0");
+    cluster.startMember("m1");
+    cluster.addWorker("w0", 2000);
+    cluster.addWorker("w1", 2000);
+    cluster.advance(seconds(4));
+    const TimePoint end = cluster.runtime.now() + seconds(24);
+    cluster.workers.runTime = [&cluster, end](const TaskKey& task) {
+        const auto after = [&task] {
+            if (task.job == JobId(jobName(1)))
+                return milliseconds(20);
+            if (task.job == JobId(jobName(3)))
+                return milliseconds(-20);
+            return milliseconds(task.index == 0 ? 5 : 40);
+        }();
+        return std::max<Duration>(milliseconds(10), end + after - cluster.runtime.now());
+    };
+    const std::string owner = *cluster.owner();
+    auto spread = simpleStep(2, 1000);
+    spread.maxTasksPerWorker = 1;
+    REQUIRE(cluster.submit(owner, "batch", 2, { .payload = {}, .steps = { spread } }));
+    cluster.advance(seconds(5));
+    REQUIRE(cluster.submit(owner, "batch", 3, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    cluster.advance(seconds(5));
+    REQUIRE(cluster.submit(owner, "batch", 1, { .payload = {}, .steps = { simpleStep(1, 1000), simpleStep(1, 1000, { 0 }) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 4; }));
+    const auto workerOf = [&cluster](std::uint64_t job, std::uint32_t index) {
+        for (const auto& start : cluster.workers.starts()) {
+            if (start.run.task.job == JobId(jobName(job)) && start.run.task.index == index)
+                return start.worker;
+        }
+        return std::string();
+    };
+    REQUIRE(workerOf(1, 0) == workerOf(2, 1));
+    cluster.advance(end + milliseconds(2200) - cluster.runtime.now());
+    cluster.kill(owner);
+    CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(30)));
+    CHECK(cluster.waitForState(2, "batch", JobState::Completed, seconds(30)));
+    CHECK(cluster.workers.violations() == std::vector<std::string> {});
+}
+
+TEST_CASE("failures that a new owner learns of in any order count against the attempts", "[takeover]")
+{
+    // The owner cannot store the failures of two runs. The next owner reads them from the workers' lists, the later run
+    // first; counting only runs above the last counted one would allow a fourth attempt.
+    JobCluster cluster(2);
+    cluster.addWorker("w0", 8000);
+    cluster.addWorker("w1", 8000);
+    cluster.advance(seconds(2));
+    const std::string owner = *cluster.owner();
+    const JobId failing(jobName(1));
+    cluster.workers.endOf = [failing](const TaskKey& task, const std::string&) {
+        return task.job == failing ? EndKind::Failed : EndKind::Done;
+    };
+    cluster.workers.runTime = [failing](const TaskKey& task) {
+        return task.job == failing ? milliseconds(300) : milliseconds(60000);
+    };
+    REQUIRE(cluster.submit(owner, "urgent", 9, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 1; }));
+    REQUIRE(cluster.workers.starts().back().worker == "w0");
+    REQUIRE(cluster.submit(owner, "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    cluster.store.setFault(owner, FakeClusterStore::Fault::Silent);
+    const TaskKey task { failing, 0, 0, 0 };
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.startsOf(task) == 1; }));
+    REQUIRE(cluster.workers.starts().back().worker == "w1");
+    cluster.advance(milliseconds(310)); // the end is listed
+    cluster.workers.cut("w1", true);
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.startsOf(task) == 2; }));
+    REQUIRE(cluster.workers.starts().back().worker == "w0");
+    cluster.workers.cut("w1", false);
+    cluster.advance(seconds(30));
+    CHECK(cluster.workers.startsOf(task) == 3);
+}
