Forward calls in progress to the next owner, and end the lease of an earlier process

Change: a process that finds an earlier process of its own VM in the owner record ends that lease; the lease lives 1.5 s instead of 2 s; members keep calls whose owner was lost and forward them to the next one.

--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -2,6 +2,7 @@
 
 #include "EntryNode.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheeledge::jobs {
@@ -61,13 +62,15 @@
 
 void EntryNode::ownershipLost(const char*)
 {
-    m_session.end();
+    auto unfinished = m_session.end();
     for (const auto connection : std::exchange(m_followers, {})) {
         m_desk.removeRelay(connection);
         m_members.close(connection);
     }
     m_questions.clear();
     m_link.setOwner(m_lease.owner());
+    for (auto& call : unfinished)
+        m_link.adopt(std::move(call.call), call.deadline, std::move(call.reply));
 }
 
 void EntryNode::ownerChanged(const std::optional<OwnerRecord>& owner)
@@ -80,6 +83,11 @@
 {
     for (const auto connection : m_followers)
         m_members.send(connection, Welcome { m_lease.epoch(), m_session.isActive() });
+    for (auto& call : m_link.takeCalls()) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - m_runtime.now());
+        call.call.patienceMs = std::max<std::int64_t>(1, left.count());
+        m_session.handle(call.call, std::move(call.reply));
+    }
 }
 
 void EntryNode::connected(MemberConnection connection)
--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -52,8 +52,7 @@
                 const Task& task = step.tasks[i];
                 const bool done = task.phase == TaskPhase::Done;
                 if (done || !task.failedRuns.empty() || !task.checkpoint.empty())
-                    progress.tasks.push_back(
-                        { i, done, task.failedRuns, done ? std::string() : task.checkpoint });
+                    progress.tasks.push_back({ i, done, task.failedRuns, done ? std::string() : task.checkpoint });
             }
         }
         record.open.push_back(std::move(entry));
--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -225,27 +225,28 @@
         return;
     }
     const std::uint64_t n = ++m_nextCancel;
-    m_cancels[n] = std::move(reply);
+    m_cancels[n] = { call, m_runtime.now() + patienceOf(call), std::move(reply) };
     const auto answer = [this, n](const ClientReply& result) {
         auto node = m_cancels.extract(n);
         if (!node.empty())
-            node.mapped()(result);
+            node.mapped().reply(result);
     };
     m_scheduler.cancel(id, [answer] { answer({ .kind = ReplyKind::Cancelled, .reason = {} }); });
     m_runtime.after(
         patienceOf(call), [answer] { answer({ .kind = ReplyKind::Unknown, .reason = "not stored in time" }); });
 }
 
-void JobService::end()
+std::vector<JobService::Unfinished> JobService::end()
 {
     m_configuration.reset();
-    const ClientReply lost { .kind = ReplyKind::Unknown, .reason = "the owner changed" };
+    std::vector<Unfinished> result;
     for (auto& [id, pending] : std::exchange(m_pending, {})) {
         for (auto& reply : pending.replies)
-            reply(lost);
+            result.push_back({ pending.call, pending.deadline, std::move(reply) });
     }
-    for (auto& [n, reply] : std::exchange(m_cancels, {}))
-        reply(lost);
+    for (auto& [n, cancel] : std::exchange(m_cancels, {}))
+        result.push_back(std::move(cancel));
+    return result;
 }
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/JobService.h
+++ b/src/lycheeledge/jobs/JobService.h
@@ -53,12 +53,19 @@
     /** @brief Uses a configuration that the store confirmed for a call sent at `confirmedAt`. */
     void setConfiguration(std::shared_ptr<const ClusterConfiguration> configuration);
     void configurationConfirmed(TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); }
-    /** @brief Handles a call. `reply` is called once, or never if end() comes first and the reply is not known. */
+    /** @brief Handles a call. `reply` is called once, unless end() returns it. */
     void handle(const ClientCall& call, Reply reply);
     /** @brief These submissions were not stored and will not be. */
     void rejected(const std::vector<JobId>& jobs);
-    /** @brief This process is not the owner any more: answers calls in progress as unknown. */
-    void end();
+    /** @brief A call that was not finished, with the time when its client gives up. */
+    struct Unfinished {
+        ClientCall call;
+        TimePoint deadline;
+        Reply reply;
+    };
+
+    /** @brief This process is not the owner any more. @return calls in progress, for the next owner. */
+    std::vector<Unfinished> end();
 
     const JobServiceCounters& counters() const { return m_counters; }
     std::size_t pendingSubmissions() const { return m_pending.size(); }
@@ -91,7 +98,7 @@
     std::shared_ptr<const ClusterConfiguration> m_configuration;
     TimePoint m_confirmedAt;
     std::map<JobId, Pending> m_pending; ///< submissions that are not stored yet
-    std::map<std::uint64_t, Reply> m_cancels; ///< waiting for their commit
+    std::map<std::uint64_t, Unfinished> m_cancels; ///< waiting for their commit
     std::uint64_t m_nextCancel = 0;
     JobServiceCounters m_counters;
 };
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -32,7 +32,8 @@
 
 std::string encodeOwner(const OwnerRecord& record)
 {
-    return absl::StrCat(record.member, " ", record.incarnation, " ", record.epoch, " ", record.host, " ", record.port);
+    return absl::StrCat(record.member, " ", record.incarnation, " ", record.epoch, " ", record.host, " ", record.port,
+        " ", record.lease);
 }
 
 absl::StatusOr<OwnerRecord> decodeOwner(const std::string& text)
@@ -40,8 +41,9 @@
     const std::vector<std::string> parts = absl::StrSplit(text, ' ');
     OwnerRecord record;
     std::uint32_t port = 0;
-    if (parts.size() != 5 || !absl::SimpleAtoi(parts[1], &record.incarnation)
-        || !absl::SimpleAtoi(parts[2], &record.epoch) || !absl::SimpleAtoi(parts[4], &port) || port > 65535)
+    if (parts.size() != 6 || !absl::SimpleAtoi(parts[1], &record.incarnation)
+        || !absl::SimpleAtoi(parts[2], &record.epoch) || !absl::SimpleAtoi(parts[4], &port) || port > 65535
+        || !absl::SimpleAtoi(parts[5], &record.lease))
         return absl::InvalidArgumentError("the owner record cannot be read");
     record.member = parts[0];
     record.host = parts[3];
@@ -129,6 +131,15 @@
     }
     if (!entry)
         considerClaim();
+    else if (owner && !self && owner->member == m_self.member)
+        endOwnEarlierLease();
+}
+
+// A VM runs one process of ours at a time, so the process that wrote the record is gone.
+void OwnerLease::endOwnEarlierLease()
+{
+    m_log.record("earlier_lease_ending", { { "epoch", m_owner->epoch }, { "lease", m_owner->lease } });
+    m_store.endLease(m_owner->lease, m_settings.callTimeout, [](const absl::Status&) {});
 }
 
 void OwnerLease::considerClaim()
@@ -174,6 +185,7 @@
 {
     OwnerRecord record = m_self;
     record.epoch = epochOfHead(head.entry) + 1;
+    record.lease = lease;
     const std::string headValue = headValueOf(record.epoch, m_self);
     StoreTransaction transaction;
     transaction.conditions
@@ -251,6 +263,7 @@
             }
             OwnerRecord record = m_self;
             record.epoch = *epoch;
+            record.lease = *lease;
             StoreTransaction transaction;
             transaction.conditions = { { m_settings.ownerKey, 0 } };
             transaction.puts = { { m_settings.ownerKey, encodeOwner(record), *lease } };
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -19,6 +19,7 @@
     Epoch epoch = 0;
     std::string host;
     std::uint16_t port = 0; ///< for other members
+    StoreLeaseId lease = 0; ///< that the record is bound to
 
     bool operator==(const OwnerRecord&) const = default;
 };
@@ -30,8 +31,8 @@
 struct OwnerLeaseSettings {
     std::string ownerKey = "lycheeledge/owner";
     std::string headKey = "lycheeledge/head";
-    Duration timeToLive = std::chrono::milliseconds(2000); ///< bounds the takeover from an owner that died
-    Duration renewInterval = std::chrono::milliseconds(400);
+    Duration timeToLive = std::chrono::milliseconds(1500); ///< bounds the takeover from an owner that died
+    Duration renewInterval = std::chrono::milliseconds(350);
     Duration callTimeout = std::chrono::milliseconds(900); ///< above 240 ms, an answer at 60 x the usual time
     Duration watchWait = std::chrono::milliseconds(5000);
     Duration retryPause = std::chrono::milliseconds(200);
@@ -81,6 +82,7 @@
     void watch(Revision after);
     void watched(const absl::StatusOr<StoreEvents>& events, Revision after);
     void learn(const std::optional<StoreEntry>& entry);
+    void endOwnEarlierLease();
     void considerClaim();
     void claim();
     void claimWithLease(StoreLeaseId lease);
--- a/src/lycheeledge/jobs/OwnerLink.cpp
+++ b/src/lycheeledge/jobs/OwnerLink.cpp
@@ -2,6 +2,7 @@
 
 #include "OwnerLink.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheeledge::jobs {
@@ -45,8 +46,6 @@
         m_log.record("owner_connection_lost", { { "reason", reason }, { "calls", m_calls.size() } });
     m_active = false;
     m_port.close(connection);
-    for (auto& [id, reply] : std::exchange(m_calls, {}))
-        reply({ .kind = ReplyKind::Unknown, .reason = "the connection to the owner was lost" });
 }
 
 void OwnerLink::ping(MemberConnection connection)
@@ -69,9 +68,38 @@
         reply({ .kind = ReplyKind::Refused, .retryAfterS = m_settings.retryAfterS, .reason = "no owner is known" });
         return;
     }
+    const Duration stated = std::chrono::milliseconds(call.patienceMs);
+    const Duration patience = stated > Duration::zero() ? stated : m_settings.defaultPatience;
+    adopt(call, m_runtime.now() + patience - m_settings.replyMargin, std::move(reply));
+}
+
+void OwnerLink::adopt(ClientCall call, TimePoint deadline, Reply reply)
+{
     const std::uint64_t id = ++m_nextCall;
-    m_calls[id] = std::move(reply);
-    m_port.send(*m_connection, CallMessage { id, call });
+    m_calls[id] = { std::move(call), deadline, std::move(reply) };
+    m_runtime.after(deadline - m_runtime.now(), [this, id] {
+        auto node = m_calls.extract(id);
+        if (!node.empty())
+            node.mapped().reply({ .kind = ReplyKind::Unknown, .reason = "no owner answered in time" });
+    });
+    if (isReady())
+        sendCall(id);
+}
+
+std::vector<JobService::Unfinished> OwnerLink::takeCalls()
+{
+    std::vector<JobService::Unfinished> result;
+    for (auto& [id, call] : std::exchange(m_calls, {}))
+        result.push_back(std::move(call));
+    return result;
+}
+
+void OwnerLink::sendCall(std::uint64_t id)
+{
+    CallMessage message { id, m_calls[id].call };
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_calls[id].deadline - m_runtime.now());
+    message.call.patienceMs = std::max<std::int64_t>(1, left.count());
+    m_port.send(*m_connection, message);
 }
 
 void OwnerLink::connected(MemberConnection) { }
@@ -80,13 +108,16 @@
 {
     m_heardAt = m_runtime.now();
     if (const auto* welcome = std::get_if<Welcome>(&message)) {
-        if (welcome->active && !m_active)
-            m_log.record("owner_connected", { { "epoch", welcome->epoch } });
+        if (welcome->active && !m_active) {
+            m_log.record("owner_connected", { { "epoch", welcome->epoch }, { "calls", m_calls.size() } });
+            for (const auto& [id, call] : m_calls)
+                sendCall(id);
+        }
         m_active = welcome->active;
     } else if (const auto* answer = std::get_if<CallReply>(&message)) {
         auto node = m_calls.extract(answer->id);
         if (!node.empty())
-            node.mapped()(answer->reply);
+            node.mapped().reply(answer->reply);
     } else if (const auto* question = std::get_if<AdmissionMessage>(&message)) {
         ask(connection, *question);
     }
--- a/src/lycheeledge/jobs/OwnerLink.h
+++ b/src/lycheeledge/jobs/OwnerLink.h
@@ -3,6 +3,7 @@
 
 #include "../coordination/Runtime.h"
 #include "EventLog.h"
+#include "JobService.h"
 #include "MemberMessages.h"
 #include "OwnerLease.h"
 
@@ -10,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lycheeledge::jobs {
 
@@ -17,6 +19,8 @@
     Duration pingInterval = std::chrono::milliseconds(400);
     Duration silenceLimit = std::chrono::milliseconds(1300); ///< a connection without bytes for so long is given up
     Duration reconnectPause = std::chrono::milliseconds(150);
+    Duration replyMargin = std::chrono::milliseconds(60); ///< a reply leaves this long before the client gives up
+    Duration defaultPatience = std::chrono::seconds(3); ///< for calls that state none
     std::size_t maxCalls = 2000; ///< in progress; further ones are refused
     std::uint32_t retryAfterS = 1; ///< Retry-After while no owner is known; a takeover takes about 2.5 s
 };
@@ -30,9 +34,18 @@
 
     /** @brief The owner to connect to; nothing if there is none, or if it is this process. */
     void setOwner(const std::optional<OwnerRecord>& owner);
-    /** @brief Forwards a call. Refuses it at once if no owner is connected. */
+    /**
+     * @brief Forwards a call. Refuses it at once if no owner is connected.
+     *
+     * Calls whose owner is lost are forwarded to the next one: whether they were carried out is not known, and
+     * repeating them changes nothing.
+     */
     void forward(const ClientCall& call, Reply reply);
     bool isReady() const { return m_connection && m_active; }
+    /** @brief Takes over a call that this process could not finish as the owner. */
+    void adopt(ClientCall call, TimePoint deadline, Reply reply);
+    /** @brief Gives the calls in progress away, to be handled by this process as the owner. */
+    std::vector<JobService::Unfinished> takeCalls();
     std::size_t callsInProgress() const { return m_calls.size(); }
 
     bool owns(MemberConnection connection) const { return m_connection == connection; }
@@ -41,6 +54,7 @@
     void closed(MemberConnection connection);
 
 private:
+    void sendCall(std::uint64_t id);
     void connect();
     void drop(const char* reason);
     void ping(MemberConnection connection);
@@ -58,7 +72,7 @@
     TimePoint m_heardAt;
     std::uint64_t m_pings = 0;
     std::uint64_t m_nextCall = 0;
-    std::map<std::uint64_t, Reply> m_calls;
+    std::map<std::uint64_t, JobService::Unfinished> m_calls;
 };
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/OwnerSession.cpp
+++ b/src/lycheeledge/jobs/OwnerSession.cpp
@@ -27,11 +27,11 @@
     m_ledger.setSource(this);
 }
 
-OwnerSession::~OwnerSession() { end(); }
+OwnerSession::~OwnerSession() { (void)end(); }
 
 void OwnerSession::begin(Epoch epoch, const std::string& headValue, Revision headRevision)
 {
-    end();
+    (void)end();
     m_session = std::make_shared<int>();
     m_epoch = epoch;
     m_begun = m_runtime.now();
@@ -49,12 +49,12 @@
     readWorkerSet();
 }
 
-void OwnerSession::end()
+std::vector<JobService::Unfinished> OwnerSession::end()
 {
     m_session.reset();
     m_activated = false;
     m_ledger.close();
-    m_service.end();
+    auto unfinished = m_service.end();
     m_scheduler.end();
     m_configuration.reset();
     m_submissions.clear();
@@ -62,6 +62,7 @@
     m_registry.clear();
     m_workerSet = {};
     m_watchingOperator = false;
+    return unfinished;
 }
 
 void OwnerSession::handle(const ClientCall& call, JobService::Reply reply) { m_service.handle(call, std::move(reply)); }
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -42,7 +42,8 @@
     ~OwnerSession() override;
 
     void begin(Epoch epoch, const std::string& headValue, Revision headRevision);
-    void end();
+    /** @return calls in progress, for the next owner. */
+    std::vector<JobService::Unfinished> end();
     /** @brief Handles a client's call; refuses it while the session is not active. */
     void handle(const ClientCall& call, JobService::Reply reply);
     bool isActive() const { return m_activated; }
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -220,7 +220,8 @@
     cluster.advance(seconds(5));
     REQUIRE(cluster.submit(owner, "batch", 3, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
     cluster.advance(seconds(5));
-    REQUIRE(cluster.submit(owner, "batch", 1, { .payload = {}, .steps = { simpleStep(1, 1000), simpleStep(1, 1000, { 0 }) } }));
+    REQUIRE(cluster.submit(
+        owner, "batch", 1, { .payload = {}, .steps = { simpleStep(1, 1000), simpleStep(1, 1000, { 0 }) } }));
     REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 4; }));
     const auto workerOf = [&cluster](std::uint64_t job, std::uint32_t index) {
         for (const auto& start : cluster.workers.starts()) {
@@ -250,9 +251,8 @@
     cluster.workers.endOf = [failing](const TaskKey& task, const std::string&) {
         return task.job == failing ? EndKind::Failed : EndKind::Done;
     };
-    cluster.workers.runTime = [failing](const TaskKey& task) {
-        return task.job == failing ? milliseconds(300) : milliseconds(60000);
-    };
+    cluster.workers.runTime
+        = [failing](const TaskKey& task) { return task.job == failing ? milliseconds(300) : milliseconds(60000); };
     REQUIRE(cluster.submit(owner, "urgent", 9, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
     REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 1; }));
     REQUIRE(cluster.workers.starts().back().worker == "w0");
@@ -269,3 +269,30 @@
     cluster.advance(seconds(30));
     CHECK(cluster.workers.startsOf(task) == 3);
 }
+
+TEST_CASE("a member that restarts ends the lease of its earlier process", "[takeover]")
+{
+    // Without that, the loss of all processes costs the whole time to live of the lease.
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    REQUIRE(cluster.owner().has_value());
+    cluster.advance(milliseconds(1000));
+    cluster.kill("m0");
+    cluster.startMember("m0");
+    CHECK(cluster.waitFor([&] { return cluster.owner().has_value(); }, milliseconds(400)));
+}
+
+TEST_CASE("calls in progress at the loss of the owner are forwarded to the next one", "[takeover]")
+{
+    JobCluster cluster(3);
+    addWorkers(cluster, 2);
+    const std::string owner = *cluster.owner();
+    const std::string other = cluster.memberNames().front() == owner ? "m1" : cluster.memberNames().front();
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(2, 1000) } };
+    const auto reply = cluster.call(other, CallVerb::Submit, "/urgent/" + jobName(1), "x");
+    cluster.kill(owner);
+    REQUIRE(cluster.waitFor([&] { return reply->has_value(); }, seconds(3)));
+    CHECK((*reply)->kind == ReplyKind::Accepted);
+    CHECK(cluster.waitFor([&] { return cluster.state(other, "urgent", 1) == JobState::Completed; }, seconds(10)));
+    CHECK(cluster.workers.starts().size() == 2);
+}
