Start later steps without waiting for commits, and ask for urgent tickets ahead

Every later step also waited 35 to 60 ms for the admission service. Change: a step is released when the steps before it have ended; a final state is still shown only when it is stored. A run of a later step is adopted before the ends of earlier steps are known. While the last tasks before an urgent step run, its tickets are asked for.

--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -195,7 +195,8 @@
     const auto& counters = session.scheduler().counters();
     m_log.record("load",
         { { "epoch", m_node.lease().epoch() }, { "jobs", session.scheduler().jobCount() },
-            { "ready_steps", session.scheduler().readySteps() }, { "starts", counters.starts },
+            { "ready_steps", session.scheduler().readySteps() },
+            { "reserved_cpu_percent", session.scheduler().reservedCpuPercent() }, { "starts", counters.starts },
             { "done", counters.endsDone }, { "failed", counters.endsFailed }, { "other_ends", counters.endsOther },
             { "lost", counters.runsLost }, { "no_room", counters.startsRefusedNoRoom },
             { "ticket_rejected", counters.startsRefusedTicket }, { "unanswered", counters.startsUnanswered },
--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -89,7 +89,6 @@
                     ++step.done;
                 }
             }
-            step.storedDone = step.done;
         }
     }
     everStarted = state != JobState::Queued;
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -49,21 +49,20 @@
     absl::flat_hash_map<WorkerId, Ticket> tickets;
     absl::flat_hash_map<WorkerId, bool> allowed; ///< answers do not change while the step lives
     bool asking = false;
+    bool askedAhead = false; ///< before the step was released
     TimePoint nextAsk;
 };
 
 struct Step {
     std::vector<Task> tasks;
     std::uint32_t done = 0;
-    std::uint32_t storedDone = 0; ///< ends that are stored; later steps wait for these
     std::uint32_t occupying = 0; ///< tasks with reserved capacity
     std::vector<RunNumber> failedGangRuns; ///< of a gang, as many as count against the attempts
-    bool released = false; ///< all earlier steps that it names are done, and that is stored
+    bool released = false; ///< all earlier steps that it names are done
     StepAdmission admission;
 
     bool hasWaiting() const { return done + occupying < tasks.size(); }
     bool isDone() const { return done == tasks.size(); }
-    bool isStoredDone() const { return storedDone == tasks.size(); }
 };
 
 struct Occurrence {
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -80,6 +80,7 @@
     m_admission.clear();
     m_jobs.clear();
     m_ready.clear();
+    m_upcoming.clear();
     m_workers.clear();
     m_storedWorkers.clear();
     m_usage.clear();
@@ -215,18 +216,6 @@
         job->storedState = change.progress->state;
         if (isFinal(job->storedState))
             job->submission.spec = {};
-        for (const auto& entry : change.progress->open) {
-            const auto open = job->open.find(entry.occurrence);
-            if (open == job->open.end())
-                continue;
-            for (std::size_t i = 0; i < entry.steps.size(); ++i) {
-                const auto& progress = entry.steps[i];
-                auto& step = open->second.steps[i];
-                step.storedDone = progress.allDone ? static_cast<std::uint32_t>(step.tasks.size())
-                                                   : static_cast<std::uint32_t>(std::count_if(progress.tasks.begin(),
-                                                       progress.tasks.end(), [](const auto& it) { return it.done; }));
-            }
-        }
     }
     if (!isFinal(job->state))
         releaseSteps(*job);
@@ -253,6 +242,19 @@
     }));
 }
 
+int JobScheduler::reservedCpuPercent() const
+{
+    Resources capacity;
+    Resources reserved;
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!worker.registered)
+            continue;
+        capacity += worker.record.capacity;
+        reserved += worker.reserved;
+    }
+    return capacity.milliCpu == 0 ? 0 : static_cast<int>(reserved.milliCpu * 100 / capacity.milliCpu);
+}
+
 Resources JobScheduler::usage(const AccountId& account) const
 {
     const auto it = m_usage.find(account);
@@ -346,7 +348,7 @@
             if (!step.released) {
                 const auto& after = job.spec().steps[i].after;
                 step.released = std::all_of(after.begin(), after.end(),
-                    [&occurrence](std::uint32_t k) { return occurrence.steps[k].isStoredDone(); });
+                    [&occurrence](std::uint32_t k) { return occurrence.steps[k].isDone(); });
             }
             refreshReady({ job.id, n, i }, job, step);
         }
@@ -435,6 +437,45 @@
         if (Job* job = find(key.job); job != nullptr && !isFinal(job->state))
             scheduleStep(*job, key);
     }
+    askAhead();
+}
+
+// Tickets for an urgent step are asked for while the last tasks before it run. They last longer than such tasks, and a
+// question takes as long as a tenth of one.
+void JobScheduler::askAhead()
+{
+    for (auto it = m_upcoming.begin(); it != m_upcoming.end();) {
+        const StepKey key = *it;
+        Job* job = find(key.job);
+        Step* step = job != nullptr ? job->find(key) : nullptr;
+        const QueuePolicy* queue = job != nullptr ? queueOf(*job) : nullptr;
+        if (step == nullptr || isFinal(job->state) || step->released || step->admission.askedAhead || queue == nullptr
+            || !queue->admission) {
+            it = m_upcoming.erase(it);
+            continue;
+        }
+        if (!m_admission.isFree(*queue->admission))
+            return;
+        step->admission.askedAhead = true;
+        askAdmission(*job, key, *queue->admission);
+        it = m_upcoming.erase(it);
+    }
+}
+
+void JobScheduler::noteUpcoming(const Job& job, const StepKey& placed)
+{
+    const QueuePolicy* queue = queueOf(job);
+    if (queue == nullptr || queue->priority != urgentPriority || !queue->admission)
+        return;
+    const Occurrence& occurrence = job.open.at(placed.occurrence);
+    for (std::uint32_t i = placed.step + 1; i < occurrence.steps.size(); ++i) {
+        const auto& after = job.spec().steps[i].after;
+        const bool follows = std::find(after.begin(), after.end(), placed.step) != after.end();
+        const bool soon = std::none_of(
+            after.begin(), after.end(), [&occurrence](std::uint32_t k) { return occurrence.steps[k].hasWaiting(); });
+        if (follows && soon && !occurrence.steps[i].released)
+            m_upcoming.insert({ placed.job, placed.occurrence, i });
+    }
 }
 
 bool JobScheduler::isPlaceable(const Worker& worker) const
@@ -523,6 +564,8 @@
     if (placed < due.size() && queue->admission && withinLimit(job, spec, 1))
         askAdmission(job, key, *queue->admission);
     refreshReady(key, job, *step);
+    if (placed > 0 && !step->hasWaiting())
+        noteUpcoming(job, key);
 }
 
 std::size_t JobScheduler::placeTasks(
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -81,8 +81,8 @@
  * @brief State machine of all jobs, on the coordination thread.
  *
  * Invariants: a task has at most one run that may exist; room is reserved on a worker exactly while a run may exist
- * there; a step starts only after the ends of the steps before it are stored; an end is acknowledged to its worker only
- * after it is stored.
+ * there; a step starts only after the steps before it have ended; an end is acknowledged to its worker, and a final
+ * state is shown, only after it is stored.
  */
 class JobScheduler final : public WorkerLinkListener {
 public:
@@ -140,6 +140,8 @@
     const JobSchedulerCounters& counters() const { return m_counters; }
     std::size_t jobCount() const { return m_jobs.size(); }
     std::size_t readySteps() const { return m_ready.size(); }
+    /** @brief Part of the registered workers' processors that is reserved, in percent. */
+    int reservedCpuPercent() const;
     Resources usage(const AccountId& account) const;
 
 private:
@@ -155,6 +157,8 @@
     void requestPass();
     void pass();
     void tick();
+    void askAhead();
+    void noteUpcoming(const Job& job, const StepKey& placed);
     void releaseDueOccurrences(Job& job);
     void releaseSteps(Job& job);
     void refreshReady(const StepKey& key, const Job& job, const Step& step);
@@ -226,6 +230,7 @@
     TimePoint m_unlocatedUntil;
     std::map<JobId, std::unique_ptr<Job>> m_jobs;
     std::set<StepKey> m_ready; ///< released steps with waiting tasks
+    std::set<StepKey> m_upcoming; ///< urgent steps that follow steps whose tasks all run or are done
     WorkerTable m_workers;
     absl::flat_hash_set<WorkerId> m_storedWorkers; ///< ids in the stored set; only these get orders
     absl::flat_hash_set<WorkerId> m_cordoned;
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -368,8 +368,7 @@
         return;
     const bool wanted = task != nullptr && !isFinal(job->state) && job->accepted && task->phase == TaskPhase::Waiting
         && running.run.run >= task->run
-        && std::find(task->failedRuns.begin(), task->failedRuns.end(), running.run.run) == task->failedRuns.end()
-        && job->find(stepOf(key))->released;
+        && std::find(task->failedRuns.begin(), task->failedRuns.end(), running.run.run) == task->failedRuns.end();
     if (!wanted) {
         stopStray(worker, running.run);
         return;
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -321,3 +321,37 @@
     // The answers do not change, so later questions name only workers that were allowed or not asked about.
     CHECK(cluster.admission.asked.back().question.workers == std::vector<WorkerId> { WorkerId("w1") });
 }
+
+TEST_CASE("a later step starts as soon as the earlier ones have ended, also while the store is down", "[jobs]")
+{
+    // The load of a store outage in the middle of short jobs: waiting for the commit of each end costs the objective.
+    JobCluster cluster(1);
+    withWorkers(cluster, 2);
+    REQUIRE(cluster.submit(
+        "m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(2, 1000), simpleStep(2, 1000, { 0 }) } }));
+    cluster.store.setFault(FakeClusterStore::Fault::Silent);
+    cluster.advance(seconds(1));
+    CHECK(cluster.workers.starts().size() == 4);
+    CHECK(cluster.state("m0", "urgent", 1) == JobState::Running); // not completed before that is stored
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    CHECK(cluster.waitForState(1, "urgent", JobState::Completed, seconds(3)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("tickets for the next urgent step are there when the step before it ends", "[jobs]")
+{
+    JobCluster cluster(1);
+    auto configuration = simpleConfiguration();
+    configuration.queues[0].admission
+        = AdmissionPolicy { milliseconds(15), std::chrono::microseconds(200), seconds(2) };
+    cluster.setConfiguration(configuration);
+    cluster.admission.answerTime = milliseconds(60);
+    withWorkers(cluster, 2);
+    REQUIRE(cluster.submit(
+        "m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(2, 1000), simpleStep(2, 1000, { 0 }) } }));
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+    const auto* first = firstStart(cluster, taskOf(1, 0, 0));
+    const auto* second = firstStart(cluster, taskOf(1, 1, 0));
+    REQUIRE(second != nullptr);
+    CHECK(second->at - *first->endedAt < milliseconds(30));
+}
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -296,3 +296,24 @@
     CHECK(cluster.waitFor([&] { return cluster.state(other, "urgent", 1) == JobState::Completed; }, seconds(10)));
     CHECK(cluster.workers.starts().size() == 2);
 }
+
+TEST_CASE("a run of a later step is adopted before the ends of earlier steps are known", "[takeover]")
+{
+    // The owner had seen those ends but could not store them. Their worker may report after that of the later step.
+    JobCluster cluster(2);
+    cluster.addWorker("w0", 1000);
+    cluster.addWorker("w1", 1000);
+    cluster.advance(seconds(2));
+    cluster.workers.runTime
+        = [](const TaskKey& task) { return task.step == 0 ? milliseconds(300) : milliseconds(6000); };
+    const std::string owner = *cluster.owner();
+    REQUIRE(cluster.submit(
+        owner, "urgent", 1, { .payload = {}, .steps = { simpleStep(2, 1000), simpleStep(1, 1000, { 0 }) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 2; }));
+    cluster.store.setFault(owner, FakeClusterStore::Fault::Silent);
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.starts().size() == 3; }));
+    cluster.kill(owner);
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(15)));
+    CHECK(cluster.workers.starts().size() == 3);
+    CHECK(cluster.workers.violations().empty());
+}
