--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -485,6 +485,8 @@
         return false;
     if (!worker.registered && now - worker.missingSince > m_settings.missingGrace)
         return false;
+    if (!worker.strays.empty()) // they hold room of an unknown size
+        return false;
     return m_storedWorkers.contains(worker.record.id) && !m_cordoned.contains(worker.record.id)
         && now >= worker.refusesUntil && !m_quarantine.isQuarantined(worker.record.id, now);
 }
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -317,3 +317,28 @@
     CHECK(cluster.workers.starts().size() == 3);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("a worker gets no tasks while runs that belong to no job still hold room there", "[takeover]")
+{
+    // The job was cancelled, and its owner died before the stops arrived. The next owner knows no sizes of its tasks.
+    JobCluster cluster(2);
+    cluster.workers.sizeOf = [](const TaskKey& task) {
+        Resources size;
+        size.milliCpu = task.job == JobId(jobName(1)) ? 8000 : 1000;
+        return size;
+    };
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(20); };
+    const std::string owner = *cluster.owner();
+    REQUIRE(cluster.submit(owner, "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 8000) } }));
+    REQUIRE(cluster.submit(owner, "urgent", 2, { .payload = {}, .steps = { simpleStep(8, 1000) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 1; }));
+    cluster.workers.cut("w0", true); // the stop does not arrive
+    const auto reply = cluster.call(owner, CallVerb::Cancel, "/urgent/" + jobName(1));
+    REQUIRE(cluster.waitFor([&] { return reply->has_value(); }, seconds(1)));
+    cluster.kill(owner);
+    cluster.workers.cut("w0", false);
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 8; }, seconds(10)));
+    CHECK(cluster.workers.violations().empty());
+}
--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -47,6 +47,7 @@
     std::function<OrderFault(const std::string& worker)> startFault
         = [](const std::string&) { return OrderFault::None; };
     Duration lateBy = std::chrono::seconds(4);
+    Duration stopTime = std::chrono::milliseconds(150); ///< from a stop until the run is gone
 
     jobs::WorkerRecord add(const std::string& id, Resources capacity, const std::string& rack = "r1")
     {
@@ -131,8 +132,10 @@
                 auto& highest = worker.endedRuns[order.task];
                 highest = std::max(highest, order.run);
                 const auto it = worker.runs.find(order.task);
-                if (it != worker.runs.end() && it->second.run <= order.run)
-                    end(worker, order.task, jobs::EndKind::Stopped);
+                if (it != worker.runs.end() && it->second.run <= order.run && !it->second.stopping) {
+                    it->second.stopping = true;
+                    it->second.endsAt = m_runtime.now() + stopTime;
+                }
                 return refusal(worker, jobs::OrderOutcome::Done);
             },
             std::move(done));
@@ -169,6 +172,7 @@
         jobs::RunNumber run = 0;
         TimePoint endsAt;
         std::size_t start = 0; ///< index in m_starts
+        bool stopping = false;
     };
     struct Worker {
         Resources capacity;
@@ -223,7 +227,7 @@
         if (worker.endedRuns[order.task] >= order.run || it != worker.runs.end())
             return refusal(worker, jobs::OrderOutcome::Stale);
         checkStart(id, worker, order);
-        worker.runs[order.task] = { order.run, m_runtime.now() + runTime(order.task), m_starts.size() };
+        worker.runs[order.task] = { order.run, m_runtime.now() + runTime(order.task), m_starts.size(), false };
         m_starts.push_back({ { order.task, order.run }, id, order.checkpoint, m_runtime.now(), {}, {} });
         return refusal(worker, jobs::OrderOutcome::Done);
     }
@@ -313,7 +317,7 @@
                 due.push_back(task);
         }
         for (const auto& task : due)
-            end(worker, task, endOf(task, id));
+            end(worker, task, worker.runs.at(task).stopping ? jobs::EndKind::Stopped : endOf(task, id));
         if (worker.leaseEnd > m_runtime.now())
             return;
         endAll(worker, jobs::EndKind::LeaseExpired);
