Bound the wait of a planned stop for commits, and split the scheduler's passes

Change: a planned stop waits for what was waiting when it began, 0.6 s at most; the rest is forwarded to the next owner or read from the workers. The test with a silent store failed before. The admission and placement passes are a file of their own.

--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -3,6 +3,7 @@
 #include "EntryNode.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace lycheeledge::jobs {
@@ -15,6 +16,7 @@
 
 EntryNode::EntryNode(Ports ports, OwnerRecord self, const EntryNodeSettings& settings)
     : m_runtime(ports.runtime)
+    , m_resignLimit(settings.resignLimit)
     , m_members(ports.members)
     , m_admission(ports.admission)
     , m_log(ports.log)
@@ -48,10 +50,15 @@
         m_runtime.post(std::move(done));
         return;
     }
-    m_session.flush([this, done = std::move(done)] {
+    // Whichever comes first; what is not stored then is forwarded to the next owner or read from the workers.
+    const auto giveUp = [this, done = std::move(done), finished = std::make_shared<bool>(false)] {
+        if (std::exchange(*finished, true))
+            return;
         m_lease.resign();
         done();
-    });
+    };
+    m_session.flush(giveUp);
+    m_runtime.after(m_resignLimit, giveUp);
 }
 
 void EntryNode::ownershipGained(Epoch epoch, const std::string& headValue, Revision headRevision)
--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -19,6 +19,7 @@
     JobServiceSettings service;
     LedgerSettings ledger;
     OwnerSessionSettings session;
+    Duration resignLimit = std::chrono::milliseconds(600); ///< longest wait for commits before ownership is given up
 };
 
 /**
@@ -79,6 +80,7 @@
     };
 
     Runtime& m_runtime;
+    Duration m_resignLimit;
     MemberPort& m_members;
     AdmissionPort& m_admission;
     EventLog& m_log;
--- a/src/lycheeledge/jobs/JobLedger.cpp
+++ b/src/lycheeledge/jobs/JobLedger.cpp
@@ -102,6 +102,8 @@
 {
     if (!m_open || (!m_batch && m_dirty.empty() && !m_workers))
         m_runtime.post(std::move(done));
+    else if (!m_dirty.empty())
+        m_waiting[m_dirty.back()].push_back(std::move(done)); // jobs are stored in the order of this queue
     else
         m_flushed.push_back(std::move(done));
 }
@@ -275,9 +277,9 @@
     callAll(batch.workersStored);
     if (session.expired())
         return;
-    if (m_dirty.empty() && !m_workers)
-        callAll(std::exchange(m_flushed, {}));
-    schedule();
+    callAll(std::exchange(m_flushed, {}));
+    if (!session.expired())
+        schedule();
 }
 
 void JobLedger::refused(const CommitResult& result)
--- a/src/lycheeledge/jobs/JobLedger.h
+++ b/src/lycheeledge/jobs/JobLedger.h
@@ -83,7 +83,7 @@
     void changed(const JobId& job, std::function<void()> stored = {});
     /** @brief Replaces the set of known workers. */
     void setWorkers(WorkerSetRecord workers, std::function<void()> stored);
-    /** @brief Calls `done` when nothing waits to be written. */
+    /** @brief Calls `done` when everything that waits now is stored. */
     void whenFlushed(std::function<void()> done);
 
     /** @brief Whether a commit with this job is in progress. */
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -135,7 +135,7 @@
 
     const Job* job(const JobId& id) const;
     /** @brief Accepted jobs of a queue of which no task has started. */
-    std::size_t waitingCount(const std::string& queue) const;
+    std::size_t unstartedJobs(const std::string& queue) const;
     const WorkerTable& workers() const { return m_workers; }
     const JobSchedulerCounters& counters() const { return m_counters; }
     std::size_t jobCount() const { return m_jobs.size(); }
@@ -145,15 +145,13 @@
     Resources usage(const AccountId& account) const;
 
 private:
-    struct Context; // of one step in one pass
-
     // WorkerLinkListener
     void workerReported(const WorkerId& id, const LookReport& report, TimePoint sentAt) override;
     void workerReachabilityChanged(const WorkerId& id, bool reachable) override;
     void workerIncarnationEnded(const WorkerId& id) override;
     void workerFenced(const WorkerId& id) override;
 
-    // Passes (JobScheduler.cpp)
+    // Passes (JobSchedulerPasses.cpp)
     void requestPass();
     void pass();
     void tick();
--- /dev/null
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -0,0 +1,446 @@
+// The owner's scheduler: passes that release steps, ask for admission and place tasks.
+
+#include "JobScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    // Queues of this priority are urgent: their tasks are short and spread over the emptiest workers.
+    constexpr std::uint32_t urgentPriority = 0;
+    // A result is worth something up to this multiple of the objective (users' statement).
+    constexpr int worthlessFactor = 3;
+    // A ticket must outlive the order that carries it.
+    constexpr Duration ticketMargin = std::chrono::milliseconds(60);
+    constexpr Duration admissionRetryPause = std::chrono::milliseconds(100);
+    // After a question that brought no place, the next one waits for room to change.
+    constexpr Duration admissionRepeatPause = std::chrono::milliseconds(150);
+
+    Duration milliseconds(double n)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(n));
+    }
+
+    double toMs(Duration value) { return std::chrono::duration<double, std::milli>(value).count(); }
+
+    bool hasLabel(const WorkerRecord& record, const std::string& label)
+    {
+        return label.empty() || std::find(record.labels.begin(), record.labels.end(), label) != record.labels.end();
+    }
+
+} // namespace
+
+void JobScheduler::requestPass()
+{
+    if (!m_running || m_passTimer)
+        return;
+    const Duration delay = std::max(m_settings.passDelay, Duration(m_nextPass - m_runtime.now()));
+    m_passTimer = m_runtime.after(delay, [this] {
+        m_passTimer.reset();
+        const TimePoint begin = m_runtime.now();
+        pass();
+        const TimePoint end = m_runtime.now();
+        m_nextPass = end + (m_settings.passShare - 1) * (end - begin);
+    });
+}
+
+void JobScheduler::tick()
+{
+    m_tickTimer = m_runtime.after(m_settings.tickInterval, [this] { tick(); });
+    if (!m_recovered)
+        return;
+    for (auto it = m_scheduled.begin(); it != m_scheduled.end();) {
+        Job* job = find(*it++);
+        if (job != nullptr)
+            releaseDueOccurrences(*job);
+    }
+    expireWorkers();
+    const std::int64_t oldest
+        = m_host.unixMs() - std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.statusRetention).count();
+    while (!m_finished.empty() && m_finished.begin()->first < oldest) {
+        const JobId id = m_finished.begin()->second;
+        m_finished.erase(m_finished.begin());
+        m_jobs.erase(id);
+        m_ledger.changed(id);
+    }
+    requestPass();
+}
+
+void JobScheduler::releaseDueOccurrences(Job& job)
+{
+    if (isFinal(job.state))
+        return;
+    const QueuePolicy* queue = queueOf(job);
+    const double stretch = queue != nullptr ? queue->stretch : 1;
+    const Duration latency = queue != nullptr ? queue->latencyObjective : Duration::zero();
+    const auto length = milliseconds(stretch * toMs(estimatedChain(job.spec()))) + latency;
+    for (auto& [n, occurrence] : job.open) {
+        if (occurrence.objective == TimePoint())
+            occurrence.objective = occurrence.releasedAt + length;
+    }
+    const std::int64_t nowMs = m_host.unixMs();
+    while (job.nextOccurrence < job.spec().occurrenceCount()) {
+        if (job.spec().isScheduled()) {
+            const std::int64_t due = job.spec().firstDueUnixMs + job.nextOccurrence * job.spec().intervalMs;
+            if (due > nowMs)
+                break;
+        }
+        Occurrence& occurrence = job.openOccurrence(job.nextOccurrence++, m_runtime.now());
+        occurrence.objective = occurrence.releasedAt + length;
+    }
+    if (job.nextOccurrence < job.spec().occurrenceCount())
+        m_scheduled.insert(job.id);
+    else
+        m_scheduled.erase(job.id);
+    releaseSteps(job);
+}
+
+void JobScheduler::releaseSteps(Job& job)
+{
+    if (!job.accepted)
+        return;
+    for (auto& [n, occurrence] : job.open) {
+        for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+            Step& step = occurrence.steps[i];
+            if (!step.released) {
+                const auto& after = job.spec().steps[i].after;
+                step.released = std::all_of(after.begin(), after.end(),
+                    [&occurrence](std::uint32_t k) { return occurrence.steps[k].isDone(); });
+            }
+            refreshReady({ job.id, n, i }, job, step);
+        }
+    }
+    const bool allReleased = job.nextOccurrence >= job.spec().occurrenceCount();
+    for (auto it = job.open.begin(); it != job.open.end();) {
+        const auto& steps = it->second.steps;
+        const bool done = std::all_of(steps.begin(), steps.end(), [](const Step& step) { return step.isDone(); });
+        // The last occurrence stays until the job's final state takes its place.
+        if (done && (!allReleased || job.open.size() > 1))
+            it = job.open.erase(it);
+        else if (done && isFinal(job.state))
+            return;
+        else if (done) {
+            finish(job, JobState::Completed, "all tasks done");
+            markChanged(job);
+            return;
+        } else
+            ++it;
+    }
+}
+
+void JobScheduler::refreshReady(const StepKey& key, const Job& job, const Step& step)
+{
+    if (step.released && step.hasWaiting() && !isFinal(job.state))
+        m_ready.insert(key);
+    else
+        m_ready.erase(key);
+}
+
+bool JobScheduler::mayStart(const Job& job) const
+{
+    return !job.mayRunElsewhere || m_runtime.now() >= m_unlocatedUntil
+        || std::all_of(
+            m_workers.all().begin(), m_workers.all().end(), [](const auto& it) { return it.second.reported; });
+}
+
+StepUrgency JobScheduler::urgencyOf(const Job& job, const StepKey& key) const
+{
+    StepUrgency result;
+    const QueuePolicy* queue = queueOf(job);
+    result.priority = queue != nullptr ? queue->priority : 0;
+    const ClientAccount* account = m_configuration ? m_configuration->account(job.submission.account) : nullptr;
+    if (account != nullptr && queue != nullptr && account->weight > 0) {
+        const double share = usage(account->id).dominantShare(m_workers.capacity(queue->pool));
+        result.shareOfAccount = share / account->weight;
+    }
+    const auto open = job.open.find(key.occurrence);
+    if (open != job.open.end()) {
+        const Occurrence& occurrence = open->second;
+        result.objective = occurrence.objective;
+        result.worthlessAt = occurrence.releasedAt + worthlessFactor * (occurrence.objective - occurrence.releasedAt);
+        for (std::size_t i = key.step; i < occurrence.steps.size(); ++i) {
+            if (!occurrence.steps[i].isDone())
+                result.remaining += job.spec().steps[i].estimatedRunTime;
+        }
+        result.age = static_cast<std::uint64_t>(occurrence.releasedAt.time_since_epoch().count());
+    }
+    return result;
+}
+
+void JobScheduler::pass()
+{
+    if (!m_recovered || !m_configuration || !m_host.mayOrder())
+        return;
+    std::vector<std::pair<StepUrgency, StepKey>> waiting;
+    double weights = 0;
+    absl::flat_hash_set<AccountId> accounts;
+    for (const auto& key : m_ready) {
+        const Job& job = *m_jobs.at(key.job);
+        waiting.emplace_back(urgencyOf(job, key), key);
+        const ClientAccount* account = m_configuration->account(job.submission.account);
+        if (account != nullptr && accounts.insert(account->id).second)
+            weights += account->weight;
+    }
+    const ObjectiveOrder order(weights > 0 ? 1 / weights : 1);
+    const TimePoint now = m_runtime.now();
+    std::sort(waiting.begin(), waiting.end(),
+        [&order, now](const auto& a, const auto& b) { return order.before(a.first, b.first, now); });
+    m_placeable.clear();
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (isPlaceable(worker))
+            m_placeable[worker.record.pool].push_back(&worker);
+    }
+    for (const auto& [urgency, key] : waiting) {
+        if (Job* job = find(key.job); job != nullptr && !isFinal(job->state))
+            scheduleStep(*job, key);
+    }
+    askAhead();
+}
+
+// Tickets for an urgent step are asked for while the last tasks before it run. They last longer than such tasks, and a
+// question takes as long as a tenth of one.
+void JobScheduler::askAhead()
+{
+    for (auto it = m_upcoming.begin(); it != m_upcoming.end();) {
+        const StepKey key = *it;
+        Job* job = find(key.job);
+        Step* step = job != nullptr ? job->find(key) : nullptr;
+        const QueuePolicy* queue = job != nullptr ? queueOf(*job) : nullptr;
+        if (step == nullptr || isFinal(job->state) || step->released || step->admission.askedAhead || queue == nullptr
+            || !queue->admission) {
+            it = m_upcoming.erase(it);
+            continue;
+        }
+        if (!m_admission.isFree(*queue->admission))
+            return;
+        step->admission.askedAhead = true;
+        askAdmission(*job, key, *queue->admission);
+        it = m_upcoming.erase(it);
+    }
+}
+
+void JobScheduler::noteUpcoming(const Job& job, const StepKey& placed)
+{
+    const QueuePolicy* queue = queueOf(job);
+    if (queue == nullptr || queue->priority != urgentPriority || !queue->admission)
+        return;
+    const Occurrence& occurrence = job.open.at(placed.occurrence);
+    for (std::uint32_t i = placed.step + 1; i < occurrence.steps.size(); ++i) {
+        const auto& after = job.spec().steps[i].after;
+        const bool follows = std::find(after.begin(), after.end(), placed.step) != after.end();
+        const bool soon = std::none_of(
+            after.begin(), after.end(), [&occurrence](std::uint32_t k) { return occurrence.steps[k].hasWaiting(); });
+        if (follows && soon && !occurrence.steps[i].released)
+            m_upcoming.insert({ placed.job, placed.occurrence, i });
+    }
+}
+
+bool JobScheduler::isPlaceable(const Worker& worker) const
+{
+    const TimePoint now = m_runtime.now();
+    if (worker.record.draining || !worker.reported || !worker.link || !worker.link->isReachable())
+        return false;
+    if (!worker.registered && now - worker.missingSince > m_settings.missingGrace)
+        return false;
+    if (!worker.strays.empty()) // they hold room of an unknown size
+        return false;
+    return m_storedWorkers.contains(worker.record.id) && !m_cordoned.contains(worker.record.id)
+        && now >= worker.refusesUntil && !m_quarantine.isQuarantined(worker.record.id, now);
+}
+
+std::vector<PlacementCandidate> JobScheduler::candidates(Job& job, const StepKey& key, bool needsTicket)
+{
+    const QueuePolicy* queue = queueOf(job);
+    const Step& step = *job.find(key);
+    const StepSpec& spec = job.spec().steps[key.step];
+    const TimePoint usable = m_runtime.now() + ticketMargin;
+    std::vector<PlacementCandidate> result;
+    for (const Worker* worker : m_placeable[queue->pool]) {
+        const WorkerId& id = worker->record.id;
+        if (!hasLabel(worker->record, spec.requiredLabel))
+            continue;
+        if (needsTicket) {
+            const auto ticket = step.admission.tickets.find(id);
+            if (ticket == step.admission.tickets.end() || ticket->second.expiry < usable)
+                continue;
+        }
+        PlacementCandidate& candidate = result.emplace_back();
+        candidate.worker = id;
+        candidate.rack = worker->record.rack;
+        candidate.free = worker->free();
+        candidate.capacity = worker->record.capacity;
+        candidate.hasServingTasks = worker->servingRuns > 0;
+        candidate.hasFillingTasks = worker->fillingRuns > 0;
+        candidate.preferLess = m_quarantine.isOnProbation(id);
+        if (spec.maxTasksPerWorker > 0)
+            candidate.tasksOfStep = static_cast<std::uint32_t>(std::count_if(step.tasks.begin(), step.tasks.end(),
+                [&id](const Task& task) { return task.occupiesWorker() && task.worker == id; }));
+    }
+    return result;
+}
+
+bool JobScheduler::hasTicketWithRoom(const Step& step, const Resources& reservation) const
+{
+    const TimePoint usable = m_runtime.now() + ticketMargin;
+    return std::any_of(step.admission.tickets.begin(), step.admission.tickets.end(), [&](const auto& it) {
+        const auto worker = m_workers.all().find(it.first);
+        return it.second.expiry >= usable && worker != m_workers.all().end()
+            && reservation.fitsIn(worker->second.free());
+    });
+}
+
+bool JobScheduler::withinLimit(const Job& job, const StepSpec& spec, std::uint32_t count) const
+{
+    const ClientAccount* account = m_configuration->account(job.submission.account);
+    if (account == nullptr)
+        return true;
+    const Resources after = usage(account->id) + spec.request * count;
+    const Resources& limit = account->upperLimit;
+    const auto within = [](std::int64_t amount, std::int64_t most) { return most == 0 || amount <= most; };
+    return within(after.milliCpu, limit.milliCpu) && within(after.memoryMb, limit.memoryMb)
+        && within(after.accelerators, limit.accelerators);
+}
+
+void JobScheduler::scheduleStep(Job& job, const StepKey& key)
+{
+    const QueuePolicy* queue = queueOf(job);
+    Step* step = job.find(key);
+    if (queue == nullptr || step == nullptr || !mayStart(job))
+        return;
+    const StepSpec& spec = job.spec().steps[key.step];
+    const TimePoint now = m_runtime.now();
+    std::vector<std::uint32_t> due;
+    for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
+        const Task& task = step->tasks[i];
+        if (task.phase == TaskPhase::Waiting && task.notBefore <= now)
+            due.push_back(i);
+    }
+    if (due.empty() || (spec.gang && due.size() + step->done < step->tasks.size()))
+        return;
+    std::size_t placed = 0;
+    if (!queue->admission || hasTicketWithRoom(*step, reservationOf(spec)))
+        placed = placeTasks(job, key, *queue, due);
+    if (placed < due.size() && queue->admission && withinLimit(job, spec, 1))
+        askAdmission(job, key, *queue->admission);
+    refreshReady(key, job, *step);
+    if (placed > 0 && !step->hasWaiting())
+        noteUpcoming(job, key);
+}
+
+std::size_t JobScheduler::placeTasks(
+    Job& job, const StepKey& key, const QueuePolicy& queue, const std::vector<std::uint32_t>& due)
+{
+    const Step& step = *job.find(key);
+    const StepSpec& spec = job.spec().steps[key.step];
+    const auto goal = queue.priority == urgentPriority ? PlacementGoal::Spread : PlacementGoal::Pack;
+    Placement placement(spec, candidates(job, key, queue.admission.has_value()), goal);
+    const auto start = [&](std::uint32_t index, std::size_t place, RunNumber run) {
+        const WorkerId worker = placement.candidate(place).worker;
+        startTask(job, { key.job, key.occurrence, key.step, index }, *m_workers.find(worker), run);
+    };
+    std::size_t placed = 0;
+    if (spec.gang) {
+        if (!withinLimit(job, spec, static_cast<std::uint32_t>(due.size())))
+            return 0;
+        const auto places = placement.placeGang(due.size());
+        const RunNumber run = nextRun(step, step.tasks[due.front()], true);
+        for (; placed < places.size(); ++placed)
+            start(due[placed], places[placed], run);
+        return placed;
+    }
+    for (const auto i : due) {
+        if (!withinLimit(job, spec, 1))
+            break;
+        const auto n = placement.place();
+        if (!n)
+            break;
+        start(i, *n, nextRun(step, step.tasks[i], false));
+        ++placed;
+    }
+    return placed;
+}
+
+// --- Admission ---
+
+void JobScheduler::askAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy)
+{
+    Step& step = *job.find(key);
+    if (step.admission.asking || m_runtime.now() < step.admission.nextAsk || !m_admission.isFree(policy))
+        return;
+    auto workers = chooseForQuestion(job, key);
+    if (workers.empty())
+        return;
+    step.admission.asking = true;
+    m_admission.ask({ key, workers }, policy,
+        [this, key, policy, workers](const auto& grants) { admissionAnswered(key, policy, workers, grants); });
+}
+
+// Names the workers with room for a task that the service may allow: those it has allowed before, else those it has
+// not been asked about. Tickets last about 2 s, so a worker without room is not worth its time.
+std::vector<WorkerId> JobScheduler::chooseForQuestion(Job& job, const StepKey& key)
+{
+    const Step* step = job.find(key);
+    const StepSpec& spec = job.spec().steps[key.step];
+    const Resources reservation = reservationOf(spec);
+    const TimePoint usable = m_runtime.now() + ticketMargin;
+    std::vector<std::pair<double, WorkerId>> known;
+    std::vector<std::pair<double, WorkerId>> unknown;
+    for (const auto& candidate : candidates(job, key, false)) {
+        const auto ticket = step->admission.tickets.find(candidate.worker);
+        if (ticket != step->admission.tickets.end() && ticket->second.expiry >= usable)
+            continue;
+        if (!reservation.fitsIn(candidate.free))
+            continue;
+        const double room = static_cast<double>(candidate.free.milliCpu);
+        const auto answer = step->admission.allowed.find(candidate.worker);
+        if (answer == step->admission.allowed.end())
+            unknown.emplace_back(-room, candidate.worker);
+        else if (answer->second)
+            known.emplace_back(-room, candidate.worker);
+    }
+    std::sort(known.begin(), known.end());
+    std::sort(unknown.begin(), unknown.end());
+    const bool repeat = !known.empty();
+    auto& chosen = repeat ? known : unknown;
+    chosen.resize(std::min(chosen.size(), repeat ? m_settings.maxRepeatWorkers : m_settings.maxQuestionWorkers));
+    std::vector<WorkerId> result;
+    for (auto& [room, worker] : chosen)
+        result.push_back(std::move(worker));
+    return result;
+}
+
+void JobScheduler::admissionAnswered(const StepKey& key, const AdmissionPolicy& policy,
+    const std::vector<WorkerId>& asked, const absl::StatusOr<std::vector<AdmissionGrant>>& grants)
+{
+    Job* job = find(key.job);
+    Step* step = job != nullptr ? job->find(key) : nullptr;
+    if (step == nullptr)
+        return;
+    auto& admission = step->admission;
+    admission.asking = false;
+    ++m_counters.questions;
+    const TimePoint now = m_runtime.now();
+    if (!grants.ok()) {
+        admission.nextAsk = now + admissionRetryPause;
+        m_log.record("admission_failed",
+            { { "job", key.job.value() }, { "step", key.step }, { "asked", asked.size() },
+                { "error", grants.status().message() } });
+        requestPass();
+        return;
+    }
+    for (const auto& worker : asked)
+        admission.allowed[worker] = false;
+    for (const auto& grant : *grants) {
+        admission.allowed[grant.worker] = true;
+        admission.tickets[grant.worker] = { grant.ticket, now + policy.validity };
+    }
+    admission.nextAsk = now + admissionRepeatPause;
+    m_log.record("admission_answered",
+        { { "job", key.job.value() }, { "step", key.step }, { "asked", asked.size() }, { "granted", grants->size() } });
+    requestPass();
+}
+
+} // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -107,7 +107,7 @@
 {
     ++m_counters.reads;
     if (name.empty()) {
-        reply({ .kind = ReplyKind::Count, .count = m_scheduler.waitingCount(queue.name), .reason = {} });
+        reply({ .kind = ReplyKind::Count, .count = m_scheduler.unstartedJobs(queue.name), .reason = {} });
         return;
     }
     const Job* job = m_scheduler.job(JobId(name));
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -342,3 +342,34 @@
     REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 8; }, seconds(10)));
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("a planned stop under load hands over at once", "[takeover]")
+{
+    // Ends arrive faster than commits, so there is never a moment without a change that waits.
+    JobCluster cluster(2);
+    addWorkers(cluster, 8);
+    std::uint64_t n = 0;
+    cluster.workers.runTime = [&n](const TaskKey&) { return milliseconds(100 + 7 * (n++ % 40)); };
+    for (std::uint64_t job = 1; job <= 40; ++job)
+        REQUIRE(cluster.submit("m0", "urgent", job, { .payload = {}, .steps = { simpleStep(60, 1000) } }));
+    const std::string owner = *cluster.owner();
+    bool resigned = false;
+    cluster.member(owner).node.resign([&resigned] { resigned = true; });
+    cluster.advance(milliseconds(200));
+    CHECK(resigned);
+    CHECK(cluster.waitFor([&] { return hasOtherOwner(cluster, owner); }, milliseconds(500)));
+}
+
+TEST_CASE("a planned stop does not wait for a store that does not answer", "[takeover]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(1, 1000) } };
+    cluster.store.setFault(FakeClusterStore::Fault::Silent);
+    (void)cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(1), "x");
+    cluster.advance(milliseconds(50));
+    bool resigned = false;
+    cluster.member("m0").node.resign([&resigned] { resigned = true; });
+    cluster.advance(seconds(1));
+    CHECK(resigned);
+}
