--- a/src/lycheeledge/daemon/EntryProcess.h
+++ b/src/lycheeledge/daemon/EntryProcess.h
@@ -16,6 +16,7 @@
 #include "../transport/HttpServer.h"
 #include "EventLoop.h"
 #include "HttpGateway.h"
+#include "LoopExecutor.h"
 #include "RpcService.h"
 #include "Settings.h"
 #include "Telemetry.h"
@@ -32,18 +33,6 @@
 
 namespace detail {
 
-    class LoopExecutor final : public CompletionExecutor {
-    public:
-        explicit LoopExecutor(EventLoop& loop)
-            : m_loop(loop)
-        {
-        }
-        void execute(std::function<void()> task) override { m_loop.postCompletion(std::move(task)); }
-
-    private:
-        EventLoop& m_loop;
-    };
-
     // What CellOwnership needs to know of the membership.
     class MembershipView final : public OwnershipView {
     public:
@@ -115,7 +104,7 @@
 
     Settings m_settings;
     EventLoop m_loop;
-    detail::LoopExecutor m_executor;
+    LoopExecutor m_executor;
     HttpClient m_platformClient; // store and VM list
     HttpClient m_workerClient;
     EtcdStore m_store;
--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -12,12 +12,6 @@
     constexpr Duration drainInterval = std::chrono::milliseconds(50);
     constexpr int notReadyStatus = 503;
 
-    std::int64_t unixMsNow()
-    {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
-        return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-    }
-
     HttpServerSettings serverSettings(const ListenAddress& address, const JobDaemonSettings& settings)
     {
         HttpServerSettings result;
@@ -51,6 +45,12 @@
 
 } // namespace
 
+std::int64_t unixMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 JobDaemon::JobDaemon(Ports ports, JobDaemonSettings settings)
     : m_loop(ports.loop)
     , m_executor(ports.executor)
@@ -59,7 +59,7 @@
     , m_settings(std::move(settings))
     , m_members(peerSettings(m_settings), m_executor, m_log)
     , m_node({ m_loop, ports.store, ports.records, m_codec, ports.submissions, ports.workers, ports.admission,
-                 m_members, m_log, unixMsNow },
+                 m_members, m_log, unixMilliseconds },
           selfRecord(m_settings), m_settings.node)
     , m_callSeconds(m_metrics.summary("lycheeledge_call_seconds", "Time from a client's call to its response."))
     , m_ingressServer(serverSettings(m_settings.ingress, m_settings),
--- a/src/lycheeledge/daemon/JobDaemon.h
+++ b/src/lycheeledge/daemon/JobDaemon.h
@@ -53,6 +53,9 @@
     std::size_t maxConnections = 3000; ///< of clients; below the VM's limit of descriptors
 };
 
+/** @brief Time of day in milliseconds since 1970; it may jump. */
+std::int64_t unixMilliseconds();
+
 /** @brief Assembles and runs one member. */
 class JobDaemon {
 public:
--- a/src/lycheeledge/jobs/ClusterConfiguration.cpp
+++ b/src/lycheeledge/jobs/ClusterConfiguration.cpp
@@ -46,9 +46,4 @@
     return findIn(accounts, [&id](const ClientAccount& it) { return it.id == id; });
 }
 
-const PoolPolicy* ClusterConfiguration::pool(std::string_view name) const
-{
-    return findIn(pools, [name](const PoolPolicy& it) { return it.name == name; });
-}
-
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/ClusterConfiguration.h
+++ b/src/lycheeledge/jobs/ClusterConfiguration.h
@@ -72,7 +72,6 @@
     const QueuePolicy* queueNamed(std::string_view name) const;
     const ClientAccount* accountOfKey(std::string_view key) const;
     const ClientAccount* account(const AccountId& id) const;
-    const PoolPolicy* pool(std::string_view name) const;
 };
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/ClusterStore.h
+++ b/src/lycheeledge/jobs/ClusterStore.h
@@ -78,34 +78,19 @@
     virtual void endLease(StoreLeaseId lease, Duration timeout, std::function<void(absl::Status)> done) = 0;
 };
 
-/** @brief Planned downtime of VMs, a few at a time. */
-struct MaintenanceWave {
-    std::uint64_t number = 0;
-    std::vector<std::string> vms;
-    Duration duration {}; ///< within which each VM has its downtime
-    std::uint32_t maxDown = 1; ///< VMs down for it at a time
-
-    bool operator==(const MaintenanceWave&) const = default;
-};
-
 /** @brief Where the platform keeps its records in the store, and how they are read. */
 class PlatformRecords {
 public:
     virtual ~PlatformRecords() = default;
 
-    /** @brief Prefix of the operators' records: the configuration and the maintenance waves. */
+    /** @brief Prefix of the operators' records, the configuration among them. */
     virtual std::string operatorPrefix() const = 0;
     virtual std::string configurationKey() const = 0;
     virtual std::string workerPrefix() const = 0;
-    virtual std::string wavePrefix() const = 0;
-    virtual std::string waveStatusKey(std::uint64_t wave) const = 0;
-    virtual std::string encodeWaveStatus(std::uint64_t wave, bool completed) const = 0;
     /** @brief Errors: `INVALID_ARGUMENT` for a record that cannot be used. */
     virtual absl::StatusOr<ClusterConfiguration> configuration(const StoreEntry& entry) const = 0;
     /** @brief Errors: `INVALID_ARGUMENT` for an entry that names no worker to use. */
     virtual absl::StatusOr<WorkerRecord> worker(const StoreEntry& entry) const = 0;
-    /** @brief Errors: `INVALID_ARGUMENT`. */
-    virtual absl::StatusOr<MaintenanceWave> wave(const StoreEntry& entry) const = 0;
 };
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -29,8 +29,6 @@
     bool doneWithGang = false; ///< a member of this run ended as done, so this one has, too
     TimePoint notBefore; ///< earliest next start
     std::string checkpoint;
-    int progressPercent = 0;
-    TimePoint progressAt; ///< when progressPercent last changed
     int pacePercent = 100;
 
     bool occupiesWorker() const
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -34,12 +34,10 @@
     Duration stopTimeout = std::chrono::milliseconds(300);
     Duration orderRetryPause = std::chrono::milliseconds(150);
     Duration stopLimit = std::chrono::milliseconds(200); ///< from a stop until the run is gone (platform's bound)
-    Duration gangLimit = std::chrono::milliseconds(3000); ///< a member waits so long for the others (platform's bound)
     Duration ownerConfirmation = std::chrono::milliseconds(8000); ///< an earlier owner may order for so long
     Duration statusRetention = std::chrono::seconds(130); ///< finished jobs stay known (platform asks for 120 s)
     Duration missingGrace = std::chrono::seconds(3); ///< entries that lapsed with the store are back after 2 s
     Duration failureBackoff = std::chrono::milliseconds(150); ///< before a failed task starts again
-    Duration stallTime = std::chrono::milliseconds(1500); ///< no progress for so long: the task hangs
     std::size_t maxQuestionWorkers = 30; ///< the objective counts one call for advice on 30 workers
     std::size_t maxRepeatWorkers = 10; ///< named when tickets are asked for again
 };
@@ -116,8 +114,6 @@
     void setConfiguration(std::shared_ptr<const ClusterConfiguration> configuration);
     /** @brief Replaces the registered workers. */
     void setWorkers(const std::vector<WorkerRecord>& records);
-    /** @brief Keeps tasks away from a worker, for planned downtime. */
-    void setCordoned(const WorkerId& worker, bool cordoned);
 
     /** @brief Adds a submission; `stored` is called when it is stored. The job must not exist. */
     void submit(const JobId& id, SubmissionRecord submission, std::function<void()> stored);
@@ -202,7 +198,6 @@
     void processRunning(Worker& worker, const LookReport& report, TimePoint sentAt);
     void adopt(Worker& worker, const RunningTask& running);
     void missingRuns(Worker& worker, const absl::flat_hash_set<RunKey>& listed, TimePoint sentAt);
-    void noteProgress(Job& job, const TaskKey& key, Task& task, const RunningTask& running);
     void loseWorker(const WorkerId& id, const char* reason);
     void expireWorkers();
     void connect(Worker& worker);
@@ -231,7 +226,6 @@
     std::set<StepKey> m_upcoming; ///< urgent steps that follow steps whose tasks all run or are done
     WorkerTable m_workers;
     absl::flat_hash_set<WorkerId> m_storedWorkers; ///< ids in the stored set; only these get orders
-    absl::flat_hash_set<WorkerId> m_cordoned;
     absl::flat_hash_map<AccountId, Resources> m_usage; ///< reserved, by account
     FailureQuarantine m_quarantine;
     std::set<std::pair<std::int64_t, JobId>> m_finished; ///< by the time they ended
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -247,8 +247,8 @@
         return false;
     if (!worker.strays.empty()) // they hold room of an unknown size
         return false;
-    return m_storedWorkers.contains(worker.record.id) && !m_cordoned.contains(worker.record.id)
-        && now >= worker.refusesUntil && !m_quarantine.isQuarantined(worker.record.id, now);
+    return m_storedWorkers.contains(worker.record.id) && now >= worker.refusesUntil
+        && !m_quarantine.isQuarantined(worker.record.id, now);
 }
 
 std::vector<PlacementCandidate> JobScheduler::candidates(Job& job, const StepKey& key, bool needsTicket)
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -68,14 +68,6 @@
     requestPass();
 }
 
-void JobScheduler::setCordoned(const WorkerId& worker, bool cordoned)
-{
-    if (cordoned)
-        m_cordoned.insert(worker);
-    else
-        m_cordoned.erase(worker);
-}
-
 void JobScheduler::connect(Worker& worker)
 {
     worker.link = std::make_unique<WorkerLink>(
@@ -352,7 +344,6 @@
         }
         if (!running.checkpoint.empty())
             task->checkpoint = running.checkpoint;
-        noteProgress(*job, key, *task, running);
     }
     missingRuns(worker, listed, sentAt);
 }
@@ -381,7 +372,6 @@
     task->worker = worker.record.id;
     task->since = now;
     task->confirmedAt = now;
-    task->progressAt = now;
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
     ++step.occupying;
@@ -427,17 +417,6 @@
     }
 }
 
-void JobScheduler::noteProgress(Job& job, const TaskKey& key, Task& task, const RunningTask& running)
-{
-    const TimePoint now = m_runtime.now();
-    if (running.progressPercent != task.progressPercent) {
-        task.progressPercent = running.progressPercent;
-        task.progressAt = now;
-    }
-    (void)job;
-    (void)key;
-}
-
 // Slows tasks on idle processors while a task beside them that serves users nears its latency target.
 void JobScheduler::controlPace(Worker& worker, const LookReport& report)
 {
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -87,8 +87,6 @@
     task.since = m_runtime.now();
     task.confirmedAt = {};
     task.doneWithGang = false;
-    task.progressPercent = 0;
-    task.progressAt = task.since;
     task.pacePercent = 100;
     ++step.occupying;
     reserve(worker, key,
@@ -156,7 +154,6 @@
         task->phase = TaskPhase::Running;
         task->since = now;
         task->confirmedAt = now;
-        task->progressAt = now;
         if (!job->everStarted) {
             job->everStarted = true;
             job->state = JobState::Running;
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -174,7 +174,6 @@
             (void)ingress.decode(bytes);
             (void)records.worker(entry("servers/i-1", bytes));
             (void)records.configuration(entry("op/config", bytes));
-            (void)records.wave(entry("op/wave/1", bytes));
             (void)decodeLookReport(bytes);
             (void)decodeTaskName(bytes);
             (void)parsePlatformSettings(bytes);
--- a/test/platform/SettingsTest.cpp
+++ b/test/platform/SettingsTest.cpp
@@ -28,7 +28,7 @@
     CHECK(settings->cpuShare == 0.25);
     CHECK(settings->stopGrace == seconds(6));
     CHECK(settings->keyBound == milliseconds(5000));
-    CHECK(settings->vmList.empty());
+    CHECK(settings->admission == "10.2.0.2:80");
 }
 
 TEST_CASE("a missing or malformed field is named", "[settings]")
--- a/test/support/JobCluster.h
+++ b/test/support/JobCluster.h
@@ -47,9 +47,6 @@
     std::string operatorPrefix() const override { return "operator/"; }
     std::string configurationKey() const override { return "operator/configuration"; }
     std::string workerPrefix() const override { return "workers/"; }
-    std::string wavePrefix() const override { return "operator/wave/"; }
-    std::string waveStatusKey(std::uint64_t wave) const override { return "wave-status/" + std::to_string(wave); }
-    std::string encodeWaveStatus(std::uint64_t, bool completed) const override { return completed ? "done" : "begun"; }
     absl::StatusOr<jobs::ClusterConfiguration> configuration(const StoreEntry& entry) const override
     {
         auto result = configurations.at(entry.value);
@@ -63,10 +60,6 @@
             return absl::InvalidArgumentError("unreadable");
         return it->second;
     }
-    absl::StatusOr<jobs::MaintenanceWave> wave(const StoreEntry&) const override
-    {
-        return absl::InvalidArgumentError("no waves here");
-    }
 };
 
 /** @brief Submissions are looked up by their body. */
