--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -392,7 +392,8 @@
         const auto ticket = step->admission.tickets.find(candidate.worker);
         if (ticket != step->admission.tickets.end() && ticket->second.expiry >= usable)
             continue;
-        if (!reservation.fitsIn(candidate.free))
+        const bool hasItsShare = spec.maxTasksPerWorker > 0 && candidate.tasksOfStep >= spec.maxTasksPerWorker;
+        if (hasItsShare || !reservation.fitsIn(candidate.free))
             continue;
         const double room = static_cast<double>(candidate.free.milliCpu);
         const auto answer = step->admission.allowed.find(candidate.worker);
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -355,3 +355,25 @@
     REQUIRE(second != nullptr);
     CHECK(second->at - *first->endedAt < milliseconds(30));
 }
+
+TEST_CASE("a spread step asks for further workers once the allowed ones have their share", "[jobs]")
+{
+    // The step may run on few workers, one task each. Asking for these again and again left its other tasks waiting
+    // for good, beside free workers that nobody had asked about.
+    JobCluster cluster(1);
+    cluster.settings.scheduler.maxQuestionWorkers = 3;
+    cluster.startMember("m1");
+    cluster.kill("m0");
+    auto configuration = simpleConfiguration();
+    configuration.queues[0].admission
+        = AdmissionPolicy { milliseconds(15), std::chrono::microseconds(200), milliseconds(120) };
+    cluster.setConfiguration(configuration);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(60); };
+    for (int i = 0; i < 9; ++i)
+        cluster.addWorker("w" + std::to_string(i), 8000);
+    cluster.advance(seconds(4));
+    auto step = simpleStep(6, 1000);
+    step.maxTasksPerWorker = 1;
+    REQUIRE(cluster.submit("m1", "urgent", 1, { .payload = {}, .steps = { step } }));
+    CHECK(cluster.waitFor([&] { return cluster.workers.running() == 6; }, seconds(10)));
+}
