--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -69,10 +69,11 @@
     auto job = std::make_unique<Job>();
     job->id = id;
     job->accepted = true;
-    if (submission)
+    const bool hasSubmission = submission.has_value();
+    if (hasSubmission)
         job->submission = *std::move(submission);
     if (progress) {
-        if (!submission) {
+        if (!hasSubmission) {
             job->submission.account = progress->account;
             job->submission.queue = progress->queue;
         }
@@ -83,7 +84,7 @@
         m_jobs[id] = std::move(job);
         return;
     }
-    if (!submission) {
+    if (!hasSubmission) {
         m_log.record("job_without_submission", { { "job", id.value() } });
         return;
     }
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -108,7 +108,7 @@
             if (!step.released) {
                 const auto& after = job.spec().steps[i].after;
                 step.released = std::all_of(after.begin(), after.end(),
-                    [&occurrence](std::uint32_t k) { return occurrence.steps[k].isDone(); });
+                    [&steps = occurrence.steps](std::uint32_t k) { return steps[k].isDone(); });
             }
             refreshReady({ job.id, n, i }, job, step);
         }
