Say each thing of the jobs layer once, and satisfy the linter

Change, behaviour as before: one function each for taking a worker's room, for noting a job's first start, for giving up a worker's runs, for a call's deadline and the patience that is left, and for the session's retries; the key of the head record and the owner's confirmation limit are stated once; both daemons share the handling of signals; the capacity of a pool is summed once a pass instead of once for each waiting step. Pools in the decoded configuration, the callback for opened member connections and a check that was always true are gone. Linter findings in four places: a reserved vector, two widened products and an emptiness check, the assertions as strict as before.

--- a/apps/lycheeledged.cpp
+++ b/apps/lycheeledged.cpp
@@ -1,16 +1,14 @@
 // Entry process of the scheduler.
 
 #include <lycheeledge/daemon/EntryProcess.h>
+#include <lycheeledge/daemon/Signals.h>
 
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 
 #include <chrono>
-#include <csignal>
 #include <iostream>
-#include <pthread.h>
 #include <sys/resource.h>
-#include <thread>
 
 DEFINE_string(settings, "", "settings file (JSON with comments)");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -27,16 +25,6 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
-sigset_t handledSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    return signals;
-}
-
 // Each caller's connection is an open file, and the usual soft limit of 1024 is below the default number of callers.
 void raiseOpenFileLimit()
 {
@@ -81,10 +69,7 @@
     FLAGS_minloglevel = minimumLevel(settings->logLevel);
 
     raiseOpenFileLimit();
-    // Blocked before the first thread starts, so that only the waiting thread below receives them.
-    const sigset_t signals = handledSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    const sigset_t signals = lycheeledge::blockSignals();
 
     const std::uint64_t started = wallClockMicroseconds();
     lycheeledge::EntryProcess process(*std::move(settings), FLAGS_seed != 0 ? FLAGS_seed : started, started);
@@ -92,14 +77,8 @@
         std::cerr << "lycheeledged: " << status.message() << '\n';
         return exitUnavailable;
     }
-    std::thread([&process, signals] {
-        for (int signal = 0; sigwait(&signals, &signal) == 0;) {
-            if (signal == SIGHUP)
-                process.reloadCertificate();
-            else
-                process.requestStop();
-        }
-    }).detach();
+    lycheeledge::handleSignals(
+        signals, [&process] { process.requestStop(); }, [&process] { process.reloadCertificate(); });
     process.run();
     LOG(INFO) << "[daemon] Stopped.";
     return 0;
--- a/src/lycheeledge/jobs/ClientCall.h
+++ b/src/lycheeledge/jobs/ClientCall.h
@@ -5,9 +5,12 @@
 
 #include <absl/status/statusor.h>
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace lycheeledge::jobs {
 
@@ -24,6 +27,27 @@
     bool operator==(const ClientCall&) const = default;
 };
 
+/** @brief For calls that state no patience. */
+inline constexpr Duration defaultPatience = std::chrono::seconds(3);
+/** @brief A reply leaves this long before the client gives up. */
+inline constexpr Duration replyMargin = std::chrono::milliseconds(60);
+
+/** @brief When the reply to a call must leave, if the call arrives at `now`. */
+inline TimePoint replyDeadline(const ClientCall& call, TimePoint now)
+{
+    const Duration stated = std::chrono::milliseconds(call.patienceMs);
+    const Duration patience = stated > Duration::zero() ? stated : defaultPatience;
+    return now + std::max(Duration::zero(), patience - replyMargin);
+}
+
+/** @brief The call as it is handed on at `now`, with the patience that is left until `deadline`. */
+inline ClientCall withPatienceLeft(ClientCall call, TimePoint deadline, TimePoint now)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
+    call.patienceMs = std::max<std::int64_t>(1, left.count());
+    return call;
+}
+
 enum class ReplyKind : std::uint8_t {
     Accepted, ///< stored; also for a repeated submission
     State,
--- a/src/lycheeledge/jobs/ClusterConfiguration.cpp
+++ b/src/lycheeledge/jobs/ClusterConfiguration.cpp
@@ -1,4 +1,4 @@
-// The operators' configuration: queues, pools of workers, client accounts.
+// The operators' configuration: queues and client accounts.
 
 #include "ClusterConfiguration.h"
 
--- a/src/lycheeledge/jobs/ClusterConfiguration.h
+++ b/src/lycheeledge/jobs/ClusterConfiguration.h
@@ -1,4 +1,4 @@
-// The operators' configuration: queues, pools of workers, client accounts.
+// The operators' configuration: queues and client accounts.
 #pragma once
 
 #include "JobSpec.h"
@@ -39,14 +39,6 @@
     bool operator==(const QueuePolicy&) const = default;
 };
 
-struct PoolPolicy {
-    std::string name;
-    bool workersCheckRoom = false; ///< workers refuse what does not fit
-    bool spare = false; ///< its VMs are off and cost nothing
-
-    bool operator==(const PoolPolicy&) const = default;
-};
-
 struct ClientAccount {
     AccountId id;
     std::vector<std::string> keys;
@@ -61,7 +53,6 @@
     std::int64_t version = 0;
     Revision revision = 0; ///< store revision of this version
     std::vector<QueuePolicy> queues;
-    std::vector<PoolPolicy> pools;
     std::vector<ClientAccount> accounts;
     std::size_t maxBodyBytes = 262144; ///< of a client's call; default of the platform's examples
 
--- a/src/lycheeledge/jobs/ClusterStore.h
+++ b/src/lycheeledge/jobs/ClusterStore.h
@@ -14,6 +14,9 @@
 
 namespace lycheeledge::jobs {
 
+/** @brief Key of the record that fences commits: the claim of an owner and each of its commits write it anew. */
+inline constexpr const char* headRecordKey = "lycheeledge/head";
+
 struct StoreValue {
     Revision asOf = 0; ///< store revision of the response
     std::optional<StoreEntry> entry; ///< nothing if the key does not exist
--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -12,6 +12,14 @@
 
     constexpr RelayId thisProcess = 0;
 
+    // A new owner waits as long as an earlier one may go on ordering.
+    JobSchedulerSettings schedulerSettings(const EntryNodeSettings& settings)
+    {
+        JobSchedulerSettings result = settings.scheduler;
+        result.ownerConfirmation = settings.lease.confirmationLimit;
+        return result;
+    }
+
 } // namespace
 
 EntryNode::EntryNode(Ports ports, OwnerRecord self, const EntryNodeSettings& settings)
@@ -25,7 +33,7 @@
     , m_link(m_runtime, m_members, m_admission, m_log, self.member, settings.link)
     , m_session({ m_runtime, ports.store, ports.records, ports.codec, ports.submissions, ports.workers, m_desk, m_log,
                     m_lease, ports.unixMs, [this] { welcomeAll(); } },
-          settings.scheduler, settings.service, settings.ledger, settings.session)
+          schedulerSettings(settings), settings.service, settings.ledger, settings.session)
 {
     m_lease.setListener(this);
     m_desk.addRelay(thisProcess);
@@ -91,18 +99,11 @@
     for (const auto connection : m_followers)
         m_members.send(connection, Welcome { m_lease.epoch(), m_session.isActive() });
     for (auto& call : m_link.takeCalls()) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - m_runtime.now());
-        call.call.patienceMs = std::max<std::int64_t>(1, left.count());
-        m_session.handle(call.call, std::move(call.reply));
+        const ClientCall waiting = withPatienceLeft(std::move(call.call), call.deadline, m_runtime.now());
+        m_session.handle(waiting, std::move(call.reply));
     }
 }
 
-void EntryNode::connected(MemberConnection connection)
-{
-    if (m_link.owns(connection))
-        m_link.connected(connection);
-}
-
 void EntryNode::received(MemberConnection connection, const MemberMessage& message)
 {
     if (m_link.owns(connection)) {
--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -65,7 +65,6 @@
     void ownershipLost(const char* reason) override;
     void ownerChanged(const std::optional<OwnerRecord>& owner) override;
     // MemberListener
-    void connected(MemberConnection connection) override;
     void received(MemberConnection connection, const MemberMessage& message) override;
     void closed(MemberConnection connection) override;
     // AdmissionPort of the desk: this process, or a member
--- a/src/lycheeledge/jobs/JobLedger.h
+++ b/src/lycheeledge/jobs/JobLedger.h
@@ -28,7 +28,7 @@
 
 /** @brief Keys of the scheduler's records in the store. */
 struct LedgerKeys {
-    std::string head = "lycheeledge/head";
+    std::string head = headRecordKey;
     std::string submissionPrefix = "lycheeledge/submission/";
     std::string progressPrefix = "lycheeledge/progress/";
     std::string workers = "lycheeledge/workers";
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -34,7 +34,7 @@
     Duration stopTimeout = std::chrono::milliseconds(300);
     Duration orderRetryPause = std::chrono::milliseconds(150);
     Duration stopLimit = std::chrono::milliseconds(200); ///< from a stop until the run is gone (platform's bound)
-    Duration ownerConfirmation = std::chrono::milliseconds(8000); ///< an earlier owner may order for so long
+    Duration ownerConfirmation {}; ///< an earlier owner may order for so long; set from the lease's settings
     Duration statusRetention = std::chrono::seconds(130); ///< finished jobs stay known (platform asks for 120 s)
     Duration missingGrace = std::chrono::seconds(3); ///< entries that lapsed with the store are back after 2 s
     Duration failureBackoff = std::chrono::milliseconds(150); ///< before a failed task starts again
@@ -156,7 +156,8 @@
     void releaseDueOccurrences(Job& job);
     void releaseSteps(Job& job);
     void refreshReady(const StepKey& key, const Job& job, const Step& step);
-    StepUrgency urgencyOf(const Job& job, const StepKey& key) const;
+    /** @param capacity of the pools, by name. */
+    StepUrgency urgencyOf(const Job& job, const StepKey& key, const std::map<std::string, Resources>& capacity) const;
     void scheduleStep(Job& job, const StepKey& key);
     std::size_t placeTasks(
         Job& job, const StepKey& key, const QueuePolicy& queue, const std::vector<std::uint32_t>& due);
@@ -174,6 +175,8 @@
     // Runs (JobSchedulerRuns.cpp)
     RunNumber nextRun(const Step& step, const Task& task, bool gang) const;
     void startTask(Job& job, const TaskKey& key, Worker& worker, RunNumber run);
+    void occupy(Job& job, const TaskKey& key, Worker& worker, RunNumber run, TaskPhase phase);
+    void noteStarted(Job& job);
     void sendStart(const TaskKey& key, RunNumber run, const WorkerId& worker, int attempt);
     void startAnswered(
         const TaskKey& key, RunNumber run, const WorkerId& worker, int attempt, const OrderResult& result);
@@ -198,6 +201,7 @@
     void processRunning(Worker& worker, const LookReport& report, TimePoint sentAt);
     void adopt(Worker& worker, const RunningTask& running);
     void missingRuns(Worker& worker, const absl::flat_hash_set<RunKey>& listed, TimePoint sentAt);
+    void loseRuns(const Worker& worker, const char* reason);
     void loseWorker(const WorkerId& id, const char* reason);
     void expireWorkers();
     void connect(Worker& worker);
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -146,15 +146,17 @@
             m_workers.all().begin(), m_workers.all().end(), [](const auto& it) { return it.second.reported; });
 }
 
-StepUrgency JobScheduler::urgencyOf(const Job& job, const StepKey& key) const
+StepUrgency JobScheduler::urgencyOf(
+    const Job& job, const StepKey& key, const std::map<std::string, Resources>& capacity) const
 {
     StepUrgency result;
     const QueuePolicy* queue = queueOf(job);
     result.priority = queue != nullptr ? queue->priority : 0;
     const ClientAccount* account = m_configuration ? m_configuration->account(job.submission.account) : nullptr;
     if (account != nullptr && queue != nullptr && account->weight > 0) {
-        const double share = usage(account->id).dominantShare(m_workers.capacity(queue->pool));
-        result.shareOfAccount = share / account->weight;
+        const auto pool = capacity.find(queue->pool);
+        const Resources total = pool == capacity.end() ? Resources {} : pool->second;
+        result.shareOfAccount = usage(account->id).dominantShare(total) / account->weight;
     }
     const auto open = job.open.find(key.occurrence);
     if (open != job.open.end()) {
@@ -175,11 +177,12 @@
     if (!m_recovered || !m_configuration || !m_host.mayOrder())
         return;
     std::vector<std::pair<StepUrgency, StepKey>> waiting;
+    const auto capacity = m_workers.capacityOfPools();
     double weights = 0;
     absl::flat_hash_set<AccountId> accounts;
     for (const auto& key : m_ready) {
         const Job& job = *m_jobs.at(key.job);
-        waiting.emplace_back(urgencyOf(job, key), key);
+        waiting.emplace_back(urgencyOf(job, key, capacity), key);
         const ClientAccount* account = m_configuration->account(job.submission.account);
         if (account != nullptr && accounts.insert(account->id).second)
             weights += account->weight;
@@ -408,6 +411,7 @@
     auto& chosen = repeat ? known : unknown;
     chosen.resize(std::min(chosen.size(), repeat ? m_settings.maxRepeatWorkers : m_settings.maxQuestionWorkers));
     std::vector<WorkerId> result;
+    result.reserve(chosen.size());
     for (auto& [room, worker] : chosen)
         result.push_back(std::move(worker));
     return result;
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -106,12 +106,8 @@
         if (now < end)
             continue;
         if (!worker.runs.empty() || !worker.reported) {
-            std::vector<TaskKey> tasks;
-            for (const auto& [task, run] : worker.runs)
-                tasks.push_back(task);
             worker.reported = true;
-            for (const auto& task : tasks)
-                taskLost(task, "lease of an unreachable worker ended");
+            loseRuns(worker, "lease of an unreachable worker ended");
         }
         if (!worker.registered && now - worker.missingSince > m_settings.missingGrace && now > end + forgetDelay)
             expired.push_back(id);
@@ -120,17 +116,23 @@
         loseWorker(id, "unreachable and not registered");
 }
 
+// Each lost task takes its run out of the worker's, so the tasks are collected first.
+void JobScheduler::loseRuns(const Worker& worker, const char* reason)
+{
+    std::vector<TaskKey> tasks;
+    for (const auto& [task, run] : worker.runs)
+        tasks.push_back(task);
+    for (const auto& task : tasks)
+        taskLost(task, reason);
+}
+
 void JobScheduler::loseWorker(const WorkerId& id, const char* reason)
 {
     Worker* worker = m_workers.find(id);
     if (worker == nullptr)
         return;
     m_log.record("worker_lost", { { "worker", id.value() }, { "runs", worker->runs.size() }, { "reason", reason } });
-    std::vector<TaskKey> tasks;
-    for (const auto& [task, run] : worker->runs)
-        tasks.push_back(task);
-    for (const auto& task : tasks)
-        taskLost(task, reason);
+    loseRuns(*worker, reason);
     m_workers.erase(id);
     m_storedWorkers.erase(id);
     m_quarantine.forget(id);
@@ -208,11 +210,7 @@
     worker.acknowledgements.reset();
     worker.strays.clear();
     worker.link->resetEnds();
-    std::vector<TaskKey> tasks;
-    for (const auto& [task, run] : worker.runs)
-        tasks.push_back(task);
-    for (const auto& task : tasks)
-        taskLost(task, "worker restarted");
+    loseRuns(worker, "worker restarted");
     for (auto& [id, job] : m_jobs) {
         for (auto& [n, occurrence] : job->open) {
             for (auto& step : occurrence.steps)
@@ -293,9 +291,7 @@
         task->checkpoint = end.checkpoint;
     const bool finished = end.kind == EndKind::Done && !isFinal(job->state) && !job->spec().steps[key.step].longRunning;
     if (finished) {
-        job->everStarted = true;
-        if (job->state == JobState::Queued)
-            job->state = JobState::Running;
+        noteStarted(*job);
         if (!current && task->occupiesWorker()) {
             // Another run of the task exists; its room stays reserved until it is gone.
             task->doneWithGang = true;
@@ -336,11 +332,7 @@
         if (task->phase == TaskPhase::Starting) {
             task->phase = TaskPhase::Running;
             task->confirmedAt = sentAt;
-            job->everStarted = true;
-            if (job->state == JobState::Queued) {
-                job->state = JobState::Running;
-                markChanged(*job);
-            }
+            noteStarted(*job);
         }
         if (!running.checkpoint.empty())
             task->checkpoint = running.checkpoint;
@@ -354,9 +346,6 @@
     const TaskKey& key = running.run.task;
     Job* job = find(key.job);
     Task* task = job != nullptr ? job->find(key) : nullptr;
-    // Before the jobs were read from the store nothing is known of them.
-    if (!m_recovered)
-        return;
     const bool wanted = task != nullptr && !isFinal(job->state) && job->accepted && task->phase == TaskPhase::Waiting
         && running.run.run >= task->run
         && std::find(task->failedRuns.begin(), task->failedRuns.end(), running.run.run) == task->failedRuns.end();
@@ -364,31 +353,13 @@
         stopStray(worker, running.run);
         return;
     }
-    const StepSpec& spec = job->spec().steps[key.step];
-    Step& step = *job->find(stepOf(key));
-    const TimePoint now = m_runtime.now();
-    task->phase = TaskPhase::Running;
-    task->run = running.run.run;
-    task->worker = worker.record.id;
-    task->since = now;
-    task->confirmedAt = now;
+    occupy(*job, key, worker, running.run.run, TaskPhase::Running);
+    task->confirmedAt = task->since;
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
-    ++step.occupying;
-    reserve(worker, key,
-        { .run = task->run,
-            .reserved = reservationOf(spec),
-            .charged = spec.request,
-            .servesUsers = spec.latencyTarget > Duration::zero(),
-            .usesIdleCpu = spec.usesIdleCpu });
-    m_usage[job->submission.account] += spec.request;
-    job->everStarted = true;
-    if (job->state == JobState::Queued) {
-        job->state = JobState::Running;
-        markChanged(*job);
-    }
+    noteStarted(*job);
     worker.strays.erase(key);
-    refreshReady(stepOf(key), *job, step);
+    refreshReady(stepOf(key), *job, *job->find(stepOf(key)));
     m_log.record(
         "run_adopted", { { "task", describe(key) }, { "run", task->run }, { "worker", worker.record.id.value() } });
 }
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -77,17 +77,26 @@
 }
 
 void JobScheduler::startTask(Job& job, const TaskKey& key, Worker& worker, RunNumber run)
+{
+    occupy(job, key, worker, run, TaskPhase::Starting);
+    Task& task = *job.find(key);
+    task.confirmedAt = {};
+    task.doneWithGang = false;
+    task.pacePercent = 100;
+    ++m_counters.starts;
+    sendStart(key, run, worker.record.id, 1);
+}
+
+// From now on a run of the task may exist on the worker.
+void JobScheduler::occupy(Job& job, const TaskKey& key, Worker& worker, RunNumber run, TaskPhase phase)
 {
     Step& step = *job.find(stepOf(key));
     const StepSpec& spec = job.spec().steps[key.step];
     Task& task = step.tasks[key.index];
-    task.phase = TaskPhase::Starting;
+    task.phase = phase;
     task.run = run;
     task.worker = worker.record.id;
     task.since = m_runtime.now();
-    task.confirmedAt = {};
-    task.doneWithGang = false;
-    task.pacePercent = 100;
     ++step.occupying;
     reserve(worker, key,
         { .run = run,
@@ -96,8 +105,15 @@
             .servesUsers = spec.latencyTarget > Duration::zero(),
             .usesIdleCpu = spec.usesIdleCpu });
     m_usage[job.submission.account] += spec.request;
-    ++m_counters.starts;
-    sendStart(key, run, worker.record.id, 1);
+}
+
+void JobScheduler::noteStarted(Job& job)
+{
+    job.everStarted = true;
+    if (job.state != JobState::Queued)
+        return;
+    job.state = JobState::Running;
+    markChanged(job);
 }
 
 void JobScheduler::sendStart(const TaskKey& key, RunNumber run, const WorkerId& workerId, int attempt)
@@ -154,11 +170,7 @@
         task->phase = TaskPhase::Running;
         task->since = now;
         task->confirmedAt = now;
-        if (!job->everStarted) {
-            job->everStarted = true;
-            job->state = JobState::Running;
-            markChanged(*job);
-        }
+        noteStarted(*job);
         m_log.record("task_started",
             { { "task", describe(key) }, { "run", run }, { "worker", workerId.value() }, { "epoch", m_epoch },
                 { "resumed", !task->checkpoint.empty() } });
--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -52,13 +52,6 @@
     return queue.openToAll ? std::optional(AccountId()) : std::nullopt;
 }
 
-Duration JobService::patienceOf(const ClientCall& call) const
-{
-    const Duration stated = std::chrono::milliseconds(call.patienceMs);
-    return std::max(
-        Duration::zero(), (stated > Duration::zero() ? stated : m_settings.defaultPatience) - m_settings.replyMargin);
-}
-
 void JobService::handle(const ClientCall& call, Reply reply)
 {
     if (!m_configuration || !m_scheduler.isActive()) {
@@ -125,7 +118,7 @@
     const ClientCall& call, const QueuePolicy& queue, const AccountId& account, const JobId& id, Reply reply)
 {
     ++m_counters.submissions;
-    const TimePoint deadline = m_runtime.now() + patienceOf(call);
+    const TimePoint deadline = replyDeadline(call, m_runtime.now());
     if (const auto it = m_pending.find(id); it != m_pending.end()) {
         ++m_counters.repeated;
         it->second.replies.push_back(std::move(reply));
@@ -225,15 +218,16 @@
         return;
     }
     const std::uint64_t n = ++m_nextCancel;
-    m_cancels[n] = { call, m_runtime.now() + patienceOf(call), std::move(reply) };
+    const TimePoint deadline = replyDeadline(call, m_runtime.now());
+    m_cancels[n] = { call, deadline, std::move(reply) };
     const auto answer = [this, n](const ClientReply& result) {
         auto node = m_cancels.extract(n);
         if (!node.empty())
             node.mapped().reply(result);
     };
     m_scheduler.cancel(id, [answer] { answer({ .kind = ReplyKind::Cancelled, .reason = {} }); });
-    m_runtime.after(
-        patienceOf(call), [answer] { answer({ .kind = ReplyKind::Unknown, .reason = "not stored in time" }); });
+    m_runtime.after(deadline - m_runtime.now(),
+        [answer] { answer({ .kind = ReplyKind::Unknown, .reason = "not stored in time" }); });
 }
 
 std::vector<JobService::Unfinished> JobService::end()
--- a/src/lycheeledge/jobs/JobService.h
+++ b/src/lycheeledge/jobs/JobService.h
@@ -16,8 +16,6 @@
 struct JobServiceSettings {
     /// Keyed calls are refused when the configuration was not confirmed for so long: a key may have been withdrawn.
     Duration keyFreshness = std::chrono::milliseconds(4300);
-    Duration replyMargin = std::chrono::milliseconds(60); ///< a reply leaves this long before the client gives up
-    Duration defaultPatience = std::chrono::seconds(3); ///< for calls that state none
     std::uint32_t storeRetryAfterS = 2; ///< Retry-After while the store takes no commits
 };
 
@@ -84,7 +82,6 @@
     void stored(const JobId& id);
     void resolve(const JobId& id, const ClientReply& reply);
     void recheckPending();
-    Duration patienceOf(const ClientCall& call) const;
     /** @brief Account of the call's key; an empty one for a queue open to all. Nothing if the key is unknown. */
     std::optional<AccountId> accountOf(const ClientCall& call, const QueuePolicy& queue) const;
 
--- a/src/lycheeledge/jobs/MemberMessages.h
+++ b/src/lycheeledge/jobs/MemberMessages.h
@@ -86,7 +86,6 @@
 public:
     virtual ~MemberListener() = default;
 
-    virtual void connected(MemberConnection connection) = 0; ///< opened by this process
     virtual void received(MemberConnection connection, const MemberMessage& message) = 0;
     virtual void closed(MemberConnection connection) = 0; ///< also if it could not be opened
 };
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -30,7 +30,7 @@
 
 struct OwnerLeaseSettings {
     std::string ownerKey = "lycheeledge/owner";
-    std::string headKey = "lycheeledge/head";
+    std::string headKey = headRecordKey;
     Duration timeToLive = std::chrono::milliseconds(1500); ///< bounds the takeover from an owner that died
     Duration renewInterval = std::chrono::milliseconds(350);
     Duration callTimeout = std::chrono::milliseconds(900); ///< above 240 ms, an answer at 60 x the usual time
--- a/src/lycheeledge/jobs/OwnerLink.cpp
+++ b/src/lycheeledge/jobs/OwnerLink.cpp
@@ -68,9 +68,7 @@
         reply({ .kind = ReplyKind::Refused, .retryAfterS = m_settings.retryAfterS, .reason = "no owner is known" });
         return;
     }
-    const Duration stated = std::chrono::milliseconds(call.patienceMs);
-    const Duration patience = stated > Duration::zero() ? stated : m_settings.defaultPatience;
-    adopt(call, m_runtime.now() + patience - m_settings.replyMargin, std::move(reply));
+    adopt(call, replyDeadline(call, m_runtime.now()), std::move(reply));
 }
 
 void OwnerLink::adopt(ClientCall call, TimePoint deadline, Reply reply)
@@ -96,14 +94,10 @@
 
 void OwnerLink::sendCall(std::uint64_t id)
 {
-    CallMessage message { id, m_calls[id].call };
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_calls[id].deadline - m_runtime.now());
-    message.call.patienceMs = std::max<std::int64_t>(1, left.count());
-    m_port.send(*m_connection, message);
+    const auto& waiting = m_calls[id];
+    m_port.send(*m_connection, CallMessage { id, withPatienceLeft(waiting.call, waiting.deadline, m_runtime.now()) });
 }
 
-void OwnerLink::connected(MemberConnection) { }
-
 void OwnerLink::received(MemberConnection connection, const MemberMessage& message)
 {
     m_heardAt = m_runtime.now();
--- a/src/lycheeledge/jobs/OwnerLink.h
+++ b/src/lycheeledge/jobs/OwnerLink.h
@@ -19,8 +19,6 @@
     Duration pingInterval = std::chrono::milliseconds(400);
     Duration silenceLimit = std::chrono::milliseconds(1300); ///< a connection without bytes for so long is given up
     Duration reconnectPause = std::chrono::milliseconds(150);
-    Duration replyMargin = std::chrono::milliseconds(60); ///< a reply leaves this long before the client gives up
-    Duration defaultPatience = std::chrono::seconds(3); ///< for calls that state none
     std::size_t maxCalls = 2000; ///< in progress; further ones are refused
     std::uint32_t retryAfterS = 1; ///< Retry-After while no owner is known; a takeover takes about 2.5 s
 };
@@ -49,7 +47,6 @@
     std::size_t callsInProgress() const { return m_calls.size(); }
 
     bool owns(MemberConnection connection) const { return m_connection == connection; }
-    void connected(MemberConnection connection);
     void received(MemberConnection connection, const MemberMessage& message);
     void closed(MemberConnection connection);
 
--- a/src/lycheeledge/jobs/OwnerSession.cpp
+++ b/src/lycheeledge/jobs/OwnerSession.cpp
@@ -67,6 +67,14 @@
 
 void OwnerSession::handle(const ClientCall& call, JobService::Reply reply) { m_service.handle(call, std::move(reply)); }
 
+void OwnerSession::retryLater(std::function<void()> step)
+{
+    m_runtime.after(m_settings.retryPause, [step = std::move(step), session = Session(m_session)] {
+        if (!session.expired())
+            step();
+    });
+}
+
 // --- Configuration ---
 
 void OwnerSession::readConfiguration()
@@ -80,10 +88,7 @@
                 if (!value.ok())
                     m_log.record("store_unreachable",
                         { { "call", "read_configuration" }, { "error", value.status().message() } });
-                m_runtime.after(m_settings.retryPause, [this, session] {
-                    if (!session.expired())
-                        readConfiguration();
-                });
+                retryLater([this] { readConfiguration(); });
                 return;
             }
             applyConfiguration(*value->entry);
@@ -105,10 +110,7 @@
                 return;
             if (!events.ok()) {
                 // A gap may hide changes, so the records are read again.
-                m_runtime.after(m_settings.retryPause, [this, session] {
-                    if (!session.expired())
-                        readConfiguration();
-                });
+                retryLater([this] { readConfiguration(); });
                 return;
             }
             for (const auto& event : events->events) {
@@ -153,10 +155,7 @@
                 return;
             if (!page.ok()) {
                 m_log.record("store_unreachable", { { "call", "list" }, { "error", page.status().message() } });
-                m_runtime.after(m_settings.retryPause, [this, prefix, &into, done, after, session] {
-                    if (!session.expired())
-                        readPages(prefix, into, done, after);
-                });
+                retryLater([this, prefix, &into, done, after] { readPages(prefix, into, done, after); });
                 return;
             }
             into.insert(into.end(), page->entries.begin(), page->entries.end());
@@ -174,10 +173,7 @@
             if (session.expired())
                 return;
             if (!value.ok()) {
-                m_runtime.after(m_settings.retryPause, [this, session] {
-                    if (!session.expired())
-                        readWorkerSet();
-                });
+                retryLater([this] { readWorkerSet(); });
                 return;
             }
             if (value->entry) {
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -71,6 +71,7 @@
 private:
     using Session = std::weak_ptr<int>;
 
+    void retryLater(std::function<void()> step);
     void readConfiguration();
     void watchOperator(Revision after);
     void applyConfiguration(const StoreEntry& entry);
--- a/src/lycheeledge/jobs/WorkerTable.cpp
+++ b/src/lycheeledge/jobs/WorkerTable.cpp
@@ -4,14 +4,14 @@
 
 namespace lycheeledge::jobs {
 
-Resources WorkerTable::capacity(const std::string& pool) const
+std::map<std::string, Resources> WorkerTable::capacityOfPools() const
 {
-    Resources sum;
+    std::map<std::string, Resources> result;
     for (const auto& [id, worker] : m_workers) {
-        if (worker.registered && worker.record.pool == pool)
-            sum += worker.record.capacity;
+        if (worker.registered)
+            result[worker.record.pool] += worker.record.capacity;
     }
-    return sum;
+    return result;
 }
 
 void reserve(Worker& worker, const TaskKey& task, const PlacedRun& run)
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace lycheeledge::jobs {
 
@@ -61,8 +62,8 @@
     Map& all() { return m_workers; }
     const Map& all() const { return m_workers; }
 
-    /** @brief Capacity of the registered workers of a pool. */
-    Resources capacity(const std::string& pool) const;
+    /** @brief Capacity of the registered workers of each pool. */
+    std::map<std::string, Resources> capacityOfPools() const;
 
 private:
     Map m_workers;
--- a/src/lycheeledge/protocol/FramedMemberPort.cpp
+++ b/src/lycheeledge/protocol/FramedMemberPort.cpp
@@ -20,9 +20,7 @@
     PeerTransport::Handlers result;
     result.datagram = [](const std::string&) {};
     result.accepted = [](PeerTransport::ConnectionId) {};
-    result.connected = [this](PeerTransport::ConnectionId connection) {
-        m_executor.execute([this, connection] { m_listener->connected(connection); });
-    };
+    result.connected = [](PeerTransport::ConnectionId) {}; // frames wait in the transport until it is open
     result.frame = [this](PeerTransport::ConnectionId connection, std::string frame) {
         m_executor.execute([this, connection, frame = std::move(frame)] { frameArrived(connection, frame); });
     };
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -261,8 +261,8 @@
         const auto* start = firstStart(cluster, taskOf(1, 0, 0, k));
         REQUIRE(start != nullptr);
         const auto at = std::chrono::duration_cast<milliseconds>(start->at.time_since_epoch()).count();
-        CHECK(at >= first + 1000 * k);
-        CHECK(at < first + 1000 * k + 300);
+        CHECK(at >= first + std::int64_t { 1000 } * k);
+        CHECK(at < first + std::int64_t { 1000 } * k + 300);
     }
 }
 
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -235,7 +235,7 @@
     cluster.kill(owner);
     CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(30)));
     CHECK(cluster.waitForState(2, "batch", JobState::Completed, seconds(30)));
-    CHECK(cluster.workers.violations() == std::vector<std::string> {});
+    CHECK(cluster.workers.violations().empty());
 }
 
 TEST_CASE("failures that a new owner learns of in any order count against the attempts", "[takeover]")
--- a/test/support/JobCluster.h
+++ b/test/support/JobCluster.h
@@ -207,7 +207,6 @@
     batch.prefix = "/batch/";
     batch.priority = 2;
     result.queues = { urgent, batch };
-    result.pools = { { .name = "pool" } };
     jobs::ClientAccount account;
     account.id = jobs::AccountId("account-1");
     account.keys = { "key-1" };
