Log where the time of a job went

Cause: job_ended said only that a job ended; whether it waited for admission, for room or for its tasks had to be pieced together from lines that the budget of the log had dropped. Change: job_ended tells the time since acceptance, the objective, and the parts admission, placement and running; worker_joined tells the labels.

--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -2,6 +2,7 @@
 
 #include "Job.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheeledge::jobs {
@@ -30,6 +31,16 @@
     return occurrence;
 }
 
+void Job::noteStepDone(const Step& step, TimePoint now)
+{
+    if (step.releasedAt == TimePoint() || step.placedAt == TimePoint())
+        return;
+    const TimePoint granted = std::clamp(step.admission.grantedAt, step.releasedAt, step.placedAt);
+    timing.admission += granted - step.releasedAt;
+    timing.placement += step.placedAt - granted;
+    timing.running += now - step.placedAt;
+}
+
 ProgressRecord Job::progress() const
 {
     ProgressRecord record { .state = state,
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -49,6 +49,16 @@
     bool asking = false;
     bool askedAhead = false; ///< before the step was released
     TimePoint nextAsk;
+    TimePoint grantedAt; ///< of the first grant; zero before
+};
+
+/** @brief Where the time of finished steps went, under this owner. Zero moments are unknown. */
+struct JobTiming {
+    Duration admission {}; ///< from release until the admission service granted the first worker
+    Duration placement {}; ///< from then until the last task had a worker
+    Duration running {}; ///< from then until the last task ended as done, repeated runs included
+
+    bool operator==(const JobTiming&) const = default;
 };
 
 struct Step {
@@ -58,6 +68,8 @@
     std::vector<RunNumber> failedGangRuns; ///< of a gang, as many as count against the attempts
     bool released = false; ///< all earlier steps that it names are done
     StepAdmission admission;
+    TimePoint releasedAt; ///< zero before, and for steps that an earlier owner released
+    TimePoint placedAt; ///< when its last task first had a worker; zero before
 
     bool hasWaiting() const { return done + occupying < tasks.size(); }
     bool isDone() const { return done == tasks.size(); }
@@ -80,6 +92,7 @@
     std::uint32_t nextOccurrence = 0;
     std::map<std::uint32_t, Occurrence> open;
     std::int64_t endedUnixMs = 0;
+    JobTiming timing;
     /// After a takeover: tasks that are not located may run on workers that have not reported.
     bool mayRunElsewhere = false;
 
@@ -88,6 +101,8 @@
     Step* find(const StepKey& key);
     /** @brief Adds an occurrence with all of its tasks waiting. */
     Occurrence& openOccurrence(std::uint32_t n, TimePoint now);
+    /** @brief Adds a step that has just ended to the timing. */
+    void noteStepDone(const Step& step, TimePoint now);
     ProgressRecord progress() const;
     /** @brief Restores what progress() returned. */
     void restore(const ProgressRecord& record, TimePoint now);
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -192,6 +192,7 @@
     void taskDone(Job& job, const TaskKey& key, Task& task);
     void taskFailed(Job& job, const TaskKey& key, Task& task, RunNumber run);
     void finish(Job& job, JobState state, const char* reason);
+    void logEnd(const Job& job, const char* reason);
     void markChanged(const Job& job, std::function<void()> stored = {});
 
     // Reports (JobSchedulerReports.cpp)
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -109,6 +109,8 @@
                 const auto& after = job.spec().steps[i].after;
                 step.released = std::all_of(after.begin(), after.end(),
                     [&steps = occurrence.steps](std::uint32_t k) { return steps[k].isDone(); });
+                if (step.released)
+                    step.releasedAt = m_runtime.now();
             }
             refreshReady({ job.id, n, i }, job, step);
         }
@@ -329,8 +331,11 @@
     if (placed < due.size() && queue->admission && withinLimit(job, spec, 1))
         askAdmission(job, key, *queue->admission);
     refreshReady(key, job, *step);
-    if (placed > 0 && !step->hasWaiting())
+    if (placed > 0 && !step->hasWaiting()) {
+        if (step->placedAt == TimePoint())
+            step->placedAt = now;
         noteUpcoming(job, key);
+    }
 }
 
 std::size_t JobScheduler::placeTasks(
@@ -442,6 +447,8 @@
         admission.allowed[grant.worker] = true;
         admission.tickets[grant.worker] = { grant.ticket, now + policy.validity };
     }
+    if (!grants->empty() && admission.grantedAt == TimePoint())
+        admission.grantedAt = now;
     admission.nextAsk = now + admissionRepeatPause;
     m_log.record("admission_answered",
         { { "job", key.job.value() }, { "step", key.step }, { "asked", asked.size() }, { "granted", grants->size() } });
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -2,6 +2,8 @@
 
 #include "JobScheduler.h"
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -39,7 +41,7 @@
             grown = grown || !m_storedWorkers.contains(record.id);
             m_log.record("worker_joined",
                 { { "worker", record.id.value() }, { "address", record.address },
-                    { "milli_cpu", record.capacity.milliCpu } });
+                    { "milli_cpu", record.capacity.milliCpu }, { "labels", absl::StrJoin(record.labels, ",") } });
             continue;
         }
         const bool drains = record.draining && !known->record.draining;
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -388,8 +388,10 @@
         }
     }
     refreshReady(stepOf(key), job, step);
-    if (step.isDone())
+    if (step.isDone()) {
+        job.noteStepDone(step, m_runtime.now());
         releaseSteps(job);
+    }
 }
 
 void JobScheduler::taskFailed(Job& job, const TaskKey& key, Task& task, RunNumber run)
@@ -409,6 +411,24 @@
         finish(job, JobState::Failed, "a task used up its attempts");
 }
 
+// Times are those of the last open occurrence; a job whose objective is past was late.
+void JobScheduler::logEnd(const Job& job, const char* reason)
+{
+    const auto ms = [](Duration value) { return std::chrono::duration_cast<std::chrono::milliseconds>(value).count(); };
+    if (job.open.empty()) {
+        m_log.record("job_ended",
+            { { "job", job.id.value() }, { "queue", job.submission.queue }, { "state", name(job.state) },
+                { "reason", reason } });
+        return;
+    }
+    const Occurrence& last = job.open.rbegin()->second;
+    m_log.record("job_ended",
+        { { "job", job.id.value() }, { "queue", job.submission.queue }, { "account", job.submission.account.value() },
+            { "state", name(job.state) }, { "reason", reason }, { "after_ms", ms(m_runtime.now() - last.releasedAt) },
+            { "objective_ms", ms(last.objective - last.releasedAt) }, { "admission_ms", ms(job.timing.admission) },
+            { "placement_ms", ms(job.timing.placement) }, { "running_ms", ms(job.timing.running) } });
+}
+
 void JobScheduler::finish(Job& job, JobState state, const char* reason)
 {
     job.state = state;
@@ -422,9 +442,7 @@
     m_counters.jobsCompleted += state == JobState::Completed ? 1 : 0;
     m_counters.jobsFailed += state == JobState::Failed ? 1 : 0;
     m_counters.jobsCancelled += state == JobState::Cancelled ? 1 : 0;
-    m_log.record("job_ended",
-        { { "job", job.id.value() }, { "queue", job.submission.queue }, { "account", job.submission.account.value() },
-            { "state", name(state) }, { "reason", reason } });
+    logEnd(job, reason);
     if (state != JobState::Completed)
         stopAll(job, reason);
 }
