Commit to the store in several lanes while it is slow

Besides, once all submissions had been refused nothing was left to commit, so nothing found out that the store was back. Change: a ledger has six lanes, each a sequence of commits fenced by a head record of its own; a claim writes all heads, on the condition of an epoch record that only claims write. One lane is used while commits take under 60 ms. A lane whose commits fail sends an empty one now and then.

--- a/src/lycheeledge/jobs/ClusterStore.h
+++ b/src/lycheeledge/jobs/ClusterStore.h
@@ -14,8 +14,12 @@
 
 namespace lycheeledge::jobs {
 
-/** @brief Key of the record that fences commits: the claim of an owner and each of its commits write it anew. */
-inline constexpr const char* headRecordKey = "lycheeledge/head";
+/// Sequences of commits that may run side by side; six carry 46 submissions a second, and what follows from them, at
+/// 240 ms a call.
+inline constexpr std::size_t ledgerLanes = 6;
+
+/** @brief Key of the record that fences a lane's commits: the claim of an owner and each commit write it anew. */
+inline std::string headRecordKey(std::size_t lane) { return "lycheeledge/head/" + std::to_string(lane); }
 
 struct StoreValue {
     Revision asOf = 0; ///< store revision of the response
--- a/src/lycheeledge/jobs/JobLedger.cpp
+++ b/src/lycheeledge/jobs/JobLedger.cpp
@@ -1,9 +1,7 @@
-// Writes changes of jobs to the store in group commits.
+// Writes changes of jobs to the store: spreads them over lanes of group commits.
 
 #include "JobLedger.h"
 
-#include <absl/strings/str_cat.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -11,320 +9,101 @@
 
 namespace {
 
-    // A new submission is refused at once after this time without an applied commit. Longer than one lost answer.
-    constexpr Duration stallTime = std::chrono::milliseconds(1200);
-    // A store that only turns calls away for so long counts as down; shorter times are limits on its rate.
-    constexpr Duration rejectTime = std::chrono::milliseconds(150);
-    // Rows of a transaction besides those of jobs: head condition, configuration condition, head, set of workers.
-    constexpr std::size_t reservedEntries = 4;
-    constexpr std::size_t maxEntriesOfJob = 2;
-
-    void callAll(std::vector<std::function<void()>> callbacks)
-    {
-        for (auto& callback : callbacks) {
-            if (callback)
-                callback();
-        }
-    }
-
-    std::size_t sizeOf(const StoreTransaction& transaction)
-    {
-        std::size_t n = 0;
-        for (const auto& put : transaction.puts)
-            n += put.key.size() + put.value.size();
-        return n;
-    }
+    // Commits take 13 ms while the store is well.
+    constexpr Duration slowCommit = std::chrono::milliseconds(60);
 
 } // namespace
 
 JobLedger::JobLedger(Runtime& runtime, ClusterStore& store, const RecordCodec& codec, EventLog& log,
-    std::string configurationKey, LedgerSettings settings)
-    : m_runtime(runtime)
-    , m_store(store)
-    , m_codec(codec)
-    , m_log(log)
-    , m_configurationKey(std::move(configurationKey))
-    , m_settings(settings)
-{
-}
-
-JobLedger::~JobLedger() { close(); }
-
-void JobLedger::open(const std::string& headValue, Revision headRevision)
+    const std::string& configurationKey, const LedgerSettings& settings)
+    : m_settings(settings)
 {
-    close();
-    m_open = true;
-    m_session = std::make_shared<int>();
-    m_headPrefix = headValue;
-    m_sequence = 0;
-    m_headRevision = headRevision;
-    m_failingSince.reset();
-    schedule();
+    for (std::size_t i = 0; i < ledgerLanes; ++i)
+        m_lanes.push_back(std::make_unique<LedgerLane>(
+            runtime, store, codec, log, headRecordKey(i), configurationKey, m_keys, settings));
 }
 
-void JobLedger::close()
+void JobLedger::setSource(LedgerSource* source)
 {
-    m_open = false;
-    m_session.reset();
-    m_batch.reset();
-    m_dirty.clear();
-    m_waiting.clear();
-    m_workers.reset();
-    m_workersStored.clear();
-    m_flushed.clear();
-    if (m_timer)
-        m_runtime.cancel(*m_timer);
-    m_timer.reset();
+    for (auto& lane : m_lanes)
+        lane->setSource(source);
 }
 
-void JobLedger::changed(const JobId& job, std::function<void()> stored)
-{
-    if (!m_open)
-        return;
-    const auto [it, added] = m_waiting.try_emplace(job);
-    if (added)
-        m_dirty.push_back(job);
-    if (stored)
-        it->second.push_back(std::move(stored));
-    schedule();
-}
-
-void JobLedger::setWorkers(WorkerSetRecord workers, std::function<void()> stored)
-{
-    if (!m_open)
-        return;
-    m_workers = std::move(workers);
-    m_workersStored.push_back(std::move(stored));
-    schedule();
-}
-
-void JobLedger::whenFlushed(std::function<void()> done)
-{
-    if (!m_open || (!m_batch && m_dirty.empty() && !m_workers))
-        m_runtime.post(std::move(done));
-    else if (!m_dirty.empty())
-        m_waiting[m_dirty.back()].push_back(std::move(done)); // jobs are stored in the order of this queue
-    else
-        m_flushed.push_back(std::move(done));
-}
-
-bool JobLedger::isCommitting(const JobId& job) const
+void JobLedger::open(const std::string& headValue, Revision headRevision)
 {
-    return m_batch && std::any_of(m_batch->entries.begin(), m_batch->entries.end(), [&job](const Entry& entry) {
-        return entry.job == job;
-    });
+    for (auto& lane : m_lanes)
+        lane->open(headValue, headRevision);
 }
 
-bool JobLedger::isStalled() const { return m_failingSince && m_runtime.now() - *m_failingSince > stallTime; }
-
-void JobLedger::schedule()
+void JobLedger::close()
 {
-    if (!m_open || m_batch || m_timer || (m_dirty.empty() && !m_workers))
-        return;
-    const Duration delay = std::max(Duration::zero(), Duration(m_nextCommit - m_runtime.now()));
-    m_timer = m_runtime.after(delay, [this] {
-        m_timer.reset();
-        pump();
-    });
+    for (auto& lane : m_lanes)
+        lane->close();
 }
 
-void JobLedger::pump()
+bool JobLedger::isStoreSlow() const
 {
-    if (!m_open || m_batch)
-        return;
-    Batch batch = takeBatch();
-    if (batch.entries.empty() && !batch.writesWorkers) {
-        callAll(std::exchange(m_flushed, {}));
-        return;
-    }
-    m_batch = std::move(batch);
-    m_batch->firstSent = m_runtime.now();
-    send();
+    const LedgerLane& first = *m_lanes.front();
+    return std::max(first.commitAge(), first.lastCommitTime()) > slowCommit;
 }
 
-JobLedger::Batch JobLedger::takeBatch()
+LedgerLane& JobLedger::laneOf(const JobId& job)
 {
-    Batch batch;
-    auto& transaction = batch.transaction;
-    if (m_workers) {
-        batch.writesWorkers = true;
-        batch.workersStored = std::exchange(m_workersStored, {});
-        transaction.puts.push_back({ m_keys.workers, m_codec.encode(*m_workers), std::nullopt });
-        m_workers.reset();
+    for (auto& lane : m_lanes) {
+        if (lane->holds(job))
+            return *lane;
     }
-    std::size_t n = reservedEntries;
-    while (!m_dirty.empty() && n + maxEntriesOfJob <= m_settings.maxEntries
-        && sizeOf(transaction) < m_settings.maxBatchBytes) {
-        const JobId job = std::move(m_dirty.front());
-        m_dirty.pop_front();
-        auto waiting = m_waiting.extract(job);
-        auto change = m_source->changeOf(job);
-        if (!change)
-            continue;
-        n += append(batch, job, *change);
-        batch.entries.push_back({ job, *std::move(change), std::move(waiting.mapped()) });
+    const bool slow = isStoreSlow();
+    for (auto& lane : m_lanes) {
+        if (slow ? !lane->isBusy() : lane->waitingJobs() < m_settings.maxEntries)
+            return *lane;
     }
-    batch.headValue = nextHeadValue();
-    transaction.puts.push_back({ m_keys.head, batch.headValue, std::nullopt });
-    transaction.conditions.push_back({ m_keys.head, m_headRevision });
-    if (batch.checksConfiguration)
-        transaction.conditions.push_back({ m_configurationKey, m_source->configurationRevision() });
-    return batch;
+    return **std::min_element(m_lanes.begin(), m_lanes.end(),
+        [](const auto& a, const auto& b) { return a->waitingJobs() < b->waitingJobs(); });
 }
 
-std::size_t JobLedger::append(Batch& batch, const JobId& job, const JobChange& change) const
+void JobLedger::setWorkers(WorkerSetRecord workers, std::function<void()> stored)
 {
-    auto& transaction = batch.transaction;
-    const std::size_t before = transaction.puts.size() + transaction.erases.size();
-    const std::string submissionKey = m_keys.submissionPrefix + job.value();
-    const std::string progressKey = m_keys.progressPrefix + job.value();
-    if (change.submission) {
-        transaction.puts.push_back({ submissionKey, m_codec.encode(*change.submission), std::nullopt });
-        batch.checksConfiguration = true;
-    }
-    if (change.progress)
-        transaction.puts.push_back({ progressKey, m_codec.encode(*change.progress), std::nullopt });
-    if (change.eraseSubmission)
-        transaction.erases.push_back(submissionKey);
-    if (change.eraseProgress)
-        transaction.erases.push_back(progressKey);
-    return transaction.puts.size() + transaction.erases.size() - before;
+    m_lanes.front()->setWorkers(std::move(workers), std::move(stored));
 }
 
-std::string JobLedger::nextHeadValue() { return absl::StrCat(m_headPrefix, "/", ++m_sequence); }
-
-void JobLedger::send()
+void JobLedger::whenFlushed(std::function<void()> done)
 {
-    m_nextCommit = m_runtime.now() + m_settings.commitInterval;
-    m_store.commit(m_batch->transaction, m_settings.commitTimeout,
-        [this, sentAt = m_runtime.now(), session = std::weak_ptr<int>(m_session)](
-            const absl::StatusOr<CommitResult>& result) {
-            if (!session.expired())
-                answered(sentAt, result);
+    const auto pending = std::make_shared<std::size_t>(m_lanes.size());
+    for (auto& lane : m_lanes) {
+        lane->whenFlushed([pending, done] {
+            if (--*pending == 0)
+                done();
         });
-}
-
-void JobLedger::answered(TimePoint sentAt, const absl::StatusOr<CommitResult>& result)
-{
-    if (!result.ok()) {
-        failed(sentAt, result.status());
-        return;
-    }
-    if (m_failingSince) {
-        m_log.record("store_commit_recovered",
-            { { "failing_ms", std::chrono::duration<double, std::milli>(m_runtime.now() - *m_failingSince).count() } });
-        m_failingSince.reset();
     }
-    if (result->applied)
-        applied(sentAt, result->revision);
-    else
-        refused(*result);
 }
 
-void JobLedger::failed(TimePoint sentAt, const absl::Status& status)
+bool JobLedger::isCommitting(const JobId& job) const
 {
-    if (!m_failingSince) {
-        m_failingSince = sentAt;
-        m_log.record("store_commit_failing", { { "entries", m_batch->entries.size() }, { "error", status.message() } });
-    }
-    // Only UNAVAILABLE says that the store did nothing.
-    m_batch->maybeApplied = m_batch->maybeApplied || !absl::IsUnavailable(status);
-    if (!m_batch->maybeApplied && m_runtime.now() - m_batch->firstSent > rejectTime) {
-        rejectSubmissions();
-        return;
-    }
-    m_timer = m_runtime.after(m_settings.retryPause, [this] {
-        m_timer.reset();
-        send();
-    });
+    return std::any_of(m_lanes.begin(), m_lanes.end(), [&job](const auto& lane) { return lane->isCommitting(job); });
 }
 
-// The store certainly has nothing of this batch, so its submissions can be refused instead of leaving their clients
-// in doubt. Everything else is put back.
-void JobLedger::rejectSubmissions()
+bool JobLedger::isStalled() const
 {
-    Batch batch = *std::exchange(m_batch, std::nullopt);
-    std::vector<JobId> rejected;
-    std::erase_if(batch.entries, [&rejected](const Entry& entry) {
-        if (!entry.change.submission)
-            return false;
-        rejected.push_back(entry.job);
-        return true;
-    });
-    putBack(std::move(batch));
-    const std::weak_ptr<int> session = m_session;
-    if (!rejected.empty())
-        m_source->submissionsRejected(rejected);
-    if (session.expired())
-        return;
-    m_nextCommit = m_runtime.now() + m_settings.retryPause;
-    schedule();
+    const auto last = lastCommit();
+    return std::any_of(m_lanes.begin(), m_lanes.end(),
+        [&last](const auto& lane) { return lane->isStalled() && (!last || *last < *lane->failingSince()); });
 }
 
-void JobLedger::applied(TimePoint sentAt, Revision revision)
+std::optional<TimePoint> JobLedger::lastCommit() const
 {
-    m_headRevision = revision;
-    m_lastCommit = sentAt;
-    ++m_commits;
-    const Batch batch = *std::exchange(m_batch, std::nullopt);
-    const std::weak_ptr<int> session = m_session;
-    for (const auto& entry : batch.entries) {
-        m_source->changeStored(entry.job, entry.change);
-        callAll(entry.stored);
-        if (session.expired())
-            return;
-    }
-    callAll(batch.workersStored);
-    if (session.expired())
-        return;
-    callAll(std::exchange(m_flushed, {}));
-    if (!session.expired())
-        schedule();
+    std::optional<TimePoint> result;
+    for (const auto& lane : m_lanes)
+        result = std::max(result, lane->lastCommit()); // nothing is less than any time
+    return result;
 }
 
-void JobLedger::refused(const CommitResult& result)
+std::uint64_t JobLedger::commits() const
 {
-    const auto head = std::find_if(result.current.begin(), result.current.end(),
-        [this](const StoreEntry& entry) { return entry.key == m_keys.head; });
-    if (head != result.current.end() && head->value == m_batch->headValue) {
-        applied(m_runtime.now(), head->modRevision); // an earlier copy of this transaction
-        return;
-    }
-    if (head == result.current.end() || head->modRevision != m_headRevision) {
-        m_log.record("ledger_lost",
-            { { "expected_revision", m_headRevision },
-                { "head", head == result.current.end() ? std::string() : head->value } });
-        m_source->ledgerLost();
-        return;
-    }
-    // The head is ours, so the configuration has changed. Late copies of this transaction fail for the same reason.
-    putBack(*std::exchange(m_batch, std::nullopt));
-    const auto configuration = std::find_if(result.current.begin(), result.current.end(),
-        [this](const StoreEntry& entry) { return entry.key == m_configurationKey; });
-    const std::weak_ptr<int> session = m_session;
-    if (configuration != result.current.end())
-        m_source->configurationSuperseded(*configuration);
-    if (!session.expired())
-        schedule();
-}
-
-void JobLedger::putBack(Batch batch)
-{
-    for (auto it = batch.entries.rbegin(); it != batch.entries.rend(); ++it) {
-        const auto [waiting, added] = m_waiting.try_emplace(it->job);
-        if (added)
-            m_dirty.push_front(it->job);
-        waiting->second.insert(waiting->second.begin(), std::make_move_iterator(it->stored.begin()),
-            std::make_move_iterator(it->stored.end()));
-    }
-    if (batch.writesWorkers && !m_workers) {
-        // The set is part of the transaction, so it is taken from there.
-        const auto workers = m_codec.decodeWorkerSet(batch.transaction.puts.front().value);
-        if (workers.ok())
-            m_workers = *workers;
-    }
-    m_workersStored.insert(m_workersStored.begin(), std::make_move_iterator(batch.workersStored.begin()),
-        std::make_move_iterator(batch.workersStored.end()));
+    std::uint64_t n = 0;
+    for (const auto& lane : m_lanes)
+        n += lane->commits();
+    return n;
 }
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/JobLedger.h
+++ b/src/lycheeledge/jobs/JobLedger.h
@@ -1,15 +1,8 @@
-// Writes changes of jobs to the store in group commits.
+// Writes changes of jobs to the store: spreads them over lanes of group commits.
 #pragma once
 
-#include "../coordination/Runtime.h"
-#include "ClusterStore.h"
-#include "EventLog.h"
-#include "JobRecord.h"
+#include "LedgerLane.h"
 
-#include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
-
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -18,69 +11,29 @@
 
 namespace lycheeledge::jobs {
 
-struct LedgerSettings {
-    Duration commitInterval = std::chrono::milliseconds(12); ///< groups changes; one commit takes about 13 ms
-    Duration commitTimeout = std::chrono::milliseconds(450); ///< above 240 ms, an answer of the store at 60 x its time
-    Duration retryPause = std::chrono::milliseconds(60);
-    std::size_t maxEntries = 32; ///< of a transaction, conditions included (platform's limit)
-    std::size_t maxBatchBytes = 400 << 10; ///< keeps a transaction well under the store's 1 MB
-};
-
-/** @brief Keys of the scheduler's records in the store. */
-struct LedgerKeys {
-    std::string head = headRecordKey;
-    std::string submissionPrefix = "lycheeledge/submission/";
-    std::string progressPrefix = "lycheeledge/progress/";
-    std::string workers = "lycheeledge/workers";
-};
-
-/** @brief What is to be written of one job. */
-struct JobChange {
-    std::optional<SubmissionRecord> submission; ///< set for a job that is not stored yet
-    std::optional<ProgressRecord> progress;
-    bool eraseSubmission = false; ///< the job has ended; its spec is not needed any more
-    bool eraseProgress = false; ///< the job is forgotten
-};
-
-/** @brief Owner of the jobs that the ledger stores. */
-class LedgerSource {
-public:
-    virtual ~LedgerSource() = default;
-
-    /** @brief Snapshot to write now; nothing if the job is gone. */
-    virtual std::optional<JobChange> changeOf(const JobId& job) = 0;
-    virtual void changeStored(const JobId& job, const JobChange& change) = 0;
-    /** @brief The epoch in the store is another's: this process is not the owner any more. */
-    virtual void ledgerLost() = 0;
-    /** @brief These submissions were not stored and will not be: the store did nothing. */
-    virtual void submissionsRejected(const std::vector<JobId>& jobs) = 0;
-    /** @brief A new configuration stopped a commit with submissions, which are offered again afterwards. */
-    virtual void configurationSuperseded(const StoreEntry& configuration) = 0;
-    /** @brief Store revision of the configuration against which waiting submissions were checked. */
-    virtual Revision configurationRevision() const = 0;
-};
-
 /**
- * @brief Group commit of job records, fenced by the head record.
+ * @brief Lanes of group commits that run side by side.
+ *
+ * Answers a store that takes hundreds of milliseconds for a call: one lane would then commit four times a second, and
+ * accepted jobs and ends would queue for seconds. While the store is fast, one lane is used, since each call is paid
+ * for.
  *
- * Every transaction requires the revision of the head record that the last one wrote, and writes it anew. So a
- * transaction whose answer was lost can be sent again: it, or its late copy, is applied at most once and in order.
+ * Invariant: a job is held by one lane at a time, so its records are written in order. A claim of the ownership writes
+ * the head records of all lanes, which fences every commit of an earlier owner.
  */
 class JobLedger {
 public:
     JobLedger(Runtime& runtime, ClusterStore& store, const RecordCodec& codec, EventLog& log,
-        std::string configurationKey, LedgerSettings settings = {});
-    ~JobLedger();
+        const std::string& configurationKey, const LedgerSettings& settings = {});
 
-    void setSource(LedgerSource* source) { m_source = source; }
-    /** @brief Begins to write. @param headRevision of the head record that this owner wrote. */
+    void setSource(LedgerSource* source);
+    /** @brief Begins to write. @param headRevision of the head records that this owner's claim wrote. */
     void open(const std::string& headValue, Revision headRevision);
-    /** @brief Stops writing and drops what waits; a commit in progress may still be applied. */
+    /** @brief Stops writing and drops what waits; commits in progress may still be applied. */
     void close();
-    bool isOpen() const { return m_open; }
 
     /** @brief The job has changed. @param stored called once a snapshot taken after this call is stored. */
-    void changed(const JobId& job, std::function<void()> stored = {});
+    void changed(const JobId& job, std::function<void()> stored = {}) { laneOf(job).changed(job, std::move(stored)); }
     /** @brief Replaces the set of known workers. */
     void setWorkers(WorkerSetRecord workers, std::function<void()> stored);
     /** @brief Calls `done` when everything that waits now is stored. */
@@ -88,66 +41,19 @@
 
     /** @brief Whether a commit with this job is in progress. */
     bool isCommitting(const JobId& job) const;
-    /** @brief Whether commits have been failing for a while. */
+    /** @brief Whether commits have been failing for a while, and none was applied meanwhile. */
     bool isStalled() const;
-    std::optional<TimePoint> lastCommit() const { return m_lastCommit; } ///< sent time of the last applied one
-    std::uint64_t commits() const { return m_commits; }
+    std::optional<TimePoint> lastCommit() const; ///< sent time of the last applied one
+    std::uint64_t commits() const;
     const LedgerKeys& keys() const { return m_keys; }
 
 private:
-    struct Entry {
-        JobId job;
-        JobChange change;
-        std::vector<std::function<void()>> stored;
-    };
-    struct Batch {
-        std::vector<Entry> entries;
-        bool writesWorkers = false;
-        std::vector<std::function<void()>> workersStored;
-        StoreTransaction transaction;
-        bool checksConfiguration = false;
-        std::string headValue;
-        bool maybeApplied = false; ///< a copy of it may have been executed, or may be later
-        TimePoint firstSent;
-    };
-
-    void schedule();
-    void pump();
-    Batch takeBatch();
-    std::size_t append(Batch& batch, const JobId& job, const JobChange& change) const;
-    void send();
-    void answered(TimePoint sentAt, const absl::StatusOr<CommitResult>& result);
-    void applied(TimePoint sentAt, Revision revision);
-    void refused(const CommitResult& result);
-    void failed(TimePoint sentAt, const absl::Status& status);
-    void rejectSubmissions();
-    void putBack(Batch batch);
-    std::string nextHeadValue();
+    LedgerLane& laneOf(const JobId& job);
+    bool isStoreSlow() const;
 
-    Runtime& m_runtime;
-    ClusterStore& m_store;
-    const RecordCodec& m_codec;
-    EventLog& m_log;
-    std::string m_configurationKey;
     LedgerSettings m_settings;
     LedgerKeys m_keys;
-    LedgerSource* m_source = nullptr;
-    bool m_open = false;
-    std::string m_headPrefix; ///< names this ownership; followed by the number of the commit
-    std::uint64_t m_sequence = 0;
-    Revision m_headRevision = 0;
-    std::deque<JobId> m_dirty; ///< in order of their first change; each job once
-    absl::flat_hash_map<JobId, std::vector<std::function<void()>>> m_waiting; ///< keys are those of m_dirty
-    std::optional<WorkerSetRecord> m_workers; ///< to be written
-    std::vector<std::function<void()>> m_workersStored;
-    std::vector<std::function<void()>> m_flushed;
-    std::optional<Batch> m_batch; ///< in progress; sent again until its fate is known
-    std::optional<Runtime::TimerId> m_timer;
-    std::optional<TimePoint> m_failingSince;
-    std::optional<TimePoint> m_lastCommit;
-    TimePoint m_nextCommit;
-    std::uint64_t m_commits = 0;
-    std::shared_ptr<int> m_session; ///< expires when this ownership is closed
+    std::vector<std::unique_ptr<LedgerLane>> m_lanes; ///< never empty
 };
 
 } // namespace lycheeledge::jobs
--- /dev/null
+++ b/src/lycheeledge/jobs/LedgerLane.cpp
@@ -0,0 +1,335 @@
+// One sequence of group commits to the store.
+
+#include "LedgerLane.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    // A new submission is refused at once after this time without an applied commit. Longer than one lost answer.
+    constexpr Duration stallTime = std::chrono::milliseconds(1200);
+    // A store that only turns calls away for so long counts as down; shorter times are limits on its rate.
+    constexpr Duration rejectTime = std::chrono::milliseconds(150);
+    // Rows of a transaction besides those of jobs: head condition, configuration condition, head, set of workers.
+    constexpr std::size_t reservedEntries = 4;
+    constexpr std::size_t maxEntriesOfJob = 2;
+
+    void callAll(std::vector<std::function<void()>> callbacks)
+    {
+        for (auto& callback : callbacks) {
+            if (callback)
+                callback();
+        }
+    }
+
+    std::size_t sizeOf(const StoreTransaction& transaction)
+    {
+        std::size_t n = 0;
+        for (const auto& put : transaction.puts)
+            n += put.key.size() + put.value.size();
+        return n;
+    }
+
+} // namespace
+
+LedgerLane::LedgerLane(Runtime& runtime, ClusterStore& store, const RecordCodec& codec, EventLog& log,
+    std::string headKey, std::string configurationKey, LedgerKeys keys, const LedgerSettings& settings)
+    : m_runtime(runtime)
+    , m_store(store)
+    , m_codec(codec)
+    , m_log(log)
+    , m_headKey(std::move(headKey))
+    , m_configurationKey(std::move(configurationKey))
+    , m_settings(settings)
+    , m_keys(std::move(keys))
+{
+}
+
+LedgerLane::~LedgerLane() { close(); }
+
+void LedgerLane::open(const std::string& headValue, Revision headRevision)
+{
+    close();
+    m_open = true;
+    m_session = std::make_shared<int>();
+    m_headPrefix = headValue;
+    m_sequence = 0;
+    m_headRevision = headRevision;
+    m_failingSince.reset();
+    m_lastCommitTime = {};
+    schedule();
+}
+
+void LedgerLane::close()
+{
+    m_open = false;
+    m_session.reset();
+    m_batch.reset();
+    m_dirty.clear();
+    m_waiting.clear();
+    m_workers.reset();
+    m_workersStored.clear();
+    m_flushed.clear();
+    if (m_timer)
+        m_runtime.cancel(*m_timer);
+    m_timer.reset();
+}
+
+void LedgerLane::changed(const JobId& job, std::function<void()> stored)
+{
+    if (!m_open)
+        return;
+    const auto [it, added] = m_waiting.try_emplace(job);
+    if (added)
+        m_dirty.push_back(job);
+    if (stored)
+        it->second.push_back(std::move(stored));
+    schedule();
+}
+
+void LedgerLane::setWorkers(WorkerSetRecord workers, std::function<void()> stored)
+{
+    if (!m_open)
+        return;
+    m_workers = std::move(workers);
+    m_workersStored.push_back(std::move(stored));
+    schedule();
+}
+
+void LedgerLane::whenFlushed(std::function<void()> done)
+{
+    if (!m_open || !isBusy())
+        m_runtime.post(std::move(done));
+    else if (!m_dirty.empty())
+        m_waiting[m_dirty.back()].push_back(std::move(done)); // jobs are stored in the order of this queue
+    else
+        m_flushed.push_back(std::move(done));
+}
+
+bool LedgerLane::isCommitting(const JobId& job) const
+{
+    return m_batch && std::any_of(m_batch->entries.begin(), m_batch->entries.end(), [&job](const Entry& entry) {
+        return entry.job == job;
+    });
+}
+
+bool LedgerLane::isStalled() const { return m_failingSince && m_runtime.now() - *m_failingSince > stallTime; }
+
+void LedgerLane::schedule()
+{
+    if (!m_open || m_batch || m_timer || (m_dirty.empty() && !m_workers && !m_failingSince))
+        return;
+    const Duration delay = std::max(Duration::zero(), Duration(m_nextCommit - m_runtime.now()));
+    m_timer = m_runtime.after(delay, [this] {
+        m_timer.reset();
+        pump();
+    });
+}
+
+void LedgerLane::pump()
+{
+    if (!m_open || m_batch)
+        return;
+    Batch batch = takeBatch();
+    // While commits fail, an empty one finds out when the store is back: submissions are refused until then.
+    if (batch.entries.empty() && !batch.writesWorkers && !m_failingSince) {
+        callAll(std::exchange(m_flushed, {}));
+        return;
+    }
+    m_batch = std::move(batch);
+    m_batch->firstSent = m_runtime.now();
+    send();
+}
+
+LedgerLane::Batch LedgerLane::takeBatch()
+{
+    Batch batch;
+    auto& transaction = batch.transaction;
+    if (m_workers) {
+        batch.writesWorkers = true;
+        batch.workersStored = std::exchange(m_workersStored, {});
+        transaction.puts.push_back({ m_keys.workers, m_codec.encode(*m_workers), std::nullopt });
+        m_workers.reset();
+    }
+    std::size_t n = reservedEntries;
+    while (!m_dirty.empty() && n + maxEntriesOfJob <= m_settings.maxEntries
+        && sizeOf(transaction) < m_settings.maxBatchBytes) {
+        const JobId job = std::move(m_dirty.front());
+        m_dirty.pop_front();
+        auto waiting = m_waiting.extract(job);
+        auto change = m_source->changeOf(job);
+        if (!change)
+            continue;
+        n += append(batch, job, *change);
+        batch.entries.push_back({ job, *std::move(change), std::move(waiting.mapped()) });
+    }
+    batch.headValue = nextHeadValue();
+    transaction.puts.push_back({ m_headKey, batch.headValue, std::nullopt });
+    transaction.conditions.push_back({ m_headKey, m_headRevision });
+    if (batch.checksConfiguration)
+        transaction.conditions.push_back({ m_configurationKey, m_source->configurationRevision() });
+    return batch;
+}
+
+std::size_t LedgerLane::append(Batch& batch, const JobId& job, const JobChange& change) const
+{
+    auto& transaction = batch.transaction;
+    const std::size_t before = transaction.puts.size() + transaction.erases.size();
+    const std::string submissionKey = m_keys.submissionPrefix + job.value();
+    const std::string progressKey = m_keys.progressPrefix + job.value();
+    if (change.submission) {
+        transaction.puts.push_back({ submissionKey, m_codec.encode(*change.submission), std::nullopt });
+        batch.checksConfiguration = true;
+    }
+    if (change.progress)
+        transaction.puts.push_back({ progressKey, m_codec.encode(*change.progress), std::nullopt });
+    if (change.eraseSubmission)
+        transaction.erases.push_back(submissionKey);
+    if (change.eraseProgress)
+        transaction.erases.push_back(progressKey);
+    return transaction.puts.size() + transaction.erases.size() - before;
+}
+
+std::string LedgerLane::nextHeadValue() { return absl::StrCat(m_headPrefix, "/", ++m_sequence); }
+
+void LedgerLane::send()
+{
+    m_nextCommit = m_runtime.now() + m_settings.commitInterval;
+    m_store.commit(m_batch->transaction, m_settings.commitTimeout,
+        [this, sentAt = m_runtime.now(), session = std::weak_ptr<int>(m_session)](
+            const absl::StatusOr<CommitResult>& result) {
+            if (!session.expired())
+                answered(sentAt, result);
+        });
+}
+
+void LedgerLane::answered(TimePoint sentAt, const absl::StatusOr<CommitResult>& result)
+{
+    if (!result.ok()) {
+        failed(sentAt, result.status());
+        return;
+    }
+    if (m_failingSince) {
+        m_log.record("store_commit_recovered",
+            { { "failing_ms", std::chrono::duration<double, std::milli>(m_runtime.now() - *m_failingSince).count() } });
+        m_failingSince.reset();
+    }
+    if (result->applied)
+        applied(sentAt, result->revision);
+    else
+        refused(*result);
+}
+
+void LedgerLane::failed(TimePoint sentAt, const absl::Status& status)
+{
+    if (!m_failingSince) {
+        m_failingSince = sentAt;
+        m_log.record("store_commit_failing", { { "entries", m_batch->entries.size() }, { "error", status.message() } });
+    }
+    // Only UNAVAILABLE says that the store did nothing.
+    m_batch->maybeApplied = m_batch->maybeApplied || !absl::IsUnavailable(status);
+    if (!m_batch->maybeApplied && m_runtime.now() - m_batch->firstSent > rejectTime) {
+        rejectSubmissions();
+        return;
+    }
+    m_timer = m_runtime.after(m_settings.retryPause, [this] {
+        m_timer.reset();
+        send();
+    });
+}
+
+// The store certainly has nothing of this batch, so its submissions can be refused instead of leaving their clients
+// in doubt. Everything else is put back.
+void LedgerLane::rejectSubmissions()
+{
+    Batch batch = *std::exchange(m_batch, std::nullopt);
+    std::vector<JobId> rejected;
+    std::erase_if(batch.entries, [&rejected](const Entry& entry) {
+        if (!entry.change.submission)
+            return false;
+        rejected.push_back(entry.job);
+        return true;
+    });
+    putBack(std::move(batch));
+    const std::weak_ptr<int> session = m_session;
+    if (!rejected.empty())
+        m_source->submissionsRejected(rejected);
+    if (session.expired())
+        return;
+    m_nextCommit = m_runtime.now() + (m_dirty.empty() ? m_settings.probePause : m_settings.retryPause);
+    schedule();
+}
+
+void LedgerLane::applied(TimePoint sentAt, Revision revision)
+{
+    m_headRevision = revision;
+    m_lastCommit = sentAt;
+    ++m_commits;
+    const Batch batch = *std::exchange(m_batch, std::nullopt);
+    m_lastCommitTime = m_runtime.now() - batch.firstSent;
+    const std::weak_ptr<int> session = m_session;
+    for (const auto& entry : batch.entries) {
+        m_source->changeStored(entry.job, entry.change);
+        callAll(entry.stored);
+        if (session.expired())
+            return;
+    }
+    callAll(batch.workersStored);
+    if (session.expired())
+        return;
+    callAll(std::exchange(m_flushed, {}));
+    if (!session.expired())
+        schedule();
+}
+
+void LedgerLane::refused(const CommitResult& result)
+{
+    const auto head = std::find_if(result.current.begin(), result.current.end(),
+        [this](const StoreEntry& entry) { return entry.key == m_headKey; });
+    if (head != result.current.end() && head->value == m_batch->headValue) {
+        applied(m_runtime.now(), head->modRevision); // an earlier copy of this transaction
+        return;
+    }
+    if (head == result.current.end() || head->modRevision != m_headRevision) {
+        m_log.record("ledger_lost",
+            { { "expected_revision", m_headRevision },
+                { "head", head == result.current.end() ? std::string() : head->value } });
+        m_source->ledgerLost();
+        return;
+    }
+    // The head is ours, so the configuration has changed. Late copies of this transaction fail for the same reason.
+    putBack(*std::exchange(m_batch, std::nullopt));
+    const auto configuration = std::find_if(result.current.begin(), result.current.end(),
+        [this](const StoreEntry& entry) { return entry.key == m_configurationKey; });
+    const std::weak_ptr<int> session = m_session;
+    if (configuration != result.current.end())
+        m_source->configurationSuperseded(*configuration);
+    if (!session.expired())
+        schedule();
+}
+
+void LedgerLane::putBack(Batch batch)
+{
+    for (auto it = batch.entries.rbegin(); it != batch.entries.rend(); ++it) {
+        const auto [waiting, added] = m_waiting.try_emplace(it->job);
+        if (added)
+            m_dirty.push_front(it->job);
+        waiting->second.insert(waiting->second.begin(), std::make_move_iterator(it->stored.begin()),
+            std::make_move_iterator(it->stored.end()));
+    }
+    if (batch.writesWorkers && !m_workers) {
+        // The set is part of the transaction, so it is taken from there.
+        const auto workers = m_codec.decodeWorkerSet(batch.transaction.puts.front().value);
+        if (workers.ok())
+            m_workers = *workers;
+    }
+    m_workersStored.insert(m_workersStored.begin(), std::make_move_iterator(batch.workersStored.begin()),
+        std::make_move_iterator(batch.workersStored.end()));
+}
+
+} // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -14,12 +14,12 @@
 
 namespace {
 
-    /** @brief Epoch in the value of the head record, "EPOCH/..."; 0 for none. */
-    Epoch epochOfHead(const std::optional<StoreEntry>& head)
+    /** @brief Epoch of the last claim; 0 for none. */
+    Epoch epochOf(const std::optional<StoreEntry>& record)
     {
         Epoch epoch = 0;
-        if (head)
-            (void)absl::SimpleAtoi(head->value.substr(0, head->value.find('/')), &epoch);
+        if (record)
+            (void)absl::SimpleAtoi(record->value, &epoch);
         return epoch;
     }
 
@@ -171,9 +171,9 @@
 
 void OwnerLease::claimWithLease(StoreLeaseId lease)
 {
-    m_store.get(m_settings.headKey, m_settings.callTimeout, [this, lease](const absl::StatusOr<StoreValue>& head) {
-        if (head.ok() && !m_resigned) {
-            commitClaim(lease, *head);
+    m_store.get(m_settings.epochKey, m_settings.callTimeout, [this, lease](const absl::StatusOr<StoreValue>& last) {
+        if (last.ok() && !m_resigned) {
+            commitClaim(lease, *last);
             return;
         }
         m_claiming = false;
@@ -181,17 +181,20 @@
     });
 }
 
-void OwnerLease::commitClaim(StoreLeaseId lease, const StoreValue& head)
+// Writes the head records of all lanes, whatever their revision: an owner that is still alive goes on committing.
+void OwnerLease::commitClaim(StoreLeaseId lease, const StoreValue& lastEpoch)
 {
     OwnerRecord record = m_self;
-    record.epoch = epochOfHead(head.entry) + 1;
+    record.epoch = epochOf(lastEpoch.entry) + 1;
     record.lease = lease;
     const std::string headValue = headValueOf(record.epoch, m_self);
     StoreTransaction transaction;
-    transaction.conditions
-        = { { m_settings.ownerKey, 0 }, { m_settings.headKey, head.entry ? head.entry->modRevision : Revision { 0 } } };
-    transaction.puts
-        = { { m_settings.ownerKey, encodeOwner(record), lease }, { m_settings.headKey, headValue, std::nullopt } };
+    transaction.conditions = { { m_settings.ownerKey, 0 },
+        { m_settings.epochKey, lastEpoch.entry ? lastEpoch.entry->modRevision : Revision { 0 } } };
+    transaction.puts = { { m_settings.ownerKey, encodeOwner(record), lease },
+        { m_settings.epochKey, std::to_string(record.epoch), std::nullopt } };
+    for (std::size_t i = 0; i < ledgerLanes; ++i)
+        transaction.puts.push_back({ headRecordKey(i), headValue, std::nullopt });
     const TimePoint sentAt = m_runtime.now();
     m_store.commit(transaction, m_settings.callTimeout,
         [this, lease, sentAt, headValue, epoch = record.epoch](const absl::StatusOr<CommitResult>& result) {
@@ -246,7 +249,7 @@
         });
 }
 
-// The head record still names this owner unless another member has claimed; commits to the ledger find that out. So
+// The head records still name this owner unless another member has claimed; commits to the ledger find that out. So
 // the owner record may be written again under the same epoch.
 void OwnerLease::reclaim()
 {
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -30,7 +30,7 @@
 
 struct OwnerLeaseSettings {
     std::string ownerKey = "lycheeledge/owner";
-    std::string headKey = headRecordKey;
+    std::string epochKey = "lycheeledge/epoch"; ///< written by claims only
     Duration timeToLive = std::chrono::milliseconds(1500); ///< bounds the takeover from an owner that died
     Duration renewInterval = std::chrono::milliseconds(350);
     Duration callTimeout = std::chrono::milliseconds(900); ///< above 240 ms, an answer at 60 x the usual time
@@ -86,7 +86,7 @@
     void considerClaim();
     void claim();
     void claimWithLease(StoreLeaseId lease);
-    void commitClaim(StoreLeaseId lease, const StoreValue& head);
+    void commitClaim(StoreLeaseId lease, const StoreValue& lastEpoch);
     void gained(StoreLeaseId lease, Epoch epoch, const std::string& headValue, Revision headRevision);
     void renew();
     void reclaim();
--- a/test/jobs/JobServiceTest.cpp
+++ b/test/jobs/JobServiceTest.cpp
@@ -104,6 +104,57 @@
         CHECK_FALSE((firstRefused && start.run.task.job == JobId(jobName(1))));
 }
 
+TEST_CASE("submissions are accepted again once the store is back, even if nothing else is to be stored", "[service]")
+{
+    // Guards against refusing for ever: with every submission refused, no commit would find out that the store is back.
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(1, 1000) } };
+    cluster.store.setFault(FakeClusterStore::Fault::Refuse);
+    (void)cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(1), "x");
+    cluster.advance(seconds(2));
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    cluster.advance(seconds(1));
+    CHECK(cluster.submit("m0", "urgent", 2, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+}
+
+TEST_CASE("submissions are stored in time although each call to the store takes long", "[service][load]")
+{
+    // The load of a store at 60 times its usual time, 240 ms a call, with 46 urgent jobs a second for 5 s. Each has 16
+    // ends to store, and an objective of 1.5 times its chain of 2 s and 0.3 s. One commit at a time carries 28 changes
+    // in 240 ms and falls behind by seconds.
+    JobCluster cluster(1);
+    cluster.workers.runTime = [](const TaskKey& task) { return milliseconds(300 + 100 * task.index); };
+    for (int i = 0; i < 24; ++i)
+        cluster.addWorker("w" + std::to_string(i), 64000);
+    cluster.advance(seconds(2));
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(8, 500), simpleStep(8, 500, { 0 }) } };
+    cluster.store.setLatency(milliseconds(240));
+    constexpr int jobs = 46 * 5;
+    constexpr Duration objective = milliseconds(3300);
+    const auto& scheduler = cluster.member("m0").node.session().scheduler();
+    std::vector<TimePoint> submitted(jobs);
+    std::vector<TimePoint> completed(jobs);
+    for (int round = 0; round < jobs + 300; ++round) {
+        if (round < jobs) {
+            submitted[round] = cluster.runtime.now();
+            (void)cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(round), "x");
+        }
+        cluster.advance(milliseconds(20));
+        for (int n = 0; n < std::min(round, jobs); ++n) {
+            const auto* job = scheduler.job(JobId(jobName(n)));
+            if (completed[n] == TimePoint() && job != nullptr && job->storedState == JobState::Completed)
+                completed[n] = cluster.runtime.now();
+        }
+    }
+    int late = 0;
+    for (int n = 0; n < jobs; ++n)
+        late += completed[n] == TimePoint() || completed[n] - submitted[n] > objective ? 1 : 0;
+    CHECK(late == 0);
+    CHECK(cluster.workers.violations().empty());
+}
+
 TEST_CASE("a submission that the store certainly did not get is refused, not left open", "[service]")
 {
     // A store that refuses connections does nothing, so the client can be told at once that the job has not run.
