Answer the calls in progress when a planned stop ends

Change: before it ends, a process answers its calls as unknown and refuses further ones; responses have 150 ms to leave instead of 50. Test: TakeoverTest, calls in progress are answered.

--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -10,6 +10,8 @@
 namespace {
 
     constexpr Duration drainInterval = std::chrono::milliseconds(50);
+    // A tenth of a core writes some hundred responses in this time.
+    constexpr Duration lastResponsesInterval = std::chrono::milliseconds(150);
     constexpr int notReadyStatus = 503;
 
     HttpServerSettings serverSettings(const ListenAddress& address, const JobDaemonSettings& settings)
@@ -179,9 +181,10 @@
         return;
     }
     m_log.record("process_stopped", { { "calls", m_calls }, { "resigned", m_resigned } });
+    m_node.endCalls();
     m_log.flush();
     // The servers' threads still have to write the last responses.
-    m_loop.after(drainInterval, [this] { m_loop.stop(); });
+    m_loop.after(lastResponsesInterval, [this] { m_loop.stop(); });
 }
 
 // --- Reports ---
--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -54,6 +54,9 @@
     /** @brief Gives ownership up after storing what is pending, and calls `done`. Calls are forwarded further on. */
     void resign(std::function<void()> done);
 
+    /** @brief The process ends: answers the calls in progress, and refuses further ones. */
+    void endCalls() { m_link.endCalls(); }
+
     const OwnerLease& lease() const { return m_lease; }
     const OwnerSession& session() const { return m_session; }
     const OwnerLink& link() const { return m_link; }
--- a/src/lycheeledge/jobs/OwnerLink.cpp
+++ b/src/lycheeledge/jobs/OwnerLink.cpp
@@ -92,6 +92,13 @@
     return result;
 }
 
+void OwnerLink::endCalls()
+{
+    m_ended = true;
+    for (auto& call : takeCalls())
+        call.reply({ .kind = ReplyKind::Unknown, .reason = "this VM stops" });
+}
+
 void OwnerLink::sendCall(std::uint64_t id)
 {
     const auto& waiting = m_calls[id];
--- a/src/lycheeledge/jobs/OwnerLink.h
+++ b/src/lycheeledge/jobs/OwnerLink.h
@@ -39,11 +39,13 @@
      * repeating them changes nothing.
      */
     void forward(const ClientCall& call, Reply reply);
-    bool isReady() const { return m_connection && m_active; }
+    bool isReady() const { return m_connection && m_active && !m_ended; }
     /** @brief Takes over a call that this process could not finish as the owner. */
     void adopt(ClientCall call, TimePoint deadline, Reply reply);
     /** @brief Gives the calls in progress away, to be handled by this process as the owner. */
     std::vector<JobService::Unfinished> takeCalls();
+    /** @brief The process ends: answers the calls in progress, and refuses further ones. */
+    void endCalls();
     std::size_t callsInProgress() const { return m_calls.size(); }
 
     bool owns(MemberConnection connection) const { return m_connection == connection; }
@@ -66,6 +68,7 @@
     std::optional<OwnerRecord> m_owner;
     std::optional<MemberConnection> m_connection;
     bool m_active = false; ///< the owner takes calls
+    bool m_ended = false; ///< no call is taken any more
     TimePoint m_heardAt;
     std::uint64_t m_pings = 0;
     std::uint64_t m_nextCall = 0;
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -373,3 +373,22 @@
     cluster.advance(seconds(1));
     CHECK(resigned);
 }
+
+TEST_CASE("calls in progress are answered when a stopping member ends", "[takeover]")
+{
+    // Guards against closing a client's connection without a response after a planned stop, while the owner is lost.
+    JobCluster cluster(2);
+    addWorkers(cluster, 1);
+    const std::string owner = *cluster.owner();
+    const std::string other = owner == "m0" ? "m1" : "m0";
+    cluster.member(other).node.resign([] {});
+    cluster.kill(owner);
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(1, 1000) } };
+    const auto reply = cluster.call(other, CallVerb::Submit, "/urgent/" + jobName(1), "x");
+    cluster.member(other).node.endCalls();
+    REQUIRE(reply->has_value());
+    CHECK((*reply)->kind == ReplyKind::Unknown); // the lost owner may have stored it
+    const auto late = cluster.call(other, CallVerb::Submit, "/urgent/" + jobName(2), "x");
+    REQUIRE(late->has_value());
+    CHECK((*late)->kind == ReplyKind::Refused);
+}
