Place urgent work on faster workers, and restart tasks without progress

While the store is slow, later ends of a worker were seen up to 1 s late, because the next look waited for the acknowledgement of earlier ends. Change: WorkerSpeeds learns speeds from tasks of the same step; placement and questions to the admission service rank workers by speed, room and rack. StallDetector judges progress between two reports; a task that stands still, or would end much earlier elsewhere, starts again on another worker, and the worker is quarantined. A look waits 200 ms for an acknowledgement. Tests: DecisionsTest, JobSchedulerTest; the load of a third of slow workers and the load of workers whose tasks stand still.

--- a/src/lycheeledge/jobs/FailureQuarantine.cpp
+++ b/src/lycheeledge/jobs/FailureQuarantine.cpp
@@ -18,10 +18,23 @@
     const bool probationFailed = state.length > Duration::zero() && now >= state.until;
     if (!probationFailed && (state.failedJobs.size() < m_settings.failures || now < state.until))
         return false;
+    begin(state, now);
+    return true;
+}
+
+void FailureQuarantine::stalled(const WorkerId& worker, TimePoint now)
+{
+    State& state = m_states[worker];
+    state.lastFailure = now;
+    if (now >= state.until)
+        begin(state, now);
+}
+
+void FailureQuarantine::begin(State& state, TimePoint now) const
+{
     state.length
         = state.length == Duration::zero() ? m_settings.length : std::min(m_settings.maxLength, 2 * state.length);
     state.until = now + state.length;
-    return true;
 }
 
 void FailureQuarantine::succeeded(const WorkerId& worker) { m_states.erase(worker); }
--- a/src/lycheeledge/jobs/FailureQuarantine.h
+++ b/src/lycheeledge/jobs/FailureQuarantine.h
@@ -29,6 +29,8 @@
 
     /** @brief A task failed. @return whether a quarantine begins. */
     bool failed(const WorkerId& worker, const JobId& job, TimePoint now);
+    /** @brief A task made no progress there, which is the worker's fault: quarantines it at once. */
+    void stalled(const WorkerId& worker, TimePoint now);
     void succeeded(const WorkerId& worker);
     /** @brief Whether the worker should get no task now. */
     bool isQuarantined(const WorkerId& worker, TimePoint now) const;
@@ -44,6 +46,8 @@
         Duration length {}; ///< of the last quarantine
     };
 
+    void begin(State& state, TimePoint now) const;
+
     QuarantineSettings m_settings;
     absl::flat_hash_map<WorkerId, State> m_states;
 };
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include "JobRecord.h"
+#include "StallDetector.h"
+#include "WorkerSpeeds.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +33,8 @@
     TimePoint notBefore; ///< earliest next start
     std::string checkpoint;
     int pacePercent = 100;
+    bool resumed = false; ///< the run continues from a checkpoint
+    std::optional<ProgressSample> progress; ///< of the run, the last one that was judged
 
     bool occupiesWorker() const
     {
@@ -67,6 +72,7 @@
     std::uint32_t occupying = 0; ///< tasks with reserved capacity
     std::vector<RunNumber> failedGangRuns; ///< of a gang, as many as count against the attempts
     bool released = false; ///< all earlier steps that it names are done
+    std::vector<MeasuredRun> measured; ///< tasks that ended as done in one run
     StepAdmission admission;
     TimePoint releasedAt; ///< zero before, and for steps that an earlier owner released
     TimePoint placedAt; ///< when its last task first had a worker; zero before
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -61,6 +61,7 @@
     m_finished.clear();
     m_scheduled.clear();
     m_quarantine = FailureQuarantine();
+    m_speeds = WorkerSpeeds();
 }
 
 void JobScheduler::recover(
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -200,6 +200,8 @@
     void processEnds(Worker& worker, const LookReport& report);
     void processEnd(Worker& worker, const EndedTask& end);
     void processRunning(Worker& worker, const LookReport& report, TimePoint sentAt);
+    /** @brief Starts a task that makes too little progress again elsewhere. @param clockMs of the worker's report. */
+    void checkProgress(Job& job, const TaskKey& key, Task& task, const RunningTask& running, std::int64_t clockMs);
     void adopt(Worker& worker, const RunningTask& running);
     void missingRuns(Worker& worker, const absl::flat_hash_set<RunKey>& listed, TimePoint sentAt);
     void loseRuns(const Worker& worker, const char* reason);
@@ -233,6 +235,7 @@
     absl::flat_hash_set<WorkerId> m_storedWorkers; ///< ids in the stored set; only these get orders
     absl::flat_hash_map<AccountId, Resources> m_usage; ///< reserved, by account
     FailureQuarantine m_quarantine;
+    WorkerSpeeds m_speeds;
     std::set<std::pair<std::int64_t, JobId>> m_finished; ///< by the time they ended
     absl::flat_hash_set<JobId> m_scheduled; ///< jobs with occurrences that are not due yet
     std::map<std::string, std::vector<const Worker*>> m_placeable; ///< by pool; valid during a pass
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -280,6 +280,7 @@
         candidate.hasServingTasks = worker->servingRuns > 0;
         candidate.hasFillingTasks = worker->fillingRuns > 0;
         candidate.preferLess = m_quarantine.isOnProbation(id);
+        candidate.slowness = m_speeds.slowness(id, worker->record.kind);
         if (spec.maxTasksPerWorker > 0)
             candidate.tasksOfStep = static_cast<std::uint32_t>(std::count_if(step.tasks.begin(), step.tasks.end(),
                 [&id](const Task& task) { return task.occupiesWorker() && task.worker == id; }));
@@ -386,40 +387,31 @@
         [this, key, policy, workers](const auto& grants) { admissionAnswered(key, policy, workers, grants); });
 }
 
-// Names the workers with room for a task that the service may allow: those it has allowed before, else those it has
-// not been asked about. Tickets last about 2 s, so a worker without room is not worth its time.
+// Names the best workers with room for a task that the service may allow: those it has allowed before, else those it
+// has not been asked about. Tickets last about 2 s, so a worker without room is not worth its time.
 std::vector<WorkerId> JobScheduler::chooseForQuestion(Job& job, const StepKey& key)
 {
     const Step* step = job.find(key);
-    const StepSpec& spec = job.spec().steps[key.step];
-    const Resources reservation = reservationOf(spec);
     const TimePoint usable = m_runtime.now() + ticketMargin;
-    std::vector<std::pair<double, WorkerId>> known;
-    std::vector<std::pair<double, WorkerId>> unknown;
-    for (const auto& candidate : candidates(job, key, false)) {
-        const auto ticket = step->admission.tickets.find(candidate.worker);
+    // Batch work, too, is asked for on the emptiest workers: a ticket holds for all of its tasks there.
+    const Placement placement(job.spec().steps[key.step], candidates(job, key, false), PlacementGoal::Spread);
+    std::vector<WorkerId> known;
+    std::vector<WorkerId> unknown;
+    for (const auto n : placement.ranking()) {
+        const WorkerId& worker = placement.candidate(n).worker;
+        const auto ticket = step->admission.tickets.find(worker);
         if (ticket != step->admission.tickets.end() && ticket->second.expiry >= usable)
             continue;
-        const bool hasItsShare = spec.maxTasksPerWorker > 0 && candidate.tasksOfStep >= spec.maxTasksPerWorker;
-        if (hasItsShare || !reservation.fitsIn(candidate.free))
-            continue;
-        const double room = static_cast<double>(candidate.free.milliCpu);
-        const auto answer = step->admission.allowed.find(candidate.worker);
+        const auto answer = step->admission.allowed.find(worker);
         if (answer == step->admission.allowed.end())
-            unknown.emplace_back(-room, candidate.worker);
+            unknown.push_back(worker);
         else if (answer->second)
-            known.emplace_back(-room, candidate.worker);
+            known.push_back(worker);
     }
-    std::sort(known.begin(), known.end());
-    std::sort(unknown.begin(), unknown.end());
     const bool repeat = !known.empty();
     auto& chosen = repeat ? known : unknown;
     chosen.resize(std::min(chosen.size(), repeat ? m_settings.maxRepeatWorkers : m_settings.maxQuestionWorkers));
-    std::vector<WorkerId> result;
-    result.reserve(chosen.size());
-    for (auto& [room, worker] : chosen)
-        result.push_back(std::move(worker));
-    return result;
+    return std::move(chosen);
 }
 
 void JobScheduler::admissionAnswered(const StepKey& key, const AdmissionPolicy& policy,
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -20,6 +20,20 @@
     constexpr int paceStepUp = 10; // percent
     constexpr int minPaceChange = 10; // percent
 
+    TaskLength lengthOf(const Step& step, const StepSpec& spec)
+    {
+        TaskLength result {
+            .declared = spec.estimatedRunTime, .measured = std::nullopt, .checkpoints = spec.checkpoints
+        };
+        if (step.measured.empty())
+            return result;
+        Duration sum {};
+        for (const auto& run : step.measured)
+            sum += run.runTime;
+        result.measured = sum / static_cast<Duration::rep>(step.measured.size());
+        return result;
+    }
+
 } // namespace
 
 // --- Workers ---
@@ -138,6 +152,7 @@
     m_workers.erase(id);
     m_storedWorkers.erase(id);
     m_quarantine.forget(id);
+    m_speeds.forget(id);
     storeWorkerSet();
     requestPass();
 }
@@ -294,6 +309,8 @@
     const bool finished = end.kind == EndKind::Done && !isFinal(job->state) && !job->spec().steps[key.step].longRunning;
     if (finished) {
         noteStarted(*job);
+        if (current && !task->resumed && !job->spec().steps[key.step].gang)
+            job->find(stepOf(key))->measured.push_back({ worker.record.id, worker.record.kind, now - task->since });
         if (!current && task->occupiesWorker()) {
             // Another run of the task exists; its room stays reserved until it is gone.
             task->doneWithGang = true;
@@ -338,10 +355,41 @@
         }
         if (!running.checkpoint.empty())
             task->checkpoint = running.checkpoint;
+        if (task->phase == TaskPhase::Running)
+            checkProgress(*job, key, *task, running, report.clockMs);
     }
     missingRuns(worker, listed, sentAt);
 }
 
+void JobScheduler::checkProgress(
+    Job& job, const TaskKey& key, Task& task, const RunningTask& running, std::int64_t clockMs)
+{
+    const StepSpec& spec = job.spec().steps[key.step];
+    // The members of a gang wait for each other, and a paced task is slow by our own order.
+    if (spec.gang || spec.longRunning || spec.usesIdleCpu || isFinal(job.state))
+        return;
+    const ProgressSample sample { .percent = running.progressPercent, .clockMs = clockMs };
+    if (!task.progress) {
+        task.progress = sample;
+        return;
+    }
+    const ProgressVerdict verdict = judgeProgress(*task.progress, sample, lengthOf(*job.find(stepOf(key)), spec));
+    if (verdict == ProgressVerdict::Unknown)
+        return;
+    const ProgressSample before = *std::exchange(task.progress, sample);
+    if (verdict == ProgressVerdict::Sound)
+        return;
+    m_log.record("task_stalled",
+        { { "task", describe(key) }, { "run", task.run }, { "worker", task.worker.value() },
+            { "percent", sample.percent }, { "gained_percent", sample.percent - before.percent },
+            { "in_ms", sample.clockMs - before.clockMs } });
+    if (verdict == ProgressVerdict::Stalled)
+        m_quarantine.stalled(task.worker, m_runtime.now());
+    else
+        (void)m_quarantine.failed(task.worker, key.job, m_runtime.now());
+    stopTask(job, key, verdict == ProgressVerdict::Stalled ? "no progress" : "slow progress");
+}
+
 // After a takeover, or after an order that was carried out late: keeps a run that its task can use, stops any other.
 void JobScheduler::adopt(Worker& worker, const RunningTask& running)
 {
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -83,6 +83,8 @@
     task.confirmedAt = {};
     task.doneWithGang = false;
     task.pacePercent = 100;
+    task.resumed = !task.checkpoint.empty();
+    task.progress.reset();
     ++m_counters.starts;
     sendStart(key, run, worker.record.id, 1);
 }
@@ -389,6 +391,7 @@
     }
     refreshReady(stepOf(key), job, step);
     if (step.isDone()) {
+        m_speeds.stepDone(step.measured);
         job.noteStepDone(step, m_runtime.now());
         releaseSteps(job);
     }
--- a/src/lycheeledge/jobs/Placement.cpp
+++ b/src/lycheeledge/jobs/Placement.cpp
@@ -14,6 +14,10 @@
     constexpr double farFromData = 2; // the task takes up to twice as long
     constexpr double besideServing = 8; // filling and serving tasks disturb each other
     constexpr double doubtfulWorker = 32; // the attempt may be lost
+    // A worker that is slower by a quarter outweighs any difference in room for urgent work.
+    constexpr double slownessOfUrgent = 4;
+    // Batch work has time for the usual differences, which leaves the fast workers to urgent work.
+    constexpr double bearableSlowness = 1.6;
 
 } // namespace
 
@@ -55,6 +59,24 @@
         result += besideServing;
     if (candidate.preferLess)
         result += doubtfulWorker;
+    const double bearable = m_goal == PlacementGoal::Spread ? 1 : bearableSlowness;
+    if (m_goal == PlacementGoal::Spread || candidate.slowness > bearable)
+        result += slownessOfUrgent * (candidate.slowness - bearable);
+    return result;
+}
+
+std::vector<std::size_t> Placement::ranking() const
+{
+    std::vector<std::pair<double, std::size_t>> scored;
+    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+        if (fits(m_candidates[i]))
+            scored.emplace_back(score(m_candidates[i]), i);
+    }
+    std::sort(scored.begin(), scored.end());
+    std::vector<std::size_t> result;
+    result.reserve(scored.size());
+    for (const auto& [value, n] : scored)
+        result.push_back(n);
     return result;
 }
 
--- a/src/lycheeledge/jobs/Placement.h
+++ b/src/lycheeledge/jobs/Placement.h
@@ -1,7 +1,8 @@
 // Choice of workers for the tasks of a step.
 //
-// Answers a mix of short urgent tasks, wide batch steps and gangs on workers of different sizes: urgent work is spread
-// over the emptiest workers, batch work is packed so that wide tasks still find room, a gang is placed whole.
+// Answers a mix of short urgent tasks, wide batch steps and gangs on workers of different sizes and speeds: urgent work
+// is spread over the fastest and emptiest workers, batch work is packed so that wide tasks still find room and avoids
+// only very slow workers, a gang is placed whole.
 #pragma once
 
 #include "JobSpec.h"
@@ -22,6 +23,7 @@
     bool hasServingTasks = false; ///< tasks with a latency target
     bool hasFillingTasks = false; ///< tasks that use idle processors
     bool preferLess = false; ///< on probation, or slow to respond
+    double slowness = 1; ///< run time as a multiple of the usual one
 };
 
 enum class PlacementGoal { Spread, Pack };
@@ -36,6 +38,9 @@
     /** @brief Places all of a gang, on one rack if it asks for that and one has room. Empty if they do not fit. */
     std::vector<std::size_t> placeGang(std::size_t count);
 
+    /** @brief Candidates with room, best first, as if none of them got a task. */
+    std::vector<std::size_t> ranking() const;
+
     const PlacementCandidate& candidate(std::size_t n) const { return m_candidates[n]; }
     /** @brief What a task takes from its worker's room. */
     const Resources& reservation() const { return m_reservation; }
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -17,7 +17,9 @@
     Duration lookWait = std::chrono::milliseconds(800); ///< bounds the time until a silent worker is noticed
     Duration lookTimeout = std::chrono::milliseconds(400); ///< beyond the wait; healthy workers answer in 20 ms
     Duration retryPause = std::chrono::milliseconds(200); ///< between looks at an unreachable worker
-    Duration acknowledgementWait = std::chrono::milliseconds(1000); ///< longest pause for the journal to commit ends
+    /// Longest pause until ends are stored and can be acknowledged. A slow store takes 300 ms; later ends are seen only
+    /// by the next look.
+    Duration acknowledgementWait = std::chrono::milliseconds(200);
     double clockSlowdown = 0.02; ///< a worker's clock may run this much slower than ours (platform's statement)
 };
 
--- a/src/lycheeledge/jobs/WorkerPort.h
+++ b/src/lycheeledge/jobs/WorkerPort.h
@@ -19,6 +19,7 @@
     std::string pool;
     Resources capacity;
     std::vector<std::string> labels;
+    std::string kind; ///< of its VM; empty if unknown
     std::string rack; ///< empty if unknown
     bool draining = false;
     std::optional<Duration> remaining; ///< least time left, while draining
--- a/test/jobs/DecisionsTest.cpp
+++ b/test/jobs/DecisionsTest.cpp
@@ -5,7 +5,9 @@
 
 #include <lycheeledge/jobs/FailureQuarantine.h>
 #include <lycheeledge/jobs/Placement.h>
+#include <lycheeledge/jobs/StallDetector.h>
 #include <lycheeledge/jobs/StepOrder.h>
+#include <lycheeledge/jobs/WorkerSpeeds.h>
 
 #include <catch2/catch.hpp>
 
@@ -179,3 +181,86 @@
     desk.removeRelay(1);
     CHECK_FALSE(desk.isFree(quick));
 }
+
+// --- Speeds and progress ---
+
+TEST_CASE("urgent work prefers a fast worker to an empty one, batch work avoids only very slow ones", "[placement]")
+{
+    const auto step = simpleStep(1, 2000);
+    auto slow = candidate("slow", 8000, 8000, "r1");
+    slow.slowness = 1.3;
+    const auto fast = candidate("fast", 4000, 8000, "r1");
+    CHECK(placed(step, { slow, fast }, PlacementGoal::Spread) == "fast");
+    auto slowAndFull = slow;
+    slowAndFull.free = capacityOf(2500);
+    CHECK(placed(step, { slowAndFull, fast }, PlacementGoal::Pack) == "slow");
+    slowAndFull.slowness = 3;
+    CHECK(placed(step, { slowAndFull, fast }, PlacementGoal::Pack) == "fast");
+}
+
+TEST_CASE("the ranking of workers leaves out those without room", "[placement]")
+{
+    const auto step = simpleStep(1, 2000);
+    auto slow = candidate("slow", 8000, 8000, "r1");
+    slow.slowness = 1.3;
+    const Placement placement(step,
+        { slow, candidate("full", 1000, 8000, "r1"), candidate("half", 4000, 8000, "r1"),
+            candidate("empty", 8000, 8000, "r1") },
+        PlacementGoal::Spread);
+    std::vector<std::string> order;
+    for (const auto n : placement.ranking())
+        order.push_back(placement.candidate(n).worker.value());
+    CHECK(order == std::vector<std::string> { "empty", "half", "slow" });
+}
+
+TEST_CASE("speeds of workers are learnt from tasks of the same step, whatever their length", "[speeds]")
+{
+    WorkerSpeeds speeds;
+    const auto run = [](const std::string& worker, int ms) {
+        return MeasuredRun { WorkerId(worker), worker == "slow" ? "b" : "a", milliseconds(ms) };
+    };
+    for (const int length : { 400, 3000, 800, 12000, 600, 900, 400, 3000, 800, 12000, 600, 900, 400, 3000, 800, 700 })
+        speeds.stepDone({ run("a1", length), run("a2", length), run("slow", length * 3 / 2) });
+    const double ratio = speeds.slowness(WorkerId("slow"), "b") / speeds.slowness(WorkerId("a1"), "a");
+    CHECK(ratio > 1.35);
+    CHECK(ratio < 1.65);
+    // A worker that has run nothing yet is taken to be like its kind.
+    CHECK(speeds.slowness(WorkerId("new"), "b") > speeds.slowness(WorkerId("other"), "a"));
+    CHECK(speeds.slowness(WorkerId("new"), "unknown") == 1);
+    const WorkerSpeeds before = speeds;
+    speeds.stepDone({ run("a1", 90000) }); // a single run tells nothing of its worker
+    CHECK(speeds.slowness(WorkerId("a1"), "a") == before.slowness(WorkerId("a1"), "a"));
+}
+
+TEST_CASE("a run is judged by its progress between two reports", "[progress]")
+{
+    const TaskLength length { .declared = milliseconds(800), .measured = milliseconds(800), .checkpoints = false };
+    const auto judge = [&length](int before, int now, std::int64_t ms) {
+        return judgeProgress({ before, 1000 }, { now, 1000 + ms }, length);
+    };
+    CHECK(judge(10, 10, 300) == ProgressVerdict::Unknown);
+    CHECK(judge(10, 10, 800) == ProgressVerdict::Stalled);
+    CHECK(judge(100, 100, 800) == ProgressVerdict::Sound); // its end is on the way
+    CHECK(judge(10, 70, 800) == ProgressVerdict::Sound);
+    CHECK(judge(10, 15, 800) == ProgressVerdict::Slow);
+    CHECK(judge(80, 90, 800) == ProgressVerdict::Sound); // another run would end later
+}
+
+TEST_CASE("a task that takes far longer than declared is not taken to stand still", "[progress]")
+{
+    // Declared run times are far off: without ends of its step to compare with, only no progress at all counts.
+    const TaskLength length { .declared = milliseconds(500), .measured = std::nullopt, .checkpoints = false };
+    CHECK(judgeProgress({ 1, 1000 }, { 2, 1800 }, length) == ProgressVerdict::Sound);
+    const TaskLength longer { .declared = seconds(20), .measured = std::nullopt, .checkpoints = false };
+    CHECK(judgeProgress({ 1, 1000 }, { 1, 1900 }, longer) == ProgressVerdict::Unknown);
+}
+
+TEST_CASE("a worker on which a task stands still is quarantined at once", "[quarantine]")
+{
+    FailureQuarantine quarantine;
+    const TimePoint now = TimePoint() + seconds(100);
+    quarantine.stalled(WorkerId("w"), now);
+    CHECK(quarantine.isQuarantined(WorkerId("w"), now + seconds(1)));
+    CHECK_FALSE(quarantine.isQuarantined(WorkerId("w"), now + seconds(3)));
+    CHECK(quarantine.isOnProbation(WorkerId("w")));
+}
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -377,3 +377,40 @@
     REQUIRE(cluster.submit("m1", "urgent", 1, { .payload = {}, .steps = { step } }));
     CHECK(cluster.waitFor([&] { return cluster.workers.running() == 6; }, seconds(10)));
 }
+
+TEST_CASE("urgent jobs run on the faster workers while these have room", "[jobs][load]")
+{
+    // The load of a fleet in which every third worker is slower by half, a quarter full: an urgent step that has a task
+    // on a slow worker misses an objective of 1.5 times its run time and 0.3 s.
+    JobCluster cluster(1);
+    cluster.workers.speedOf = [](const std::string& id) { return id.back() % 3 == 0 ? 1 / 1.5 : 1.0; };
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(1); };
+    withWorkers(cluster, 9);
+    std::uint64_t job = 0;
+    const auto runJob = [&](const std::string& queue) {
+        REQUIRE(cluster.submit("m0", queue, ++job, { .payload = {}, .steps = { simpleStep(6, 2000) } }));
+        REQUIRE(cluster.waitForState(job, queue, JobState::Completed, seconds(5)));
+    };
+    for (int i = 0; i < 12; ++i)
+        runJob("urgent");
+    const std::size_t learnt = cluster.workers.starts().size();
+    for (int i = 0; i < 10; ++i)
+        runJob("urgent");
+    const auto& starts = cluster.workers.starts();
+    CHECK(std::none_of(starts.begin() + static_cast<std::ptrdiff_t>(learnt), starts.end(),
+        [&cluster](const auto& start) { return cluster.workers.speedOf(start.worker) < 1; }));
+}
+
+TEST_CASE("a task that stands still starts again on another worker", "[jobs][load]")
+{
+    // The load of workers whose tasks stand still while they answer: without a restart the job would never end.
+    JobCluster cluster(1);
+    cluster.workers.speedOf = [](const std::string& id) { return id == "w0" ? 0.0 : 1.0; };
+    withWorkers(cluster, 3);
+    for (std::uint64_t n = 1; n <= 4; ++n)
+        REQUIRE(cluster.submit("m0", "urgent", n, { .payload = {}, .steps = { simpleStep(6, 1000) } }));
+    for (std::uint64_t n = 1; n <= 4; ++n)
+        CHECK(cluster.waitForState(n, "urgent", JobState::Completed, seconds(8)));
+    CHECK(cluster.log.counts["task_stalled"] > 0);
+    CHECK(cluster.workers.violations().empty());
+}
--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -42,6 +42,8 @@
     /** @brief How long the work of a task takes; the first one that returns something decides how it ends. */
     std::function<Duration(const jobs::TaskKey&)> runTime
         = [](const jobs::TaskKey&) { return Duration(std::chrono::milliseconds(500)); };
+    /// Speed of the tasks that start on a worker, as a multiple of the usual one; 0: they stand still.
+    std::function<double(const std::string& worker)> speedOf = [](const std::string&) { return 1.0; };
     std::function<jobs::EndKind(const jobs::TaskKey&, const std::string& worker)> endOf
         = [](const jobs::TaskKey&, const std::string&) { return jobs::EndKind::Done; };
     std::function<OrderFault(const std::string& worker)> startFault
@@ -63,6 +65,7 @@
         result.address = id + ":80";
         result.pool = "pool";
         result.rack = rack;
+        result.kind = "a";
         result.labels = { "a", rack };
         result.capacity = m_workers.at(id).capacity;
         result.bornUnixMs = m_workers.at(id).born;
@@ -170,6 +173,7 @@
 private:
     struct Run {
         jobs::RunNumber run = 0;
+        TimePoint startedAt;
         TimePoint endsAt;
         std::size_t start = 0; ///< index in m_starts
         bool stopping = false;
@@ -227,7 +231,12 @@
         if (worker.endedRuns[order.task] >= order.run || it != worker.runs.end())
             return refusal(worker, jobs::OrderOutcome::Stale);
         checkStart(id, worker, order);
-        worker.runs[order.task] = { order.run, m_runtime.now() + runTime(order.task), m_starts.size(), false };
+        constexpr double standstill = 1e-6;
+        const auto length
+            = std::chrono::duration_cast<Duration>(runTime(order.task) / std::max(speedOf(id), standstill));
+        const TimePoint now = m_runtime.now();
+        worker.runs[order.task]
+            = { .run = order.run, .startedAt = now, .endsAt = now + length, .start = m_starts.size() };
         m_starts.push_back({ { order.task, order.run }, id, order.checkpoint, m_runtime.now(), {}, {} });
         return refusal(worker, jobs::OrderOutcome::Done);
     }
@@ -300,7 +309,7 @@
         result.report.bornUnixMs = worker.born;
         for (const auto& [task, run] : worker.runs)
             result.report.running.push_back(
-                { { task, run.run }, "checkpoint-" + std::to_string(run.run), 0, usageOf(task) });
+                { { task, run.run }, "checkpoint-" + std::to_string(run.run), progressOf(run), usageOf(task) });
         for (const auto& ended : worker.ended)
             result.report.ended.push_back(ended);
         if (worker.cut) // the answer is lost
@@ -309,6 +318,11 @@
             m_runtime.after(m_latency / 2, [done, result] { done(result); });
     }
 
+    int progressOf(const Run& run) const
+    {
+        return static_cast<int>(100 * (m_runtime.now() - run.startedAt) / (run.endsAt - run.startedAt));
+    }
+
     void settle(const std::string& id, Worker& worker)
     {
         std::vector<jobs::TaskKey> due;
