Leave the ownership to a living owner, and prefer larger VMs

Change: a claim waits up to 0.8 s while the last owner sends messages, and 0.3 s on VMs with under three quarters of the largest processor share, which members learn from the owner. Members stay connected to an owner whose record is absent. Tests: TakeoverTest, two cases.

--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -20,19 +20,27 @@
         return result;
     }
 
+    OwnerLeaseSettings leaseSettings(const EntryNodeSettings& settings)
+    {
+        OwnerLeaseSettings result = settings.lease;
+        result.cpuShare = settings.cpuShare;
+        return result;
+    }
+
 } // namespace
 
 EntryNode::EntryNode(Ports ports, OwnerRecord self, const EntryNodeSettings& settings)
     : m_runtime(ports.runtime)
     , m_resignLimit(settings.resignLimit)
+    , m_cpuShare(settings.cpuShare)
     , m_members(ports.members)
     , m_admission(ports.admission)
     , m_log(ports.log)
     , m_desk(m_runtime, *this)
-    , m_lease(m_runtime, ports.store, m_log, self, settings.lease)
-    , m_link(m_runtime, m_members, m_admission, m_log, self.member, settings.link)
+    , m_lease(m_runtime, ports.store, m_log, self, leaseSettings(settings))
+    , m_link(m_runtime, m_members, m_admission, m_log, Hello { self.member, settings.cpuShare }, settings.link)
     , m_session({ m_runtime, ports.store, ports.records, ports.codec, ports.submissions, ports.workers, m_desk, m_log,
-                    m_lease, ports.unixMs, [this] { welcomeAll(); } },
+                    m_lease, ports.unixMs, [this] { activated(); } },
           schedulerSettings(settings), settings.service, settings.ledger, settings.session)
 {
     m_lease.setListener(this);
@@ -78,7 +86,7 @@
 void EntryNode::ownershipLost(const char*)
 {
     auto unfinished = m_session.end();
-    for (const auto connection : std::exchange(m_followers, {})) {
+    for (const auto& [connection, share] : std::exchange(m_followers, {})) {
         m_desk.removeRelay(connection);
         m_members.close(connection);
     }
@@ -90,14 +98,33 @@
 
 void EntryNode::ownerChanged(const std::optional<OwnerRecord>& owner)
 {
-    if (!m_lease.isOwner())
+    // While nobody holds the record, its last holder may still be the owner, and take it back.
+    if (!m_lease.isOwner() && owner)
         m_link.setOwner(owner);
 }
 
-void EntryNode::welcomeAll()
+double EntryNode::largestCpuShare() const
+{
+    double result = std::max(m_cpuShare, m_link.largestCpuShare());
+    for (const auto& [connection, share] : m_followers)
+        result = std::max(result, share);
+    return result;
+}
+
+void EntryNode::welcome(MemberConnection connection)
+{
+    m_members.send(connection, Welcome { m_lease.epoch(), m_session.isActive(), largestCpuShare() });
+}
+
+void EntryNode::welcomeMembers()
+{
+    for (const auto& [connection, share] : m_followers)
+        welcome(connection);
+}
+
+void EntryNode::activated()
 {
-    for (const auto connection : m_followers)
-        m_members.send(connection, Welcome { m_lease.epoch(), m_session.isActive() });
+    welcomeMembers();
     for (auto& call : m_link.takeCalls()) {
         const ClientCall waiting = withPatienceLeft(std::move(call.call), call.deadline, m_runtime.now());
         m_session.handle(waiting, std::move(call.reply));
@@ -115,10 +142,13 @@
         return;
     }
     if (const auto* hello = std::get_if<Hello>(&message)) {
-        if (m_followers.insert(connection).second)
+        const double largest = largestCpuShare();
+        if (m_followers.emplace(connection, hello->cpuShare).second)
             m_desk.addRelay(connection);
         m_log.record("member_connected", { { "member", hello->member }, { "members", m_followers.size() } });
-        m_members.send(connection, Welcome { m_lease.epoch(), m_session.isActive() });
+        welcome(connection);
+        if (hello->cpuShare > largest)
+            welcomeMembers();
     } else if (const auto* call = std::get_if<CallMessage>(&message)) {
         m_session.handle(call->call, [this, connection, id = call->id](ClientReply reply) {
             m_members.send(connection, CallReply { id, std::move(reply) });
--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -19,6 +19,7 @@
     JobServiceSettings service;
     LedgerSettings ledger;
     OwnerSessionSettings session;
+    double cpuShare = 1; ///< of this VM, in cores
     Duration resignLimit = std::chrono::milliseconds(600); ///< longest wait for commits before ownership is given up
 };
 
@@ -67,13 +68,18 @@
     void ownershipGained(Epoch epoch, const std::string& headValue, Revision headRevision) override;
     void ownershipLost(const char* reason) override;
     void ownerChanged(const std::optional<OwnerRecord>& owner) override;
+    bool ownerIsHeard() const override { return m_link.ownerIsHeard(); }
+    double largestCpuShare() const override;
     // MemberListener
     void received(MemberConnection connection, const MemberMessage& message) override;
     void closed(MemberConnection connection) override;
     // AdmissionPort of the desk: this process, or a member
     void ask(RelayId relay, const AdmissionQuestion& question, Duration timeout, Done done) override;
 
-    void welcomeAll();
+    void welcome(MemberConnection connection);
+    void welcomeMembers();
+    /** @brief The session is active: tells the members, and handles the calls that waited for an owner. */
+    void activated();
     void answered(std::uint64_t id, const absl::StatusOr<std::vector<AdmissionGrant>>& grants);
 
     struct Question {
@@ -83,6 +89,7 @@
 
     Runtime& m_runtime;
     Duration m_resignLimit;
+    double m_cpuShare;
     MemberPort& m_members;
     AdmissionPort& m_admission;
     EventLog& m_log;
@@ -90,7 +97,8 @@
     OwnerLease m_lease;
     OwnerLink m_link;
     OwnerSession m_session;
-    std::set<MemberConnection> m_followers; ///< connections that said hello; each is a relay of the desk
+    /// Connections that said hello, with the processor share of the VM; each is a relay of the desk.
+    std::map<MemberConnection, double> m_followers;
     std::map<std::uint64_t, Question> m_questions; ///< with members
     std::uint64_t m_nextQuestion = 0;
 };
--- a/src/lycheeledge/jobs/MemberMessages.h
+++ b/src/lycheeledge/jobs/MemberMessages.h
@@ -14,6 +14,7 @@
 /** @brief First message of a member to the owner. */
 struct Hello {
     std::string member;
+    double cpuShare = 1; ///< of its VM, in cores
 
     bool operator==(const Hello&) const = default;
 };
@@ -22,6 +23,7 @@
 struct Welcome {
     Epoch epoch = 0;
     bool active = false; ///< takes calls
+    double largestCpuShare = 0; ///< among the owner and its members, in cores
 
     bool operator==(const Welcome&) const = default;
 };
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -122,6 +122,8 @@
     const bool self = owner && owner->member == m_self.member && owner->incarnation == m_self.incarnation;
     if (m_epoch && owner && !self)
         depose("another member holds the owner record");
+    if (!owner && (m_owner || m_unownedSince == TimePoint()))
+        m_unownedSince = m_runtime.now();
     if (m_owner != owner) {
         m_owner = owner;
         m_log.record("owner_learned",
@@ -148,11 +150,23 @@
         return;
     m_claiming = true;
     const auto jitter = m_runtime.random() % static_cast<std::uint64_t>(m_settings.claimDelay.count());
-    m_runtime.after(m_settings.claimDelay + Duration(static_cast<Duration::rep>(jitter)), [this] {
+    m_runtime.after(m_settings.claimDelay + Duration(static_cast<Duration::rep>(jitter)), [this] { claimOrWait(); });
+}
+
+void OwnerLease::claimOrWait()
+{
+    if (m_owner || m_epoch || m_resigned) {
         m_claiming = false;
-        if (!m_owner && !m_epoch && !m_resigned)
-            claim();
-    });
+        return;
+    }
+    const ClaimSituation situation { .unowned = m_runtime.now() - m_unownedSince,
+        .ownerIsHeard = m_listener->ownerIsHeard(),
+        .cpuShare = m_settings.cpuShare,
+        .largestCpuShare = m_listener->largestCpuShare() };
+    if (shouldClaim(situation, m_settings.claim))
+        claim();
+    else
+        m_runtime.after(m_settings.claimCheckInterval, [this] { claimOrWait(); });
 }
 
 void OwnerLease::claim()
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../coordination/Runtime.h"
+#include "ClaimPatience.h"
 #include "ClusterStore.h"
 #include "EventLog.h"
 
@@ -37,6 +38,9 @@
     Duration watchWait = std::chrono::milliseconds(5000);
     Duration retryPause = std::chrono::milliseconds(200);
     Duration claimDelay = std::chrono::milliseconds(40); ///< spreads claims; small VMs wait longer
+    Duration claimCheckInterval = std::chrono::milliseconds(50); ///< while patience with a claim lasts
+    ClaimSettings claim;
+    double cpuShare = 1; ///< of this VM, in cores
     /// An owner that has not been confirmed for so long stops ordering. Longer than the outages of the store that it
     /// is to survive; a new owner waits for it where it cannot fence workers.
     Duration confirmationLimit = std::chrono::milliseconds(8000);
@@ -51,6 +55,10 @@
     virtual void ownershipLost(const char* reason) = 0;
     /** @brief Another member owns the jobs, or nobody is known to. */
     virtual void ownerChanged(const std::optional<OwnerRecord>& owner) = 0;
+    /** @brief Whether the last owner's process sends messages. */
+    virtual bool ownerIsHeard() const = 0;
+    /** @brief Largest processor share among the members, in cores; 0 if unknown. */
+    virtual double largestCpuShare() const = 0;
 };
 
 /** @brief Watches the owner record, claims it when it is absent, and renews it while this process is the owner. */
@@ -84,6 +92,7 @@
     void learn(const std::optional<StoreEntry>& entry);
     void endOwnEarlierLease();
     void considerClaim();
+    void claimOrWait();
     void claim();
     void claimWithLease(StoreLeaseId lease);
     void commitClaim(StoreLeaseId lease, const StoreValue& lastEpoch);
@@ -103,6 +112,7 @@
     StoreLeaseId m_lease = 0;
     TimePoint m_confirmedAt;
     bool m_claiming = false;
+    TimePoint m_unownedSince; ///< when the owner record was found absent
     bool m_resigned = false;
     bool m_known = false; ///< whether the owner record has been read
 };
--- a/src/lycheeledge/jobs/OwnerLink.cpp
+++ b/src/lycheeledge/jobs/OwnerLink.cpp
@@ -7,20 +7,24 @@
 
 namespace lycheeledge::jobs {
 
-OwnerLink::OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, EventLog& log, std::string member,
+OwnerLink::OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, EventLog& log, Hello hello,
     OwnerLinkSettings settings)
     : m_runtime(runtime)
     , m_port(port)
     , m_admission(admission)
     , m_log(log)
-    , m_member(std::move(member))
+    , m_hello(std::move(hello))
     , m_settings(settings)
 {
 }
 
 void OwnerLink::setOwner(const std::optional<OwnerRecord>& owner)
 {
-    if (m_owner == owner)
+    const auto sameProcess = [](const OwnerRecord& a, const OwnerRecord& b) {
+        return a.member == b.member && a.incarnation == b.incarnation && a.epoch == b.epoch;
+    };
+    // An owner that took its record back after its lease lapsed is connected already.
+    if (m_owner && owner && sameProcess(*m_owner, *owner))
         return;
     m_owner = owner;
     drop("the owner changed");
@@ -33,7 +37,7 @@
         return;
     m_connection = m_port.connect(m_owner->host, m_owner->port);
     m_heardAt = m_runtime.now();
-    m_port.send(*m_connection, Hello { m_member });
+    m_port.send(*m_connection, m_hello);
     ping(*m_connection);
 }
 
@@ -115,6 +119,7 @@
                 sendCall(id);
         }
         m_active = welcome->active;
+        m_largestCpuShare = welcome->largestCpuShare;
     } else if (const auto* answer = std::get_if<CallReply>(&message)) {
         auto node = m_calls.extract(answer->id);
         if (!node.empty())
--- a/src/lycheeledge/jobs/OwnerLink.h
+++ b/src/lycheeledge/jobs/OwnerLink.h
@@ -19,6 +19,7 @@
     Duration pingInterval = std::chrono::milliseconds(400);
     Duration silenceLimit = std::chrono::milliseconds(1300); ///< a connection without bytes for so long is given up
     Duration reconnectPause = std::chrono::milliseconds(150);
+    Duration heardLimit = std::chrono::milliseconds(900); ///< two pings, and time for a busy owner to answer
     std::size_t maxCalls = 2000; ///< in progress; further ones are refused
     std::uint32_t retryAfterS = 1; ///< Retry-After while no owner is known; a takeover takes about 2.5 s
 };
@@ -27,7 +28,8 @@
 public:
     using Reply = std::function<void(ClientReply)>;
 
-    OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, EventLog& log, std::string member,
+    /** @param hello introduces this process. */
+    OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, EventLog& log, Hello hello,
         OwnerLinkSettings settings = {});
 
     /** @brief The owner to connect to; nothing if there is none, or if it is this process. */
@@ -40,6 +42,9 @@
      */
     void forward(const ClientCall& call, Reply reply);
     bool isReady() const { return m_connection && m_active && !m_ended; }
+    /** @brief Whether the owner's process has sent something just now. */
+    bool ownerIsHeard() const { return isReady() && m_runtime.now() - m_heardAt <= m_settings.heardLimit; }
+    double largestCpuShare() const { return m_largestCpuShare; }
     /** @brief Takes over a call that this process could not finish as the owner. */
     void adopt(ClientCall call, TimePoint deadline, Reply reply);
     /** @brief Gives the calls in progress away, to be handled by this process as the owner. */
@@ -63,13 +68,14 @@
     MemberPort& m_port;
     AdmissionPort& m_admission;
     EventLog& m_log;
-    std::string m_member;
+    Hello m_hello;
     OwnerLinkSettings m_settings;
     std::optional<OwnerRecord> m_owner;
     std::optional<MemberConnection> m_connection;
     bool m_active = false; ///< the owner takes calls
     bool m_ended = false; ///< no call is taken any more
     TimePoint m_heardAt;
+    double m_largestCpuShare = 0; ///< as the last owner told
     std::uint64_t m_pings = 0;
     std::uint64_t m_nextCall = 0;
     std::map<std::uint64_t, JobService::Unfinished> m_calls;
--- a/src/lycheeledge/protocol/JobSerialization.h
+++ b/src/lycheeledge/protocol/JobSerialization.h
@@ -78,9 +78,12 @@
     archive(value.worker, value.ticket);
 }
 
-template <typename Archive> void serialize(Archive& archive, Hello& value) { archive(value.member); }
+template <typename Archive> void serialize(Archive& archive, Hello& value) { archive(value.member, value.cpuShare); }
 
-template <typename Archive> void serialize(Archive& archive, Welcome& value) { archive(value.epoch, value.active); }
+template <typename Archive> void serialize(Archive& archive, Welcome& value)
+{
+    archive(value.epoch, value.active, value.largestCpuShare);
+}
 
 template <typename Archive> void serialize(Archive& archive, CallMessage& value) { archive(value.id, value.call); }
 
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -392,3 +392,35 @@
     REQUIRE(late->has_value());
     CHECK((*late)->kind == ReplyKind::Refused);
 }
+
+TEST_CASE("a claim waits for larger VMs and for an owner that is heard", "[takeover]")
+{
+    const ClaimSettings settings;
+    const auto unowned = [](int ms, bool heard, double share, double largest) {
+        return ClaimSituation {
+            .unowned = milliseconds(ms), .ownerIsHeard = heard, .cpuShare = share, .largestCpuShare = largest
+        };
+    };
+    CHECK(shouldClaim(unowned(0, false, 0.5, 0.5), settings));
+    CHECK(shouldClaim(unowned(0, false, 0.12, 0), settings)); // sizes are not known
+    CHECK_FALSE(shouldClaim(unowned(100, false, 0.12, 0.5), settings));
+    CHECK(shouldClaim(unowned(400, false, 0.12, 0.5), settings));
+    CHECK_FALSE(shouldClaim(unowned(400, true, 0.5, 0.5), settings));
+    CHECK(shouldClaim(unowned(900, true, 0.5, 0.5), settings)); // the store may turn only the owner away
+}
+
+TEST_CASE("a living owner keeps its ownership when its lease lapses with an outage", "[takeover]")
+{
+    // Guards against a takeover after each outage that outlasts the lease: members reach the store again before the
+    // owner's next renewal.
+    JobCluster cluster(5);
+    addWorkers(cluster, 2);
+    const std::string owner = *cluster.owner();
+    cluster.store.setFault(FakeClusterStore::Fault::Refuse);
+    cluster.advance(seconds(4));
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    cluster.advance(seconds(2));
+    CHECK(cluster.owner() == owner);
+    CHECK(cluster.member(owner).node.lease().epoch() == 1);
+    CHECK(cluster.submit(survivor(cluster), "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+}
