--- a/src/lycheeledge/transport/HttpClient.cpp
+++ b/src/lycheeledge/transport/HttpClient.cpp
@@ -25,9 +25,6 @@
 namespace {
 
     constexpr std::size_t maxHeaderBytes = 64 << 10;
-    // Idle connections are not reused after this time. It is shorter than the read timeout of our servers, which
-    // close idle connections, so that a request rarely meets a connection that is just being closed.
-    constexpr long maxIdleSeconds = 5;
     // Enough to keep the connections to every worker of a cell.
     constexpr std::size_t maxIdleConnections = 8192;
 
@@ -266,7 +263,7 @@
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
         curl_easy_setopt(
             easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(timeout, settings.connectTimeout).count()));
-        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(settings.maxIdleTime.count()));
         if (!settings.caPath.empty())
             curl_easy_setopt(easy, CURLOPT_CAINFO, settings.caPath.c_str());
         curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE, static_cast<curl_off_t>(settings.maxResponseBytes));
--- a/src/lycheeledge/transport/HttpClient.h
+++ b/src/lycheeledge/transport/HttpClient.h
@@ -13,7 +13,12 @@
 
 struct HttpClientSettings {
     std::size_t maxWaiting = 16384; ///< calls handed over and not yet started
+    /// Once a second, and for each connection that it then closes, curl looks at every idle connection. Clients of
+    /// hundreds of hosts keep few connections to each, and keep them long.
     std::size_t maxConnectionsPerHost = 64;
+    /// Idle connections are not reused after this time. The default is shorter than the read timeout of our own
+    /// servers, which close idle connections, so that a request rarely meets a connection that is just being closed.
+    std::chrono::seconds maxIdleTime { 5 };
     std::size_t maxResponseBytes = 64 << 20;
     std::chrono::milliseconds connectTimeout { 1000 };
     std::string caPath; ///< PEM file with the trusted authorities for HTTPS; empty for those of the system
