Carry out maintenance waves

Cause: operators ask for planned maintenance of workers' VMs in waves, at most so many at a time; nothing was done, so waves were late. Change: MaintenancePlan decides which VMs drain and which go down next; MaintenanceDesk lists VMs, drains workers, gives the orders under the epoch and reports the state; progress is kept in the store. Long-running tasks move before, as far as their step's limit on unavailable tasks allows. HttpVms speaks to the provider. Tests: MaintenanceTest (limits, moved tasks, takeover, lost answers, gone VMs), codecs in CodecTest.

--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -60,8 +60,8 @@
     , m_ingress(ports.ingress)
     , m_settings(std::move(settings))
     , m_members(peerSettings(m_settings), m_executor, m_log)
-    , m_node({ m_loop, ports.store, ports.records, m_codec, ports.submissions, ports.workers, ports.admission,
-                 m_members, m_log, unixMilliseconds },
+    , m_node({ m_loop, ports.store, ports.records, m_codec, ports.submissions, ports.workers, ports.vms,
+                 ports.admission, m_members, m_log, unixMilliseconds },
           selfRecord(m_settings), m_settings.node)
     , m_callSeconds(m_metrics.summary("lycheeledge_call_seconds", "Time from a client's call to its response."))
     , m_ingressServer(serverSettings(m_settings.ingress, m_settings),
--- a/src/lycheeledge/daemon/JobDaemon.h
+++ b/src/lycheeledge/daemon/JobDaemon.h
@@ -68,6 +68,7 @@
         const jobs::SubmissionCodec& submissions;
         const IngressCodec& ingress;
         jobs::WorkerPort& workers;
+        jobs::VmPort& vms;
         jobs::AdmissionPort& admission;
     };
 
--- a/src/lycheeledge/jobs/ClusterStore.h
+++ b/src/lycheeledge/jobs/ClusterStore.h
@@ -3,6 +3,7 @@
 
 #include "../coordination/Store.h"
 #include "ClusterConfiguration.h"
+#include "VmPort.h"
 #include "WorkerPort.h"
 
 #include <absl/status/statusor.h>
@@ -98,6 +99,13 @@
     virtual absl::StatusOr<ClusterConfiguration> configuration(const StoreEntry& entry) const = 0;
     /** @brief Errors: `INVALID_ARGUMENT` for an entry that names no worker to use. */
     virtual absl::StatusOr<WorkerRecord> worker(const StoreEntry& entry) const = 0;
+    /** @brief Operators' requests for maintenance waves; below operatorPrefix(). */
+    virtual std::string wavePrefix() const = 0;
+    /** @brief Errors: `INVALID_ARGUMENT` for a record that cannot be used. */
+    virtual absl::StatusOr<MaintenanceWave> wave(const StoreEntry& entry) const = 0;
+    /** @brief Where the state of a wave is reported, and its value while it goes on and when it is completed. */
+    virtual std::string waveStateKey(std::uint64_t wave) const = 0;
+    virtual std::string waveState(bool completed) const = 0;
 };
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -39,9 +39,9 @@
     , m_desk(m_runtime, *this)
     , m_lease(m_runtime, ports.store, m_log, self, leaseSettings(settings))
     , m_link(m_runtime, m_members, m_admission, m_log, Hello { self.member, settings.cpuShare }, settings.link)
-    , m_session({ m_runtime, ports.store, ports.records, ports.codec, ports.submissions, ports.workers, m_desk, m_log,
-                    m_lease, ports.unixMs, [this] { activated(); } },
-          schedulerSettings(settings), settings.service, settings.ledger, settings.session)
+    , m_session({ m_runtime, ports.store, ports.records, ports.codec, ports.submissions, ports.workers, ports.vms,
+                    m_desk, m_log, m_lease, self.member, ports.unixMs, [this] { activated(); } },
+          schedulerSettings(settings), settings.service, settings.ledger, settings.maintenance, settings.session)
 {
     m_lease.setListener(this);
     m_desk.addRelay(thisProcess);
--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -18,6 +18,7 @@
     JobSchedulerSettings scheduler;
     JobServiceSettings service;
     LedgerSettings ledger;
+    MaintenanceSettings maintenance;
     OwnerSessionSettings session;
     double cpuShare = 1; ///< of this VM, in cores
     Duration resignLimit = std::chrono::milliseconds(600); ///< longest wait for commits before ownership is given up
@@ -38,6 +39,7 @@
         const RecordCodec& codec;
         const SubmissionCodec& submissions;
         WorkerPort& workers;
+        VmPort& vms;
         AdmissionPort& admission; ///< calls from this process; its relay is always 0
         MemberPort& members;
         EventLog& log;
--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -7,6 +7,14 @@
 
 namespace lycheeledge::jobs {
 
+std::uint32_t Step::awayWithout(std::uint32_t index) const
+{
+    std::uint32_t n = 0;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i)
+        n += i != index && !tasks[i].isAtWork() ? 1 : 0;
+    return n;
+}
+
 Step* Job::find(const StepKey& key)
 {
     const auto it = open.find(key.occurrence);
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -34,8 +34,11 @@
     std::string checkpoint;
     int pacePercent = 100;
     bool resumed = false; ///< the run continues from a checkpoint
+    int progressPercent = 0; ///< as last reported; a long-running task is at work at 100
     std::optional<ProgressSample> progress; ///< of the run, the last one that was judged
 
+    /** @brief Whether a long-running task serves its users. */
+    bool isAtWork() const { return phase == TaskPhase::Running && progressPercent >= 100; }
     bool occupiesWorker() const
     {
         return phase == TaskPhase::Starting || phase == TaskPhase::Running || phase == TaskPhase::Stopping;
@@ -77,6 +80,8 @@
     TimePoint releasedAt; ///< zero before, and for steps that an earlier owner released
     TimePoint placedAt; ///< when its last task first had a worker; zero before
 
+    /** @brief Tasks other than one that are not at work. */
+    std::uint32_t awayWithout(std::uint32_t index) const;
     bool hasWaiting() const { return done + occupying < tasks.size(); }
     bool isDone() const { return done == tasks.size(); }
 };
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -8,6 +8,7 @@
 #include "FailureQuarantine.h"
 #include "Job.h"
 #include "JobLedger.h"
+#include "MaintenanceDesk.h"
 #include "Placement.h"
 #include "StepOrder.h"
 #include "WorkerTable.h"
@@ -82,7 +83,7 @@
  * there; a step starts only after the steps before it have ended; an end is acknowledged to its worker, and a final
  * state is shown, only after it is stored.
  */
-class JobScheduler final : public WorkerLinkListener {
+class JobScheduler final : public WorkerLinkListener, public WorkerDrainer {
 public:
     struct Ports {
         Runtime& runtime;
@@ -122,6 +123,11 @@
     /** @brief Cancels a job; `stored` is called when that is stored. */
     void cancel(const JobId& id, std::function<void()> stored);
 
+    // --- WorkerDrainer ---
+
+    void setMaintenance(const WorkerId& worker, bool isDraining) override;
+    std::size_t drain(const WorkerId& worker, bool force) override;
+
     // --- For the ledger ---
 
     std::optional<JobChange> changeOf(const JobId& id);
@@ -210,6 +216,7 @@
     void connect(Worker& worker);
     void storeWorkerSet();
     void evacuate(Worker& worker);
+    bool mayInterrupt(Job& job, const TaskKey& key) const;
     void controlPace(Worker& worker, const LookReport& report);
 
     Job* find(const JobId& id);
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -246,7 +246,8 @@
 bool JobScheduler::isPlaceable(const Worker& worker) const
 {
     const TimePoint now = m_runtime.now();
-    if (worker.record.draining || !worker.reported || !worker.link || !worker.link->isReachable())
+    if (worker.record.draining || worker.inMaintenance || !worker.reported || !worker.link
+        || !worker.link->isReachable())
         return false;
     if (!worker.registered && now - worker.missingSince > m_settings.missingGrace)
         return false;
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -197,6 +197,44 @@
         stopTask(*find(key.job), key, "worker drains");
 }
 
+// --- Maintenance ---
+
+void JobScheduler::setMaintenance(const WorkerId& id, bool isDraining)
+{
+    if (Worker* worker = m_workers.find(id))
+        worker->inMaintenance = isDraining;
+    requestPass();
+}
+
+// A long-running step states how many of its tasks may be unavailable by our own action. A task that is not at work
+// already is not made unavailable.
+bool JobScheduler::mayInterrupt(Job& job, const TaskKey& key) const
+{
+    const StepSpec& spec = job.spec().steps[key.step];
+    const Step& step = *job.find(stepOf(key));
+    return spec.maxUnavailable == 0 || !step.tasks[key.index].isAtWork()
+        || step.awayWithout(key.index) < spec.maxUnavailable;
+}
+
+std::size_t JobScheduler::drain(const WorkerId& id, bool force)
+{
+    Worker* worker = m_workers.find(id);
+    if (worker == nullptr)
+        return 0;
+    std::vector<TaskKey> tasks;
+    for (const auto& [key, run] : worker->runs)
+        tasks.push_back(key);
+    for (const auto& key : tasks) {
+        Job* job = find(key.job);
+        if (job == nullptr || isFinal(job->state))
+            continue; // it is being stopped
+        const bool longRunning = job->spec().steps[key.step].longRunning;
+        if (longRunning ? mayInterrupt(*job, key) : force)
+            stopTask(*job, key, "maintenance of the VM");
+    }
+    return worker->runs.size() + worker->strays.size();
+}
+
 // --- Reports ---
 
 void JobScheduler::workerReported(const WorkerId& id, const LookReport& report, TimePoint sentAt)
@@ -355,6 +393,7 @@
         }
         if (!running.checkpoint.empty())
             task->checkpoint = running.checkpoint;
+        task->progressPercent = running.progressPercent;
         if (task->phase == TaskPhase::Running)
             checkProgress(*job, key, *task, running, report.clockMs);
     }
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -85,6 +85,7 @@
     task.pacePercent = 100;
     task.resumed = !task.checkpoint.empty();
     task.progress.reset();
+    task.progressPercent = 0;
     ++m_counters.starts;
     sendStart(key, run, worker.record.id, 1);
 }
--- /dev/null
+++ b/src/lycheeledge/jobs/MaintenanceDesk.cpp
@@ -0,0 +1,333 @@
+// Carries out the operators' maintenance waves: lists VMs, drains workers, gives the orders, reports the state.
+
+#include "MaintenanceDesk.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    std::string progressKey(std::uint64_t wave) { return absl::StrCat("lycheeledge/maintenance/", wave); }
+
+    const char* name(MaintenanceOutcome outcome)
+    {
+        switch (outcome) {
+        case MaintenanceOutcome::Begun:
+            return "begun";
+        case MaintenanceOutcome::Fenced:
+            return "fenced";
+        case MaintenanceOutcome::Busy:
+            return "busy";
+        case MaintenanceOutcome::NotInWave:
+            return "not_in_wave";
+        case MaintenanceOutcome::NoSuchVm:
+            return "no_such_vm";
+        case MaintenanceOutcome::Rejected:
+            return "rejected";
+        case MaintenanceOutcome::Unknown:
+            return "no_response";
+        }
+        return "unknown";
+    }
+
+} // namespace
+
+MaintenanceDesk::MaintenanceDesk(Ports ports, std::string holder, MaintenanceSettings settings)
+    : m_runtime(ports.runtime)
+    , m_port(ports.vms)
+    , m_store(ports.store)
+    , m_records(ports.records)
+    , m_workers(ports.workers)
+    , m_log(ports.log)
+    , m_holder(std::move(holder))
+    , m_settings(settings)
+{
+}
+
+void MaintenanceDesk::begin(Epoch epoch)
+{
+    end();
+    m_session = std::make_shared<int>();
+    m_epoch = epoch;
+    m_mayOrderFrom = m_runtime.now() + m_settings.turnPause;
+}
+
+void MaintenanceDesk::end()
+{
+    m_session.reset();
+    m_waves.clear();
+    m_known.clear();
+    m_listing = false;
+    m_nextList = {};
+    if (m_timer)
+        m_runtime.cancel(*m_timer);
+    m_timer.reset();
+}
+
+void MaintenanceDesk::add(const MaintenanceWave& wave)
+{
+    if (m_session && m_known.insert(wave.number).second)
+        readState(wave);
+}
+
+// An earlier owner may have completed the wave, or a part of it.
+void MaintenanceDesk::readState(const MaintenanceWave& wave)
+{
+    read(m_records.waveStateKey(wave.number), [this, wave](const std::string& state) {
+        if (state == m_records.waveState(true))
+            return;
+        read(progressKey(wave.number), [this, wave](const std::string& done) { start(wave, done); });
+    });
+}
+
+void MaintenanceDesk::read(const std::string& key, std::function<void(const std::string&)> done)
+{
+    m_store.get(key, m_settings.callTimeout,
+        [this, key, done = std::move(done), session = Session(m_session)](const absl::StatusOr<StoreValue>& value) {
+            if (session.expired())
+                return;
+            if (value.ok()) {
+                done(value->entry ? value->entry->value : std::string());
+                return;
+            }
+            m_log.record("store_unreachable", { { "call", "read_wave" }, { "error", value.status().message() } });
+            m_runtime.after(m_settings.retryPause, [this, key, done, session] {
+                if (!session.expired())
+                    read(key, done);
+            });
+        });
+}
+
+// A lost or late write costs the next owner a drain that was not needed: the provider does nothing twice.
+void MaintenanceDesk::storeProgress(std::uint64_t number)
+{
+    std::vector<std::string> done;
+    for (const auto& [id, vm] : m_waves.at(number).vms) {
+        if (vm.phase == MaintenancePhase::Down || vm.phase == MaintenancePhase::Done)
+            done.push_back(id.value());
+    }
+    StoreTransaction transaction;
+    transaction.puts = { { progressKey(number), absl::StrJoin(done, " "), std::nullopt } };
+    m_store.commit(transaction, m_settings.callTimeout, [this, number](const absl::StatusOr<CommitResult>& result) {
+        if (!result.ok())
+            m_log.record("wave_progress_not_stored", { { "wave", number }, { "error", result.status().message() } });
+    });
+}
+
+void MaintenanceDesk::start(const MaintenanceWave& wave, const std::string& done)
+{
+    Wave& added = m_waves[wave.number];
+    added.request = wave;
+    added.request.maxDown = std::max<std::size_t>(wave.maxDown, 1);
+    for (const auto& vm : wave.vms)
+        added.vms[vm] = {};
+    for (const auto vm : absl::StrSplit(done, ' ', absl::SkipEmpty())) {
+        const auto it = added.vms.find(VmId(std::string(vm)));
+        if (it != added.vms.end())
+            enter(it->second, MaintenancePhase::Down); // until the list shows that it is back
+    }
+    m_log.record("wave_started",
+        { { "wave", wave.number }, { "vms", wave.vms.size() }, { "max_down", wave.maxDown }, { "epoch", m_epoch } });
+    // Requires that there is no state yet, so a late copy does not replace a later state.
+    StoreTransaction transaction;
+    const std::string key = m_records.waveStateKey(wave.number);
+    transaction.conditions = { { key, 0 } };
+    transaction.puts = { { key, m_records.waveState(false), std::nullopt } };
+    m_store.commit(transaction, m_settings.callTimeout, [this, wave](const absl::StatusOr<CommitResult>& result) {
+        if (!result.ok())
+            m_log.record("wave_state_not_stored", { { "wave", wave.number }, { "error", result.status().message() } });
+    });
+    schedule();
+}
+
+void MaintenanceDesk::schedule()
+{
+    if (m_timer || m_waves.empty())
+        return;
+    m_timer = m_runtime.after(m_settings.interval, [this] {
+        m_timer.reset();
+        decide();
+        schedule();
+    });
+}
+
+void MaintenanceDesk::enter(WaveVm& vm, MaintenancePhase phase)
+{
+    vm.phase = phase;
+    vm.since = m_runtime.now();
+}
+
+// --- List ---
+
+void MaintenanceDesk::list(const std::string& page, std::shared_ptr<std::map<VmId, VmRecord>> seen)
+{
+    m_listing = true;
+    m_port.list(page, m_settings.callTimeout,
+        [this, seen = std::move(seen), session = Session(m_session)](const absl::StatusOr<VmPage>& result) {
+            if (session.expired())
+                return;
+            m_listing = false;
+            m_nextList = m_runtime.now() + m_settings.listInterval;
+            if (!result.ok()) {
+                m_log.record("vm_list_failed", { { "error", result.status().message() } });
+                return;
+            }
+            for (const auto& vm : result->vms)
+                (*seen)[vm.vm] = vm;
+            if (!result->next.empty())
+                list(result->next, seen);
+            else
+                listed(*seen);
+        });
+}
+
+void MaintenanceDesk::listed(const std::map<VmId, VmRecord>& seen)
+{
+    for (auto& [number, wave] : m_waves) {
+        for (auto& [id, vm] : wave.vms) {
+            const auto it = seen.find(id);
+            if (it == seen.end()) {
+                enter(vm, MaintenancePhase::Done); // gone for good
+                continue;
+            }
+            vm.state = it->second.state;
+            vm.worker = it->second.worker;
+            if (vm.phase == MaintenancePhase::Pending && vm.state == VmState::InMaintenance)
+                enter(vm, MaintenancePhase::Down); // ordered by an earlier owner
+            // The list also tells of an order whose response was lost.
+            const bool replaced = !vm.worker.value().empty() && vm.worker != vm.drained;
+            if (vm.phase == MaintenancePhase::Ordering && (vm.state == VmState::InMaintenance || replaced)) {
+                enter(vm, MaintenancePhase::Down);
+                storeProgress(number);
+            }
+            // A worker that stays was there after maintenance that an earlier owner ordered.
+            const bool stays = m_runtime.now() - vm.since > m_settings.maintenanceTime + m_settings.listLag;
+            if (vm.phase == MaintenancePhase::Down && vm.state == VmState::Up && (replaced || stays)) {
+                m_workers.setMaintenance(vm.drained, false);
+                enter(vm, MaintenancePhase::Done);
+            }
+        }
+    }
+}
+
+// --- Decisions ---
+
+void MaintenanceDesk::decide()
+{
+    if (!m_listing && m_runtime.now() >= m_nextList)
+        list({}, std::make_shared<std::map<VmId, VmRecord>>());
+    for (auto& [number, wave] : m_waves)
+        decide(number, wave);
+}
+
+void MaintenanceDesk::decide(std::uint64_t number, Wave& wave)
+{
+    if (wave.completed)
+        return;
+    const Duration patience = drainPatience(wave.request, m_settings.maintenanceTime);
+    for (auto& [id, vm] : wave.vms) {
+        if (vm.phase == MaintenancePhase::Draining)
+            vm.runs = m_workers.drain(vm.drained, m_runtime.now() - vm.since > patience);
+    }
+    const MaintenanceActions actions = planMaintenance(wave.request, wave.vms);
+    for (const auto& id : actions.drain) {
+        WaveVm& vm = wave.vms.at(id);
+        vm.drained = vm.worker;
+        m_workers.setMaintenance(vm.drained, true);
+        vm.runs = m_workers.drain(vm.drained, false);
+        enter(vm, MaintenancePhase::Draining);
+        m_log.record("vm_draining",
+            { { "wave", number }, { "vm", id.value() }, { "worker", vm.drained.value() }, { "runs", vm.runs } });
+    }
+    if (m_runtime.now() >= m_mayOrderFrom) {
+        for (const auto& id : actions.order)
+            order(number, id);
+    }
+    const bool done = std::all_of(
+        wave.vms.begin(), wave.vms.end(), [](const auto& it) { return it.second.phase == MaintenancePhase::Done; });
+    if (done) {
+        wave.completed = true;
+        reportCompleted(number);
+    }
+}
+
+// --- Orders ---
+
+void MaintenanceDesk::order(std::uint64_t number, const VmId& id)
+{
+    enter(m_waves.at(number).vms.at(id), MaintenancePhase::Ordering);
+    m_port.beginMaintenance({ .vm = id, .wave = number, .holder = m_holder, .epoch = m_epoch }, m_settings.callTimeout,
+        [this, number, id, session = Session(m_session)](MaintenanceOutcome outcome) {
+            if (!session.expired())
+                ordered(number, id, outcome);
+        });
+}
+
+void MaintenanceDesk::ordered(std::uint64_t number, const VmId& id, MaintenanceOutcome outcome)
+{
+    const auto wave = m_waves.find(number);
+    if (wave == m_waves.end())
+        return;
+    WaveVm& vm = wave->second.vms.at(id);
+    if (vm.phase != MaintenancePhase::Ordering)
+        return; // the list has told already
+    m_log.record("maintenance_ordered",
+        { { "wave", number }, { "vm", id.value() }, { "epoch", m_epoch }, { "outcome", name(outcome) } });
+    switch (outcome) {
+    case MaintenanceOutcome::Begun:
+        enter(vm, MaintenancePhase::Down);
+        storeProgress(number);
+        return;
+    case MaintenanceOutcome::NotInWave:
+    case MaintenanceOutcome::NoSuchVm:
+        m_workers.setMaintenance(vm.drained, false);
+        enter(vm, MaintenancePhase::Done);
+        return;
+    case MaintenanceOutcome::Fenced:
+        // Another owner is at work; this one will learn of it from the store. No further order for this VM.
+        return;
+    case MaintenanceOutcome::Busy:
+    case MaintenanceOutcome::Rejected:
+        enter(vm, MaintenancePhase::Draining);
+        return;
+    case MaintenanceOutcome::Unknown:
+        break;
+    }
+    m_runtime.after(m_settings.retryPause, [this, number, id, session = Session(m_session)] {
+        if (session.expired())
+            return;
+        const auto it = m_waves.find(number);
+        if (it != m_waves.end() && it->second.vms.at(id).phase == MaintenancePhase::Ordering)
+            order(number, id);
+    });
+}
+
+void MaintenanceDesk::reportCompleted(std::uint64_t number)
+{
+    StoreTransaction transaction;
+    transaction.puts = { { m_records.waveStateKey(number), m_records.waveState(true), std::nullopt } };
+    m_store.commit(transaction, m_settings.callTimeout,
+        [this, number, session = Session(m_session)](const absl::StatusOr<CommitResult>& result) {
+            if (session.expired())
+                return;
+            if (!result.ok()) {
+                m_log.record("wave_state_not_stored", { { "wave", number }, { "error", result.status().message() } });
+                m_runtime.after(m_settings.retryPause, [this, number, session] {
+                    if (!session.expired())
+                        reportCompleted(number);
+                });
+                return;
+            }
+            m_log.record("wave_completed", { { "wave", number } });
+            m_waves.erase(number);
+        });
+}
+
+} // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/OwnerSession.cpp
+++ b/src/lycheeledge/jobs/OwnerSession.cpp
@@ -10,7 +10,7 @@
 namespace lycheeledge::jobs {
 
 OwnerSession::OwnerSession(Ports ports, JobSchedulerSettings scheduler, JobServiceSettings service,
-    LedgerSettings ledger, OwnerSessionSettings settings)
+    LedgerSettings ledger, MaintenanceSettings maintenance, OwnerSessionSettings settings)
     : m_runtime(ports.runtime)
     , m_store(ports.store)
     , m_records(ports.records)
@@ -23,6 +23,8 @@
     , m_ledger(m_runtime, m_store, m_codec, m_log, m_records.configurationKey(), ledger)
     , m_scheduler({ m_runtime, ports.workers, ports.admission, m_ledger, m_log, *this }, scheduler)
     , m_service({ m_runtime, m_scheduler, m_ledger, ports.submissions, m_log, *this }, service)
+    , m_maintenance(
+          { m_runtime, ports.vms, m_store, m_records, m_scheduler, m_log }, std::move(ports.member), maintenance)
 {
     m_ledger.setSource(this);
 }
@@ -37,6 +39,7 @@
     m_begun = m_runtime.now();
     m_ledger.open(headValue, headRevision);
     m_scheduler.begin(epoch);
+    m_maintenance.begin(epoch);
     m_missingReads = 5;
     const auto complete = [this] {
         --m_missingReads;
@@ -54,6 +57,7 @@
     m_session.reset();
     m_activated = false;
     m_ledger.close();
+    m_maintenance.end();
     auto unfinished = m_service.end();
     m_scheduler.end();
     m_configuration.reset();
@@ -97,6 +101,7 @@
                 --m_missingReads;
                 tryRecover();
             }
+            readWaves(); // the watch below may begin after some were written
             watchOperator(value->asOf);
         });
 }
@@ -114,8 +119,13 @@
                 return;
             }
             for (const auto& event : events->events) {
-                if (event.key == m_records.configurationKey() && event.value)
-                    applyConfiguration({ event.key, *event.value, event.revision });
+                if (!event.value)
+                    continue;
+                const StoreEntry entry { event.key, *event.value, event.revision };
+                if (event.key == m_records.configurationKey())
+                    applyConfiguration(entry);
+                else if (event.key.starts_with(m_records.wavePrefix()))
+                    applyWave(entry);
             }
             m_service.configurationConfirmed(sentAt);
             m_lease.confirmed(sentAt);
@@ -143,6 +153,26 @@
     m_service.setConfiguration(m_configuration);
 }
 
+// --- Maintenance waves ---
+
+void OwnerSession::readWaves()
+{
+    m_waves.clear();
+    readPages(m_records.wavePrefix(), m_waves, [this] {
+        for (const auto& entry : std::exchange(m_waves, {}))
+            applyWave(entry);
+    });
+}
+
+void OwnerSession::applyWave(const StoreEntry& entry)
+{
+    const auto wave = m_records.wave(entry);
+    if (wave.ok())
+        m_maintenance.add(*wave);
+    else
+        m_log.record("wave_unreadable", { { "key", entry.key }, { "error", wave.status().message() } });
+}
+
 // --- Recovery ---
 
 void OwnerSession::readPages(
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -30,15 +30,17 @@
         const RecordCodec& codec;
         const SubmissionCodec& submissions;
         WorkerPort& workers;
+        VmPort& vms;
         AdmissionDesk& admission;
         EventLog& log;
         OwnerLease& lease;
+        std::string member; ///< name of this process
         std::function<std::int64_t()> unixMs;
         std::function<void()> activated; ///< the session takes calls now
     };
 
     OwnerSession(Ports ports, JobSchedulerSettings scheduler, JobServiceSettings service, LedgerSettings ledger,
-        OwnerSessionSettings settings = {});
+        MaintenanceSettings maintenance = {}, OwnerSessionSettings settings = {});
     ~OwnerSession() override;
 
     void begin(Epoch epoch, const std::string& headValue, Revision headRevision);
@@ -75,6 +77,8 @@
     void readConfiguration();
     void watchOperator(Revision after);
     void applyConfiguration(const StoreEntry& entry);
+    void readWaves();
+    void applyWave(const StoreEntry& entry);
     void readPages(const std::string& prefix, std::vector<StoreEntry>& into, std::function<void()> done,
         const std::string& after = {});
     void readWorkerSet();
@@ -96,6 +100,7 @@
     JobLedger m_ledger;
     JobScheduler m_scheduler;
     JobService m_service;
+    MaintenanceDesk m_maintenance;
     std::shared_ptr<int> m_session;
     std::shared_ptr<const ClusterConfiguration> m_configuration;
     Epoch m_epoch = 0;
@@ -107,6 +112,7 @@
     std::vector<StoreEntry> m_progress;
     std::vector<StoreEntry> m_registry;
     WorkerSetRecord m_workerSet;
+    std::vector<StoreEntry> m_waves;
     bool m_watchingOperator = false;
     absl::flat_hash_set<std::string> m_unreadable; ///< registry keys that were logged as unreadable
 };
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -35,6 +35,7 @@
     absl::flat_hash_map<TaskKey, PlacedRun> runs;
     /// Runs that were found here and belong to no task; stopped, and counted until they are gone.
     absl::flat_hash_map<TaskKey, RunNumber> strays;
+    bool inMaintenance = false; ///< drains for, or is down for, planned maintenance of its VM
     bool registered = false; ///< in the platform's list at the last reading
     TimePoint missingSince; ///< if not registered
     bool reported = false; ///< under the current epoch
--- /dev/null
+++ b/test/jobs/MaintenanceTest.cpp
@@ -0,0 +1,136 @@
+// Maintenance waves: how many VMs are down, what moves before, takeovers, and lost answers.
+
+#include "support/JobCluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheeledge;
+using namespace lycheeledge::jobs;
+using namespace lycheeledge::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/** @brief Members and workers w0.. on VMs vm0..; a VM comes back with a worker of another id. */
+struct Fleet {
+    explicit Fleet(std::size_t members, int vms)
+        : cluster(members)
+    {
+        for (int i = 0; i < vms; ++i) {
+            cluster.addWorker("w" + std::to_string(i), 8000);
+            cluster.vms.add("vm" + std::to_string(i), "w" + std::to_string(i));
+        }
+        cluster.vms.wentDown = [this](const WorkerId& worker) {
+            runsAtMaintenance += cluster.workers.runsOn(worker.value());
+            cluster.workers.restart(worker.value());
+            cluster.workers.cut(worker.value(), true);
+            cluster.unregisterWorker(worker.value());
+        };
+        cluster.vms.cameBack = [this](const VmId& vm) {
+            const std::string id = "new-" + vm.value();
+            cluster.addWorker(id, 8000);
+            return WorkerId(id);
+        };
+        cluster.advance(seconds(4));
+    }
+
+    void requestWave(std::uint64_t number, int vms, std::size_t maxDown, Duration duration)
+    {
+        MaintenanceWave wave { .number = number, .vms = {}, .duration = duration, .maxDown = maxDown };
+        for (int i = 0; i < vms; ++i)
+            wave.vms.emplace_back("vm" + std::to_string(i));
+        cluster.records.waves["wave-" + std::to_string(number)] = wave;
+        cluster.store.put(cluster.records.wavePrefix() + std::to_string(number), "wave-" + std::to_string(number));
+    }
+    std::string state(std::uint64_t number)
+    {
+        const auto entry = cluster.store.entry(cluster.records.waveStateKey(number));
+        return entry ? entry->value : std::string();
+    }
+
+    JobCluster cluster;
+    std::size_t runsAtMaintenance = 0; ///< runs that a VM's maintenance ended
+};
+
+} // namespace
+
+TEST_CASE("a wave takes each VM through maintenance, at most so many at a time", "[maintenance]")
+{
+    Fleet fleet(2, 6);
+    fleet.requestWave(1, 6, 2, seconds(30));
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.state(1) == "running"; }, seconds(2)));
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.state(1) == "completed"; }, seconds(30)));
+    CHECK(fleet.cluster.vms.maintained() == 6);
+    CHECK(fleet.cluster.vms.mostDown() == 2);
+}
+
+TEST_CASE("tasks leave a VM before its maintenance, and their jobs complete", "[maintenance]")
+{
+    Fleet fleet(1, 4);
+    fleet.cluster.workers.runTime = [](const TaskKey&) { return seconds(3); };
+    for (std::uint64_t n = 1; n <= 6; ++n)
+        REQUIRE(fleet.cluster.submit("m0", "batch", n, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    fleet.requestWave(1, 4, 1, seconds(40));
+    for (std::uint64_t n = 1; n <= 6; ++n)
+        CHECK(fleet.cluster.waitForState(n, "batch", JobState::Completed, seconds(60)));
+    CHECK(fleet.cluster.waitFor([&] { return fleet.state(1) == "completed"; }, seconds(40)));
+    CHECK(fleet.runsAtMaintenance == 0);
+    CHECK(fleet.cluster.workers.violations().empty());
+}
+
+TEST_CASE("maintenance makes no more tasks of a long-running step unavailable than it allows", "[maintenance]")
+{
+    // Three tasks on three VMs, one may be missing: the next VM waits until the moved task is at work again.
+    Fleet fleet(1, 4);
+    auto step = simpleStep(3, 1000);
+    step.longRunning = true;
+    step.maxUnavailable = 1;
+    step.maxTasksPerWorker = 1;
+    fleet.cluster.workers.runTime = [](const TaskKey&) { return seconds(600); };
+    fleet.cluster.workers.atWorkAfter = milliseconds(800);
+    REQUIRE(fleet.cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { step } }));
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.cluster.workers.tasksAtWork() == 3; }, seconds(10)));
+    fleet.requestWave(1, 4, 2, seconds(10));
+    std::size_t fewest = 3;
+    REQUIRE(fleet.cluster.waitFor(
+        [&] {
+            fewest = std::min(fewest, fleet.cluster.workers.tasksAtWork());
+            return fleet.state(1) == "completed";
+        },
+        seconds(60)));
+    CHECK(fewest >= 2);
+    CHECK(fleet.runsAtMaintenance == 0);
+}
+
+TEST_CASE("a wave goes on under the next owner, also when answers are lost", "[maintenance]")
+{
+    Fleet fleet(3, 5);
+    fleet.cluster.vms.losesAnswers = true;
+    fleet.requestWave(1, 5, 1, seconds(30));
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.cluster.vms.maintained() >= 2; }, seconds(30)));
+    fleet.cluster.vms.losesAnswers = false;
+    fleet.cluster.kill(*fleet.cluster.owner());
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.state(1) == "completed"; }, seconds(60)));
+    CHECK(fleet.cluster.vms.maintained() == 5);
+    CHECK(fleet.cluster.vms.mostDown() == 1);
+}
+
+TEST_CASE("a VM that is gone does not keep a wave from completing", "[maintenance]")
+{
+    Fleet fleet(1, 3);
+    fleet.cluster.vms.remove("vm1");
+    fleet.requestWave(7, 3, 1, seconds(30));
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.state(7) == "completed"; }, seconds(30)));
+    CHECK(fleet.cluster.vms.maintained() == 2);
+}
+
+TEST_CASE("the patience with tasks on a draining VM follows from the wave's deadline", "[maintenance]")
+{
+    MaintenanceWave wave { .number = 1, .vms = std::vector<VmId>(10), .duration = seconds(50), .maxDown = 1 };
+    CHECK(drainPatience(wave, seconds(2)) == milliseconds(1500)); // 5 s for each, less 3.5 s
+    wave.duration = seconds(10);
+    CHECK(drainPatience(wave, seconds(2)) == milliseconds(300));
+    wave.duration = seconds(1000);
+    CHECK(drainPatience(wave, seconds(2)) == seconds(5));
+}
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <platform/HttpVms.h>
 #include <platform/HttpWorkers.h>
 #include <platform/Ingress.h>
 #include <platform/PlatformSettings.h>
@@ -188,3 +189,45 @@
     REQUIRE(decoded.ok());
     CHECK(*decoded == key);
 }
+
+TEST_CASE("a page of the list of VMs is read, without rows that cannot be", "[platform]")
+{
+    const auto page = decodeVmPage(R"({"machines":[
+        {"machine":"m-1","pool":"p","state":"up","labels":["a","r1"],"id":"i-1"},
+        {"machine":"m-2","state":"upkeep","id":""}, {"state":"up"}, 7,
+        {"machine":"m-3","state":"surprising","id":"i-3"}],"nextToken":"t"})");
+    REQUIRE(page.ok());
+    CHECK(page->next == "t");
+    const std::vector<VmRecord> expected { { VmId("m-1"), VmState::Up, WorkerId("i-1") },
+        { VmId("m-2"), VmState::InMaintenance, WorkerId() }, { VmId("m-3"), VmState::Down, WorkerId("i-3") } };
+    CHECK(page->vms == expected);
+    CHECK(decodeVmPage(R"({"machines":[],"nextToken":null})")->next.empty());
+    CHECK_FALSE(decodeVmPage("{}").ok());
+}
+
+TEST_CASE("responses to a maintenance order are told apart", "[platform]")
+{
+    CHECK(decodeMaintenanceOutcome(200, "{}") == MaintenanceOutcome::Begun);
+    CHECK(decodeMaintenanceOutcome(409, R"({"reason":"fence"})") == MaintenanceOutcome::Fenced);
+    CHECK(decodeMaintenanceOutcome(409, R"({"reason":"busy"})") == MaintenanceOutcome::Busy);
+    CHECK(decodeMaintenanceOutcome(409, R"({"reason":"wave"})") == MaintenanceOutcome::NotInWave);
+    CHECK(decodeMaintenanceOutcome(400, "") == MaintenanceOutcome::NoSuchVm);
+    CHECK(decodeMaintenanceOutcome(429, "") == MaintenanceOutcome::Rejected);
+    CHECK(decodeMaintenanceOutcome(502, "") == MaintenanceOutcome::Unknown);
+}
+
+TEST_CASE("a maintenance wave is read, and its state written", "[platform]")
+{
+    const StoreRecords records;
+    const auto wave = records.wave({ .key = "op/wave/3",
+        .value = R"({"wave":3,"machines":["m-1","m-2"],"durationS":20,"upperLimit":2})",
+        .modRevision = 9 });
+    REQUIRE(wave.ok());
+    CHECK(*wave
+        == MaintenanceWave {
+            .number = 3, .vms = { VmId("m-1"), VmId("m-2") }, .duration = std::chrono::seconds(20), .maxDown = 2 });
+    CHECK_FALSE(records.wave({ .key = "op/wave/4", .value = R"({"machines":[]})", .modRevision = 9 }).ok());
+    CHECK(records.waveStateKey(3) == "status/wave/3");
+    CHECK(records.waveState(false) == R"({"state":"running"})");
+    CHECK(records.waveState(true) == R"({"state":"completed"})");
+}
--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -99,6 +99,18 @@
         return static_cast<std::size_t>(
             std::count_if(m_starts.begin(), m_starts.end(), [&task](const auto& it) { return it.run.task == task; }));
     }
+    std::size_t runsOn(const std::string& id) const { return m_workers.at(id).runs.size(); }
+    /// Startup of tasks; then they report 100 percent. Zero: progress follows the run time.
+    Duration atWorkAfter {};
+    std::size_t tasksAtWork() const
+    {
+        std::size_t n = 0;
+        for (const auto& [id, worker] : m_workers) {
+            for (const auto& [task, run] : worker.runs)
+                n += !run.stopping && progressOf(run) >= 100 ? 1 : 0;
+        }
+        return n;
+    }
     std::size_t running() const
     {
         std::size_t n = 0;
@@ -320,6 +332,8 @@
 
     int progressOf(const Run& run) const
     {
+        if (atWorkAfter > Duration::zero())
+            return m_runtime.now() - run.startedAt >= atWorkAfter ? 100 : 0;
         return static_cast<int>(100 * (m_runtime.now() - run.startedAt) / (run.endsAt - run.startedAt));
     }
 
--- /dev/null
+++ b/test/support/FakeVms.h
@@ -0,0 +1,107 @@
+// Provider of the workers' VMs on the paused clock: list in pages, maintenance with fencing.
+#pragma once
+
+#include "ManualRuntime.h"
+
+#include <lycheeledge/jobs/VmPort.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lycheeledge::test {
+
+class FakeVms final : public jobs::VmPort {
+public:
+    explicit FakeVms(ManualRuntime& runtime)
+        : m_runtime(runtime)
+    {
+    }
+
+    Duration maintenanceTime = std::chrono::seconds(2);
+    std::size_t pageSize = 2;
+    bool losesAnswers = false; ///< orders are carried out, but their responses are lost
+    /// The VM goes down, and comes back with a worker of another id, which the second call returns.
+    std::function<void(const jobs::WorkerId&)> wentDown = [](const jobs::WorkerId&) {};
+    std::function<jobs::WorkerId(const VmId&)> cameBack = [](const VmId& vm) { return jobs::WorkerId(vm.value()); };
+
+    void add(const std::string& vm, const std::string& worker)
+    {
+        m_vms[VmId(vm)] = { .worker = jobs::WorkerId(worker) };
+    }
+    void remove(const std::string& vm) { m_vms.erase(VmId(vm)); }
+    std::size_t down() const { return m_down; }
+    std::size_t mostDown() const { return m_mostDown; }
+    std::size_t maintained() const { return m_maintained; }
+
+    void list(const std::string& page, Duration, std::function<void(absl::StatusOr<jobs::VmPage>)> done) override
+    {
+        jobs::VmPage result;
+        for (const auto& [id, vm] : m_vms) {
+            if (id.value() <= page)
+                continue;
+            if (result.vms.size() == pageSize) {
+                result.next = result.vms.back().vm.value();
+                break;
+            }
+            result.vms.push_back({ id, vm.state, vm.worker });
+        }
+        m_runtime.after(latency, [done, result] { done(result); });
+    }
+
+    void beginMaintenance(const jobs::MaintenanceOrder& order, Duration timeout,
+        std::function<void(jobs::MaintenanceOutcome)> done) override
+    {
+        const auto outcome = execute(order);
+        if (losesAnswers)
+            m_runtime.after(timeout, [done] { done(jobs::MaintenanceOutcome::Unknown); });
+        else
+            m_runtime.after(latency, [done, outcome] { done(outcome); });
+    }
+
+private:
+    static constexpr Duration latency = std::chrono::milliseconds(8);
+
+    struct Vm {
+        jobs::WorkerId worker;
+        jobs::VmState state = jobs::VmState::Up;
+        Epoch epoch = 0;
+        std::uint64_t maintainedIn = 0; ///< number of the last wave
+    };
+
+    jobs::MaintenanceOutcome execute(const jobs::MaintenanceOrder& order)
+    {
+        const auto it = m_vms.find(order.vm);
+        if (it == m_vms.end())
+            return jobs::MaintenanceOutcome::NoSuchVm;
+        Vm& vm = it->second;
+        if (order.epoch < vm.epoch)
+            return jobs::MaintenanceOutcome::Fenced;
+        vm.epoch = order.epoch;
+        if (vm.maintainedIn == order.wave)
+            return jobs::MaintenanceOutcome::Begun;
+        if (vm.state != jobs::VmState::Up)
+            return jobs::MaintenanceOutcome::Busy;
+        vm.maintainedIn = order.wave;
+        vm.state = jobs::VmState::InMaintenance;
+        wentDown(vm.worker);
+        vm.worker = {};
+        ++m_maintained;
+        m_mostDown = std::max(m_mostDown, ++m_down);
+        m_runtime.after(maintenanceTime, [this, id = order.vm] {
+            --m_down;
+            m_vms[id].state = jobs::VmState::Up;
+            m_vms[id].worker = cameBack(id);
+        });
+        return jobs::MaintenanceOutcome::Begun;
+    }
+
+    ManualRuntime& m_runtime;
+    std::map<VmId, Vm> m_vms;
+    std::size_t m_down = 0;
+    std::size_t m_mostDown = 0;
+    std::size_t m_maintained = 0;
+};
+
+} // namespace lycheeledge::test
--- a/test/support/JobCluster.h
+++ b/test/support/JobCluster.h
@@ -3,6 +3,7 @@
 
 #include "FakeClusterStore.h"
 #include "FakeJobWorkers.h"
+#include "FakeVms.h"
 #include "ManualRuntime.h"
 
 #include <lycheeledge/jobs/EntryNode.h>
@@ -53,6 +54,17 @@
         result.revision = entry.modRevision;
         return result;
     }
+    std::map<std::string, jobs::MaintenanceWave> waves;
+    std::string wavePrefix() const override { return "operator/wave/"; }
+    absl::StatusOr<jobs::MaintenanceWave> wave(const StoreEntry& entry) const override
+    {
+        const auto it = waves.find(entry.value);
+        if (it == waves.end())
+            return absl::InvalidArgumentError("unreadable");
+        return it->second;
+    }
+    std::string waveStateKey(std::uint64_t wave) const override { return "state/" + std::to_string(wave); }
+    std::string waveState(bool completed) const override { return completed ? "completed" : "running"; }
     absl::StatusOr<jobs::WorkerRecord> worker(const StoreEntry& entry) const override
     {
         const auto it = workers.find(entry.value);
@@ -247,6 +259,7 @@
         : runtime(seed)
         , store(runtime)
         , workers(runtime)
+        , vms(runtime)
         , admission(runtime)
         , m_network(runtime)
     {
@@ -258,6 +271,7 @@
     ManualRuntime runtime;
     FakeClusterStore store;
     FakeJobWorkers workers;
+    FakeVms vms;
     FakeAdmission admission;
     FakeRecords records;
     FakeSubmissions submissions;
@@ -323,14 +337,43 @@
         ProcessRuntime& m_process;
     };
 
+    /** @brief Calls of one member to the provider of VMs; responses go to its process. */
+    class MemberVms final : public jobs::VmPort {
+    public:
+        MemberVms(FakeVms& vms, ProcessRuntime& process)
+            : m_vms(vms)
+            , m_process(process)
+        {
+        }
+        void list(
+            const std::string& page, Duration timeout, std::function<void(absl::StatusOr<jobs::VmPage>)> done) override
+        {
+            m_vms.list(page, timeout, [process = &m_process, done = std::move(done)](const auto& result) {
+                process->deliver([done, result] { done(result); });
+            });
+        }
+        void beginMaintenance(const jobs::MaintenanceOrder& order, Duration timeout,
+            std::function<void(jobs::MaintenanceOutcome)> done) override
+        {
+            m_vms.beginMaintenance(order, timeout, [process = &m_process, done = std::move(done)](auto outcome) {
+                process->deliver([done, outcome] { done(outcome); });
+            });
+        }
+
+    private:
+        FakeVms& m_vms;
+        ProcessRuntime& m_process;
+    };
+
     struct Member {
         explicit Member(JobCluster& cluster, const std::string& name, std::uint64_t incarnation)
             : runtime(cluster.runtime)
             , store(cluster.store, name, runtime)
             , network(std::make_unique<FakeMemberNetwork::Port>(cluster.m_network, name, runtime))
             , workers(cluster.workers, runtime)
-            , node({ runtime, store, cluster.records, cluster.codec, cluster.submissions, workers, cluster.admission,
-                       *network, cluster.log, [&cluster] { return cluster.unixMs(); } },
+            , vms(cluster.vms, runtime)
+            , node({ runtime, store, cluster.records, cluster.codec, cluster.submissions, workers, vms,
+                       cluster.admission, *network, cluster.log, [&cluster] { return cluster.unixMs(); } },
                   { .member = name, .incarnation = incarnation, .epoch = 0, .host = name, .port = 1 }, cluster.settings)
         {
             network->listener = &node.memberListener();
@@ -340,6 +383,7 @@
         FakeClusterStore::Port store;
         std::unique_ptr<FakeMemberNetwork::Port> network;
         MemberWorkers workers;
+        MemberVms vms;
         jobs::EntryNode node;
     };
 
