--- a/src/lycheeledge/jobs/ClaimPatience.h
+++ b/src/lycheeledge/jobs/ClaimPatience.h
@@ -30,9 +30,12 @@
 inline bool shouldClaim(const ClaimSituation& situation, const ClaimSettings& settings)
 {
     const bool large = situation.cpuShare >= settings.largePart * situation.largestCpuShare;
-    const bool mayClaimBySize = large || situation.unowned >= settings.smallerVm;
-    const bool mayClaimByOwner = !situation.ownerIsHeard || situation.unowned >= settings.livingOwner;
-    return mayClaimBySize && mayClaimByOwner;
+    Duration patience {};
+    if (situation.ownerIsHeard)
+        patience += settings.livingOwner;
+    if (!large)
+        patience += settings.smallerVm;
+    return situation.unowned >= patience;
 }
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr RelayId thisProcess = 0;
+    constexpr Duration lagInterval = std::chrono::milliseconds(100);
+    constexpr int lagSamples = 10; // of the mean
 
     // A new owner waits as long as an earlier one may go on ordering.
     JobSchedulerSettings schedulerSettings(const EntryNodeSettings& settings)
@@ -33,6 +35,7 @@
     : m_runtime(ports.runtime)
     , m_resignLimit(settings.resignLimit)
     , m_cpuShare(settings.cpuShare)
+    , m_yield(settings.yield)
     , m_members(ports.members)
     , m_admission(ports.admission)
     , m_log(ports.log)
@@ -47,7 +50,11 @@
     m_desk.addRelay(thisProcess);
 }
 
-void EntryNode::start() { m_lease.start(); }
+void EntryNode::start()
+{
+    m_lease.start();
+    measureLag(m_runtime.now());
+}
 
 bool EntryNode::isReady() const { return m_lease.isOwner() ? m_session.isActive() : m_link.isReady(); }
 
@@ -66,19 +73,61 @@
         m_runtime.post(std::move(done));
         return;
     }
-    // Whichever comes first; what is not stored then is forwarded to the next owner or read from the workers.
-    const auto giveUp = [this, done = std::move(done), finished = std::make_shared<bool>(false)] {
-        if (std::exchange(*finished, true))
-            return;
+    giveUp([this, done = std::move(done)] {
         m_lease.resign();
         done();
+    });
+}
+
+// Whichever comes first; what is not stored then is forwarded to the next owner or read from the workers.
+void EntryNode::giveUp(std::function<void()> release)
+{
+    const auto once = [release = std::move(release), finished = std::make_shared<bool>(false)] {
+        if (!std::exchange(*finished, true))
+            release();
+    };
+    m_session.flush(once);
+    m_runtime.after(m_resignLimit, once);
+}
+
+// --- Yielding to another member ---
+
+void EntryNode::measureLag(TimePoint due)
+{
+    const Duration late = m_runtime.now() - due;
+    m_lag += (late - m_lag) / lagSamples;
+    if (m_lease.isOwner())
+        considerYield();
+    const TimePoint next = m_runtime.now() + lagInterval;
+    m_runtime.after(lagInterval, [this, next] { measureLag(next); });
+}
+
+void EntryNode::considerYield()
+{
+    double largestMember = 0;
+    for (const auto& [connection, share] : m_followers)
+        largestMember = std::max(largestMember, share);
+    const YieldSituation situation {
+        .owning = m_runtime.now() - m_ownerSince, .cpuShare = m_cpuShare, .largestMember = largestMember, .lag = m_lag
     };
-    m_session.flush(giveUp);
-    m_runtime.after(m_resignLimit, giveUp);
+    const YieldReason reason = shouldYield(situation, m_yield);
+    if (reason == YieldReason::None || !m_session.isActive() || std::exchange(m_givingUp, true))
+        return;
+    const bool slow = reason == YieldReason::SlowVm;
+    m_log.record("ownership_yielding",
+        { { "epoch", m_lease.epoch() }, { "reason", slow ? "slow VM" : "small VM" },
+            { "lag_ms", std::chrono::duration<double, std::milli>(m_lag).count() }, { "cpu_share", m_cpuShare },
+            { "largest_member", largestMember } });
+    giveUp([this, slow, epoch = m_lease.epoch()] {
+        if (m_lease.isOwner() && m_lease.epoch() == epoch)
+            m_lease.yield(slow ? "the VM is slow" : "the VM is small", slow ? m_yield.slowPause : m_yield.smallPause);
+    });
 }
 
 void EntryNode::ownershipGained(Epoch epoch, const std::string& headValue, Revision headRevision)
 {
+    m_ownerSince = m_runtime.now();
+    m_givingUp = false;
     m_link.setOwner(std::nullopt);
     m_session.begin(epoch, headValue, headRevision);
 }
--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -4,6 +4,7 @@
 #include "MemberMessages.h"
 #include "OwnerLink.h"
 #include "OwnerSession.h"
+#include "OwnerYield.h"
 
 #include <functional>
 #include <map>
@@ -19,6 +20,7 @@
     JobServiceSettings service;
     LedgerSettings ledger;
     MaintenanceSettings maintenance;
+    YieldSettings yield;
     OwnerSessionSettings session;
     double cpuShare = 1; ///< of this VM, in cores
     Duration resignLimit = std::chrono::milliseconds(600); ///< longest wait for commits before ownership is given up
@@ -78,6 +80,9 @@
     // AdmissionPort of the desk: this process, or a member
     void ask(RelayId relay, const AdmissionQuestion& question, Duration timeout, Done done) override;
 
+    void measureLag(TimePoint due);
+    void considerYield();
+    void giveUp(std::function<void()> release);
     void welcome(MemberConnection connection);
     void welcomeMembers();
     /** @brief The session is active: tells the members, and handles the calls that waited for an owner. */
@@ -92,6 +97,10 @@
     Runtime& m_runtime;
     Duration m_resignLimit;
     double m_cpuShare;
+    YieldSettings m_yield;
+    Duration m_lag {}; ///< mean lateness of timers, weighted towards the last second
+    TimePoint m_ownerSince;
+    bool m_givingUp = false;
     MemberPort& m_members;
     AdmissionPort& m_admission;
     EventLog& m_log;
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -163,7 +163,7 @@
         .ownerIsHeard = m_listener->ownerIsHeard(),
         .cpuShare = m_settings.cpuShare,
         .largestCpuShare = m_listener->largestCpuShare() };
-    if (shouldClaim(situation, m_settings.claim))
+    if (m_runtime.now() >= m_mayClaimFrom && shouldClaim(situation, m_settings.claim))
         claim();
     else
         m_runtime.after(m_settings.claimCheckInterval, [this] { claimOrWait(); });
@@ -324,6 +324,12 @@
     m_listener->ownershipLost(reason);
 }
 
+void OwnerLease::yield(const char* reason, Duration pause)
+{
+    m_mayClaimFrom = m_runtime.now() + pause;
+    depose(reason);
+}
+
 void OwnerLease::resign()
 {
     m_resigned = true;
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -76,6 +76,8 @@
     void depose(const char* reason);
     /** @brief Gives the ownership up, and does not claim it again. */
     void resign();
+    /** @brief Gives the ownership up, and does not claim it for a while. */
+    void yield(const char* reason, Duration pause);
     /** @brief The store answered a call that this owner sent at this time, under its epoch. */
     void confirmed(TimePoint sentAt);
 
@@ -112,6 +114,7 @@
     StoreLeaseId m_lease = 0;
     TimePoint m_confirmedAt;
     bool m_claiming = false;
+    TimePoint m_mayClaimFrom; ///< after it was given up
     TimePoint m_unownedSince; ///< when the owner record was found absent
     bool m_resigned = false;
     bool m_known = false; ///< whether the owner record has been read
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -15,7 +15,7 @@
     /// short, because tasks of a lost worker are started elsewhere only after it.
     Duration lease = std::chrono::milliseconds(5000);
     Duration lookWait = std::chrono::milliseconds(800); ///< bounds the time until a silent worker is noticed
-    Duration lookTimeout = std::chrono::milliseconds(400); ///< beyond the wait; healthy workers answer in 20 ms
+    Duration lookTimeout = std::chrono::milliseconds(600); ///< beyond the wait; a busy owner reads an answer late
     Duration retryPause = std::chrono::milliseconds(200); ///< between looks at an unreachable worker
     /// Longest pause until ends are stored and can be acknowledged. A slow store takes 300 ms; later ends are seen only
     /// by the next look.
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -11,6 +11,7 @@
 #include <platform/StoreRecords.h>
 
 using namespace lycheeledge;
+using namespace lycheeledge::jobs;
 using namespace lycheeledge::platform;
 using std::chrono::milliseconds;
 
