Ask further workers for a gang, and learn lengths only from whole runs

A step's tasks were stopped as slow up to 17 times each: runs adopted at a takeover counted with the time since the adoption. Change: a question names further workers when the allowed ones have too little room; one for a gang names up to 60. Only runs from the beginning, started by this owner, tell lengths and speeds; a task restarts for slow progress at most 3 times. Tests: JobSchedulerTest, TakeoverTest, one case each.

--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -33,7 +33,8 @@
     TimePoint notBefore; ///< earliest next start
     std::string checkpoint;
     int pacePercent = 100;
-    bool resumed = false; ///< the run continues from a checkpoint
+    bool isWholeRun = false; ///< this owner started the run, from the beginning: its run time tells the task's length
+    int restarts = 0; ///< of runs that made too little progress
     int progressPercent = 0; ///< as last reported; a long-running task is at work at 100
     std::optional<ProgressSample> progress; ///< of the run, the last one that was judged
 
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -41,6 +41,7 @@
     Duration failureBackoff = std::chrono::milliseconds(150); ///< before a failed task starts again
     std::size_t maxQuestionWorkers = 30; ///< the objective counts one call for advice on 30 workers
     std::size_t maxRepeatWorkers = 10; ///< named when tickets are asked for again
+    std::size_t maxGangWorkers = 60; ///< named for a gang, whose tickets must all be valid at a time
 };
 
 /** @brief Counters since the start of the process. */
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -388,31 +388,41 @@
         [this, key, policy, workers](const auto& grants) { admissionAnswered(key, policy, workers, grants); });
 }
 
-// Names the best workers with room for a task that the service may allow: those it has allowed before, else those it
-// has not been asked about. Tickets last about 2 s, so a worker without room is not worth its time.
+// Names the best workers with room for a task that the service may allow: those it has allowed before and, if these
+// have too little room for the step, some that it has not been asked about. Tickets last about 2 s, so a worker without
+// room is not worth its time.
 std::vector<WorkerId> JobScheduler::chooseForQuestion(Job& job, const StepKey& key)
 {
     const Step* step = job.find(key);
+    const StepSpec& spec = job.spec().steps[key.step];
     const TimePoint usable = m_runtime.now() + ticketMargin;
     // Batch work, too, is asked for on the emptiest workers: a ticket holds for all of its tasks there.
-    const Placement placement(job.spec().steps[key.step], candidates(job, key, false), PlacementGoal::Spread);
+    const Placement placement(spec, candidates(job, key, false), PlacementGoal::Spread);
     std::vector<WorkerId> known;
     std::vector<WorkerId> unknown;
+    std::uint64_t room = 0; // for tasks of the step, on workers that are allowed
     for (const auto n : placement.ranking()) {
         const WorkerId& worker = placement.candidate(n).worker;
-        const auto ticket = step->admission.tickets.find(worker);
-        if (ticket != step->admission.tickets.end() && ticket->second.expiry >= usable)
-            continue;
         const auto answer = step->admission.allowed.find(worker);
-        if (answer == step->admission.allowed.end())
+        if (answer == step->admission.allowed.end()) {
             unknown.push_back(worker);
-        else if (answer->second)
+            continue;
+        }
+        if (!answer->second)
+            continue;
+        room += placement.roomOn(n);
+        const auto ticket = step->admission.tickets.find(worker);
+        if (ticket == step->admission.tickets.end() || ticket->second.expiry < usable)
             known.push_back(worker);
     }
-    const bool repeat = !known.empty();
-    auto& chosen = repeat ? known : unknown;
-    chosen.resize(std::min(chosen.size(), repeat ? m_settings.maxRepeatWorkers : m_settings.maxQuestionWorkers));
-    return std::move(chosen);
+    const std::size_t waiting = step->tasks.size() - step->done - step->occupying;
+    const std::size_t most = spec.gang ? m_settings.maxGangWorkers : m_settings.maxQuestionWorkers;
+    known.resize(std::min(known.size(), spec.gang ? most : m_settings.maxRepeatWorkers));
+    if (known.empty() || room < waiting) {
+        unknown.resize(std::min(unknown.size(), most - known.size()));
+        known.insert(known.end(), std::make_move_iterator(unknown.begin()), std::make_move_iterator(unknown.end()));
+    }
+    return known;
 }
 
 void JobScheduler::admissionAnswered(const StepKey& key, const AdmissionPolicy& policy,
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -20,6 +20,9 @@
     constexpr int paceStepUp = 10; // percent
     constexpr int minPaceChange = 10; // percent
 
+    // A task that makes little progress on several workers is long itself.
+    constexpr int maxProgressRestarts = 3;
+
     TaskLength lengthOf(const Step& step, const StepSpec& spec)
     {
         TaskLength result {
@@ -347,7 +350,7 @@
     const bool finished = end.kind == EndKind::Done && !isFinal(job->state) && !job->spec().steps[key.step].longRunning;
     if (finished) {
         noteStarted(*job);
-        if (current && !task->resumed && !job->spec().steps[key.step].gang)
+        if (current && task->isWholeRun && !job->spec().steps[key.step].gang)
             job->find(stepOf(key))->measured.push_back({ worker.record.id, worker.record.kind, now - task->since });
         if (!current && task->occupiesWorker()) {
             // Another run of the task exists; its room stays reserved until it is gone.
@@ -416,8 +419,9 @@
     if (verdict == ProgressVerdict::Unknown)
         return;
     const ProgressSample before = *std::exchange(task.progress, sample);
-    if (verdict == ProgressVerdict::Sound)
+    if (verdict == ProgressVerdict::Sound || task.restarts >= maxProgressRestarts)
         return;
+    ++task.restarts;
     m_log.record("task_stalled",
         { { "task", describe(key) }, { "run", task.run }, { "worker", task.worker.value() },
             { "percent", sample.percent }, { "gained_percent", sample.percent - before.percent },
@@ -444,6 +448,8 @@
     }
     occupy(*job, key, worker, running.run.run, TaskPhase::Running);
     task->confirmedAt = task->since;
+    task->isWholeRun = false;
+    task->progress.reset();
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
     noteStarted(*job);
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -83,7 +83,7 @@
     task.confirmedAt = {};
     task.doneWithGang = false;
     task.pacePercent = 100;
-    task.resumed = !task.checkpoint.empty();
+    task.isWholeRun = task.checkpoint.empty();
     task.progress.reset();
     task.progressPercent = 0;
     ++m_counters.starts;
--- a/src/lycheeledge/jobs/Placement.cpp
+++ b/src/lycheeledge/jobs/Placement.cpp
@@ -80,6 +80,23 @@
     return result;
 }
 
+std::uint64_t Placement::roomOn(std::size_t n) const
+{
+    const PlacementCandidate& candidate = m_candidates[n];
+    std::uint64_t result = m_step.taskCount;
+    const auto limit = [&result](std::int64_t free, std::int64_t each) {
+        if (each > 0)
+            result = std::min(result, static_cast<std::uint64_t>(std::max<std::int64_t>(free, 0) / each));
+    };
+    limit(candidate.free.milliCpu, m_reservation.milliCpu);
+    limit(candidate.free.memoryMb, m_reservation.memoryMb);
+    limit(candidate.free.accelerators, m_reservation.accelerators);
+    if (m_step.maxTasksPerWorker > 0)
+        result = std::min<std::uint64_t>(
+            result, m_step.maxTasksPerWorker - std::min(m_step.maxTasksPerWorker, candidate.tasksOfStep));
+    return result;
+}
+
 std::optional<std::size_t> Placement::place()
 {
     std::optional<std::size_t> best;
--- a/src/lycheeledge/jobs/Placement.h
+++ b/src/lycheeledge/jobs/Placement.h
@@ -41,6 +41,8 @@
     /** @brief Candidates with room, best first, as if none of them got a task. */
     std::vector<std::size_t> ranking() const;
 
+    /** @brief How many tasks of the step fit on a candidate. */
+    std::uint64_t roomOn(std::size_t n) const;
     const PlacementCandidate& candidate(std::size_t n) const { return m_candidates[n]; }
     /** @brief What a task takes from its worker's room. */
     const Resources& reservation() const { return m_reservation; }
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -414,3 +414,22 @@
     CHECK(cluster.log.counts["task_stalled"] > 0);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("a gang that its allowed workers cannot hold asks for further ones", "[jobs]")
+{
+    // Guards against asking again and again for the tickets of the same few workers: they run out every 2 s, so some
+    // always were to be asked for, and no other worker was.
+    JobCluster cluster(1);
+    auto configuration = simpleConfiguration();
+    configuration.queues[1].admission
+        = AdmissionPolicy { .perCall = milliseconds(400), .perWorker = milliseconds(5), .validity = seconds(2) };
+    cluster.setConfiguration(configuration);
+    cluster.admission.answerTime = milliseconds(500);
+    // Every fifth worker is allowed; one question on 30 of 70 grants 6, on which 12 tasks of 4 cores fit.
+    cluster.admission.allows = [](const WorkerId& id) { return std::stoi(id.value().substr(1)) % 5 == 0; };
+    withWorkers(cluster, 70);
+    auto step = simpleStep(22, 4000);
+    step.gang = true;
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { step } }));
+    CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(15)));
+}
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -460,3 +460,18 @@
     CHECK(cluster.workers.starts().size() == 4);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("runs that a new owner adopts do not make others look slow", "[takeover]")
+{
+    // Guards against taking the time since the adoption for the run time of a task: the rest of the step would be
+    // stopped as too slow, over and over.
+    JobCluster cluster(2);
+    addWorkers(cluster, 3);
+    cluster.workers.runTime = [](const TaskKey& task) { return seconds(task.index < 6 ? 4 : 9); };
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(12, 1000) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 12; }));
+    cluster.advance(milliseconds(1500));
+    cluster.kill(*cluster.owner());
+    CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(20)));
+    CHECK(cluster.workers.starts().size() == 12);
+}
