--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -31,8 +31,8 @@
     Duration passDelay = std::chrono::milliseconds(2); ///< groups the events that one pass of decisions answers
     int passShare = 5; ///< passes take at most one part in this many of the time, however long they are
     Duration tickInterval = std::chrono::milliseconds(50); ///< for what only time changes
-    Duration startTimeout = std::chrono::milliseconds(300); ///< healthy workers answer in 20 ms
-    Duration stopTimeout = std::chrono::milliseconds(300);
+    Duration startTimeout = std::chrono::milliseconds(500); ///< healthy workers answer in 20 ms, busy owners read late
+    Duration stopTimeout = std::chrono::milliseconds(500);
     Duration orderRetryPause = std::chrono::milliseconds(150);
     Duration stopLimit = std::chrono::milliseconds(200); ///< from a stop until the run is gone (platform's bound)
     Duration ownerConfirmation {}; ///< an earlier owner may order for so long; set from the lease's settings
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -15,7 +15,9 @@
     /// short, because tasks of a lost worker are started elsewhere only after it.
     Duration lease = std::chrono::milliseconds(5000);
     Duration lookWait = std::chrono::milliseconds(800); ///< bounds the time until a silent worker is noticed
-    Duration lookTimeout = std::chrono::milliseconds(600); ///< beyond the wait; a busy owner reads an answer late
+    /// Beyond the wait. Healthy workers answer in 20 ms, but a busy owner reads answers late: a timeout then costs a new
+    /// connection, which makes it busier.
+    Duration lookTimeout = std::chrono::milliseconds(1500);
     Duration retryPause = std::chrono::milliseconds(200); ///< between looks at an unreachable worker
     /// Longest pause until ends are stored and can be acknowledged. A slow store takes 300 ms; later ends are seen only
     /// by the next look.
@@ -63,6 +65,8 @@
     void suspect();
 
     bool isReachable() const { return m_reachable; }
+    /** @brief Whether the last order or look got no response. */
+    bool isSuspect() const { return m_failures > 0; }
     const WorkerTarget& target() const { return m_target; }
 
 private:
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -241,8 +241,14 @@
 TEST_CASE("failures that a new owner learns of in any order count against the attempts", "[takeover]")
 {
     // The owner cannot store the failures of two runs. The next owner reads them from the workers' lists, the later run
-    // first; counting only runs above the last counted one would allow a fourth attempt.
-    JobCluster cluster(2);
+    // first; counting only runs above the last counted one would allow a fourth attempt. The order in which the ends
+    // become known follows from these timeouts.
+    JobCluster cluster(0);
+    cluster.settings.scheduler.startTimeout = milliseconds(300);
+    cluster.settings.scheduler.stopTimeout = milliseconds(300);
+    cluster.settings.scheduler.link.lookTimeout = milliseconds(400);
+    cluster.startMember("m0");
+    cluster.startMember("m1");
     cluster.addWorker("w0", 8000);
     cluster.addWorker("w1", 8000);
     cluster.advance(seconds(2));
