Serve latency histograms

Cause: the metrics address served quantiles of clients' calls only; on-call engineers ask for histograms, and for the parts of a job's time. Change: histograms of calls, jobs, admission, placement and commits, counted on the coordination thread and exposed as cumulative buckets. Test: MetricsTest, latencies are exposed as cumulative buckets.

--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -63,7 +63,6 @@
     , m_node({ m_loop, ports.store, ports.records, m_codec, ports.submissions, ports.workers, ports.vms,
                  ports.admission, m_members, m_log, unixMilliseconds },
           selfRecord(m_settings), m_settings.node)
-    , m_callSeconds(m_metrics.summary("lycheeledge_call_seconds", "Time from a client's call to its response."))
     , m_ingressServer(serverSettings(m_settings.ingress, m_settings),
           [this](HttpRequest request, const HttpServer::Respond& respond) {
               m_executor.execute(
@@ -139,7 +138,7 @@
     const TimePoint begin = m_loop.now();
     m_node.handle(std::get<jobs::ClientCall>(decoded), [this, respond, begin](const jobs::ClientReply& reply) {
         --m_calls;
-        m_callSeconds.observe(std::chrono::duration<double>(m_loop.now() - begin).count());
+        m_callTimes.observe(m_loop.now() - begin);
         respond(m_ingress.encodeReply(reply));
     });
 }
@@ -231,6 +230,17 @@
     set("lycheeledge_commits_total", "Commits to the store.", static_cast<double>(session.ledger().commits()));
     set("lycheeledge_admission_questions_total", "Questions to the admission service.",
         static_cast<double>(counters.questions));
+    const auto setTimes = [this](const char* name, const char* help, const LatencyHistogram& times) {
+        m_metrics.histogram(name, help).set(times);
+    };
+    setTimes("lycheeledge_call_seconds", "Time from a client's call to its response.", m_callTimes);
+    setTimes("lycheeledge_job_seconds", "Time from acceptance to completion of a job.", counters.completionTimes);
+    setTimes("lycheeledge_admission_seconds", "Time from the release of a step to its first admitted worker.",
+        counters.admissionTimes);
+    setTimes("lycheeledge_placement_seconds", "Time from then until all tasks of the step have a worker.",
+        counters.placementTimes);
+    setTimes("lycheeledge_commit_seconds", "Time of commits to the store, retries included.",
+        session.ledger().commitTimes());
     set("lycheeledge_log_lines_dropped_total", "Log lines over their budget.",
         static_cast<double>(m_log.droppedLines()));
 }
--- a/src/lycheeledge/daemon/JobDaemon.h
+++ b/src/lycheeledge/daemon/JobDaemon.h
@@ -104,12 +104,12 @@
     FramedMemberPort m_members;
     jobs::EntryNode m_node;
     Metrics m_metrics;
-    Summary& m_callSeconds;
     HttpServer m_ingressServer;
     HttpServer m_readinessServer;
     std::unique_ptr<HttpServer> m_metricsServer;
     std::size_t m_calls = 0; ///< in progress
     std::uint64_t m_callsTotal = 0;
+    LatencyHistogram m_callTimes;
     bool m_stopping = false;
     bool m_resigned = false;
     TimePoint m_stopDeadline;
--- a/src/lycheeledge/daemon/Metrics.cpp
+++ b/src/lycheeledge/daemon/Metrics.cpp
@@ -1,4 +1,4 @@
-// Counters, gauges and quantiles, exposed in the Prometheus text format.
+// Counters, gauges, quantiles and histograms, exposed in the Prometheus text format.
 
 #include "Metrics.h"
 
@@ -90,7 +90,22 @@
         text += fmt::format("{}_count{} {}\n", name, braced(labels), snapshot.count);
     }
 
-    constexpr std::array<std::string_view, 3> typeNames { "counter", "gauge", "summary" };
+    void append(std::string& text, const std::string& name, const std::string& labels, const Histogram& histogram)
+    {
+        const LatencyHistogram value = histogram.value();
+        const std::string prefix = labels.empty() ? "" : labels + ",";
+        std::uint64_t n = 0; // buckets are cumulative
+        for (std::size_t i = 0; i < LatencyHistogram::bounds.size(); ++i) {
+            n += value.counts[i];
+            text += fmt::format("{}_bucket{{{}le=\"{}\"}} {}\n", name, prefix, LatencyHistogram::bounds[i], n);
+        }
+        n += value.counts.back();
+        text += fmt::format("{}_bucket{{{}le=\"+Inf\"}} {}\n", name, prefix, n);
+        text += fmt::format("{}_sum{} {}\n", name, braced(labels), value.sum);
+        text += fmt::format("{}_count{} {}\n", name, braced(labels), n);
+    }
+
+    constexpr std::array<std::string_view, 4> typeNames { "counter", "gauge", "summary", "histogram" };
 
 } // namespace
 
@@ -214,6 +229,11 @@
     return find(name, help, labels, m_overflowSummary);
 }
 
+Histogram& Metrics::histogram(std::string_view name, std::string_view help, const Labels& labels)
+{
+    return find(name, help, labels, m_overflowHistogram);
+}
+
 void Metrics::rotate()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/lycheeledge/daemon/Metrics.h
+++ b/src/lycheeledge/daemon/Metrics.h
@@ -1,6 +1,8 @@
-// Counters, gauges and quantiles, exposed in the Prometheus text format.
+// Counters, gauges, quantiles and histograms, exposed in the Prometheus text format.
 #pragma once
 
+#include "../state/LatencyHistogram.h"
+
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -33,6 +35,25 @@
     std::atomic<double> m_value { 0 };
 };
 
+/** @brief Latencies that their owner counts, and hands over to be exposed. */
+class Histogram {
+public:
+    void set(const LatencyHistogram& value)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_value = value;
+    }
+    LatencyHistogram value() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_value;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    LatencyHistogram m_value;
+};
+
 /** @brief Distribution of a measured value. */
 class Summary {
 public:
@@ -85,6 +106,7 @@
     Counter& counter(std::string_view name, std::string_view help, const Labels& labels = {});
     Gauge& gauge(std::string_view name, std::string_view help, const Labels& labels = {});
     Summary& summary(std::string_view name, std::string_view help, const Labels& labels = {});
+    Histogram& histogram(std::string_view name, std::string_view help, const Labels& labels = {});
 
     /** @brief Starts a new window of all summaries. Called once a minute. */
     void rotate();
@@ -92,7 +114,8 @@
     std::string toPrometheus() const;
 
 private:
-    using Series = std::variant<std::unique_ptr<Counter>, std::unique_ptr<Gauge>, std::unique_ptr<Summary>>;
+    using Series = std::variant<std::unique_ptr<Counter>, std::unique_ptr<Gauge>, std::unique_ptr<Summary>,
+        std::unique_ptr<Histogram>>;
     struct Family {
         std::string help;
         std::map<std::string, Series> series; // by rendered labels, without braces
@@ -109,6 +132,7 @@
     Counter m_overflowCounter;
     Gauge m_overflowGauge;
     Summary m_overflowSummary;
+    Histogram m_overflowHistogram;
 };
 
 } // namespace lycheeledge
--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -39,14 +39,12 @@
     return occurrence;
 }
 
-void Job::noteStepDone(const Step& step, TimePoint now)
+std::optional<JobTiming> Step::timing(TimePoint now) const
 {
-    if (step.releasedAt == TimePoint() || step.placedAt == TimePoint())
-        return;
-    const TimePoint granted = std::clamp(step.admission.grantedAt, step.releasedAt, step.placedAt);
-    timing.admission += granted - step.releasedAt;
-    timing.placement += step.placedAt - granted;
-    timing.running += now - step.placedAt;
+    if (releasedAt == TimePoint() || placedAt == TimePoint())
+        return std::nullopt;
+    const TimePoint granted = std::clamp(admission.grantedAt, releasedAt, placedAt);
+    return JobTiming { .admission = granted - releasedAt, .placement = placedAt - granted, .running = now - placedAt };
 }
 
 ProgressRecord Job::progress() const
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -68,6 +68,14 @@
     Duration running {}; ///< from then until the last task ended as done, repeated runs included
 
     bool operator==(const JobTiming&) const = default;
+
+    JobTiming& operator+=(const JobTiming& other)
+    {
+        admission += other.admission;
+        placement += other.placement;
+        running += other.running;
+        return *this;
+    }
 };
 
 struct Step {
@@ -81,6 +89,8 @@
     TimePoint releasedAt; ///< zero before, and for steps that an earlier owner released
     TimePoint placedAt; ///< when its last task first had a worker; zero before
 
+    /** @brief Where the time went if the step ends now; nothing for a step that an earlier owner released. */
+    std::optional<JobTiming> timing(TimePoint now) const;
     /** @brief Tasks other than one that are not at work. */
     std::uint32_t awayWithout(std::uint32_t index) const;
     bool hasWaiting() const { return done + occupying < tasks.size(); }
@@ -113,8 +123,6 @@
     Step* find(const StepKey& key);
     /** @brief Adds an occurrence with all of its tasks waiting. */
     Occurrence& openOccurrence(std::uint32_t n, TimePoint now);
-    /** @brief Adds a step that has just ended to the timing. */
-    void noteStepDone(const Step& step, TimePoint now);
     ProgressRecord progress() const;
     /** @brief Restores what progress() returned. */
     void restore(const ProgressRecord& record, TimePoint now);
--- a/src/lycheeledge/jobs/JobLedger.cpp
+++ b/src/lycheeledge/jobs/JobLedger.cpp
@@ -106,4 +106,12 @@
     return n;
 }
 
+LatencyHistogram JobLedger::commitTimes() const
+{
+    LatencyHistogram result;
+    for (const auto& lane : m_lanes)
+        result += lane->commitTimes();
+    return result;
+}
+
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/JobLedger.h
+++ b/src/lycheeledge/jobs/JobLedger.h
@@ -45,6 +45,7 @@
     bool isStalled() const;
     std::optional<TimePoint> lastCommit() const; ///< sent time of the last applied one
     std::uint64_t commits() const;
+    LatencyHistogram commitTimes() const;
     const LedgerKeys& keys() const { return m_keys; }
 
 private:
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../coordination/Runtime.h"
+#include "../state/LatencyHistogram.h"
 #include "AdmissionDesk.h"
 #include "ClusterConfiguration.h"
 #include "EventLog.h"
@@ -60,6 +61,9 @@
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0;
     std::uint64_t jobsCancelled = 0;
+    LatencyHistogram completionTimes; ///< of completed jobs that are not scheduled, from their acceptance
+    LatencyHistogram admissionTimes; ///< of steps, from their release to the first grant
+    LatencyHistogram placementTimes; ///< of steps, from then until all tasks have a worker
 
     bool operator==(const JobSchedulerCounters&) const = default;
 };
--- a/src/lycheeledge/jobs/LedgerLane.cpp
+++ b/src/lycheeledge/jobs/LedgerLane.cpp
@@ -272,6 +272,7 @@
     ++m_commits;
     const Batch batch = *std::exchange(m_batch, std::nullopt);
     m_lastCommitTime = m_runtime.now() - batch.firstSent;
+    m_commitTimes.observe(m_lastCommitTime);
     const std::weak_ptr<int> session = m_session;
     for (const auto& entry : batch.entries) {
         m_source->changeStored(entry.job, entry.change);
--- a/src/lycheeledge/jobs/LedgerLane.h
+++ b/src/lycheeledge/jobs/LedgerLane.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../coordination/Runtime.h"
+#include "../state/LatencyHistogram.h"
 #include "EventLog.h"
 #include "LedgerSource.h"
 
@@ -76,6 +77,7 @@
     std::optional<TimePoint> failingSince() const { return m_failingSince; }
     std::optional<TimePoint> lastCommit() const { return m_lastCommit; } ///< sent time of the last applied one
     std::uint64_t commits() const { return m_commits; }
+    const LatencyHistogram& commitTimes() const { return m_commitTimes; } ///< from the first attempt
 
 private:
     struct Entry {
@@ -132,6 +134,7 @@
     Duration m_lastCommitTime {};
     TimePoint m_nextCommit;
     std::uint64_t m_commits = 0;
+    LatencyHistogram m_commitTimes;
     std::shared_ptr<int> m_session; ///< expires when this ownership is closed
 };
 
--- a/test/daemon/MetricsTest.cpp
+++ b/test/daemon/MetricsTest.cpp
@@ -29,6 +29,24 @@
            "wait_ms_sum{kind=\"batch\"} 5050\nwait_ms_count{kind=\"batch\"} 100\n");
 }
 
+TEST_CASE("Latencies are exposed as cumulative buckets", "[metrics]")
+{
+    LatencyHistogram latencies;
+    for (const int ms : { 4, 5, 6, 300, 60000 })
+        latencies.observe(std::chrono::milliseconds(ms));
+    Metrics metrics;
+    metrics.histogram("wait_seconds", "Waiting time.").set(latencies);
+    const std::string text = metrics.toPrometheus();
+    CHECK(text.find("# TYPE wait_seconds histogram\n") != std::string::npos);
+    CHECK(text.find("wait_seconds_bucket{le=\"0.005\"} 2\n") != std::string::npos); // a bound belongs to its bucket
+    CHECK(text.find("wait_seconds_bucket{le=\"0.01\"} 3\n") != std::string::npos);
+    CHECK(text.find("wait_seconds_bucket{le=\"0.5\"} 4\n") != std::string::npos);
+    CHECK(text.find("wait_seconds_bucket{le=\"30\"} 4\n") != std::string::npos);
+    CHECK(text.find("wait_seconds_bucket{le=\"+Inf\"} 5\n") != std::string::npos);
+    CHECK(text.find("wait_seconds_sum 60.315\n") != std::string::npos);
+    CHECK(text.find("wait_seconds_count 5\n") != std::string::npos);
+}
+
 TEST_CASE("Quantiles of many values are close to the true ones", "[metrics]")
 {
     Summary summary;
