Do not give up a start whose first attempt may have arrived, and wait less for known ends

(b) the epoch record names recent owners; once all of them have said hello to the new owner, it waits only for the longest lease. Tests: JobSchedulerTest, TakeoverTest, one case each.

--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -90,6 +90,14 @@
     m_runtime.after(m_resignLimit, once);
 }
 
+// A member that says hello follows this owner: its process has stopped ordering, or is another one on the same VM.
+void EntryNode::noteEarlierOwners()
+{
+    const auto& earlier = m_lease.earlierOwners();
+    if (std::includes(m_helloFrom.begin(), m_helloFrom.end(), earlier.begin(), earlier.end()))
+        m_session.earlierOwnersStopped();
+}
+
 // --- Yielding to another member ---
 
 void EntryNode::measureLag(TimePoint due)
@@ -128,8 +136,10 @@
 {
     m_ownerSince = m_runtime.now();
     m_givingUp = false;
+    m_helloFrom.clear();
     m_link.setOwner(std::nullopt);
     m_session.begin(epoch, headValue, headRevision);
+    noteEarlierOwners();
 }
 
 void EntryNode::ownershipLost(const char*)
@@ -191,6 +201,8 @@
         return;
     }
     if (const auto* hello = std::get_if<Hello>(&message)) {
+        m_helloFrom.insert(hello->member);
+        noteEarlierOwners();
         const double largest = largestCpuShare();
         if (m_followers.emplace(connection, hello->cpuShare).second)
             m_desk.addRelay(connection);
--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -80,6 +80,7 @@
     // AdmissionPort of the desk: this process, or a member
     void ask(RelayId relay, const AdmissionQuestion& question, Duration timeout, Done done) override;
 
+    void noteEarlierOwners();
     void measureLag(TimePoint due);
     void considerYield();
     void giveUp(std::function<void()> release);
@@ -110,6 +111,7 @@
     OwnerSession m_session;
     /// Connections that said hello, with the processor share of the VM; each is a relay of the desk.
     std::map<MemberConnection, double> m_followers;
+    std::set<std::string> m_helloFrom; ///< members that have said hello to this owner
     std::map<std::uint64_t, Question> m_questions; ///< with members
     std::uint64_t m_nextQuestion = 0;
 };
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -35,12 +35,28 @@
     m_epoch = epoch;
     m_running = true;
     m_begun = m_runtime.now();
-    const Duration lease = m_settings.link.lease;
-    const auto longest = std::chrono::duration_cast<Duration>(lease / (1 - m_settings.link.clockSlowdown));
-    m_unlocatedUntil = m_begun + m_settings.ownerConfirmation + longest + m_settings.startTimeout;
+    m_unlocatedUntil = m_begun + m_settings.ownerConfirmation + longestLease();
     tick();
 }
 
+// An order that is on its way when its owner stops may still be carried out.
+Duration JobScheduler::longestLease() const
+{
+    const Duration lease = m_settings.link.lease;
+    return std::chrono::duration_cast<Duration>(lease / (1 - m_settings.link.clockSlowdown)) + m_settings.startTimeout;
+}
+
+void JobScheduler::earlierOwnersStopped()
+{
+    const TimePoint end = m_runtime.now() + longestLease();
+    if (!m_running || end >= m_unlocatedUntil)
+        return;
+    m_unlocatedUntil = end;
+    m_log.record("earlier_owners_stopped",
+        { { "epoch", m_epoch },
+            { "leases_end_ms", std::chrono::duration<double, std::milli>(longestLease()).count() } });
+}
+
 void JobScheduler::end()
 {
     m_running = false;
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -110,6 +110,8 @@
     void recover(const JobId& id, std::optional<SubmissionRecord> submission, std::optional<ProgressRecord> progress);
     /** @brief Adds the workers that earlier owners may have given orders to. */
     void recoverWorkers(const WorkerSetRecord& workers);
+    /** @brief All earlier owners have certainly stopped ordering: tasks that they started end with their leases. */
+    void earlierOwnersStopped();
     /** @brief Everything was read: starts tasks once the workers have reported. */
     void activate();
     void end();
@@ -159,6 +161,7 @@
     void workerFenced(const WorkerId& id) override;
 
     // Passes (JobSchedulerPasses.cpp)
+    Duration longestLease() const;
     void requestPass();
     void pass();
     void tick();
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -13,8 +13,6 @@
     constexpr RunNumber runsPerEpoch = 1000;
     // Lies above runs of this epoch that the owner does not know of.
     constexpr RunNumber staleRunStep = 16;
-    // The second attempt sends the same run again, which a worker that has it confirms.
-    constexpr int maxStartAttempts = 2;
     // A worker that is full or ill is left out until its next reports tell more.
     constexpr Duration refusalPause = std::chrono::milliseconds(200);
 
@@ -188,24 +186,24 @@
     m_log.record("start_refused",
         { { "task", describe(key) }, { "run", run }, { "worker", workerId.value() }, { "epoch", m_epoch },
             { "outcome", name(result.outcome) } });
+    // A refusal of the second attempt says nothing of the first, which may have been carried out.
+    if (attempt > 1 && result.outcome != OrderOutcome::OtherIncarnation) {
+        m_counters.startsUnanswered += result.outcome == OrderOutcome::Unknown ? 1 : 0;
+        worker->link->suspect();
+        stopTask(*job, key, "start not answered");
+        return;
+    }
     switch (result.outcome) {
     case OrderOutcome::Unknown:
         ++m_counters.startsUnanswered;
         worker->link->suspect();
-        if (attempt < maxStartAttempts)
-            sendStart(key, run, workerId, attempt + 1);
-        else
-            stopTask(*job, key, "start not answered");
+        sendStart(key, run, workerId, attempt + 1);
         return;
     case OrderOutcome::OtherIncarnation:
         workerIncarnationEnded(workerId);
         return;
     case OrderOutcome::NotSent:
         worker->link->suspect();
-        if (attempt > 1) { // the first attempt may have arrived
-            stopTask(*job, key, "start not answered");
-            return;
-        }
         break;
     case OrderOutcome::NoRoom:
         ++m_counters.startsRefusedNoRoom;
@@ -393,7 +391,11 @@
     refreshReady(stepOf(key), job, step);
     if (step.isDone()) {
         m_speeds.stepDone(step.measured);
-        job.noteStepDone(step, m_runtime.now());
+        if (const auto timing = step.timing(m_runtime.now())) {
+            m_counters.admissionTimes.observe(timing->admission);
+            m_counters.placementTimes.observe(timing->placement);
+            job.timing += *timing;
+        }
         releaseSteps(job);
     }
 }
@@ -426,6 +428,8 @@
         return;
     }
     const Occurrence& last = job.open.rbegin()->second;
+    if (job.state == JobState::Completed && !job.spec().isScheduled())
+        m_counters.completionTimes.observe(m_runtime.now() - last.releasedAt);
     m_log.record("job_ended",
         { { "job", job.id.value() }, { "queue", job.submission.queue }, { "account", job.submission.account.value() },
             { "state", name(job.state) }, { "reason", reason }, { "after_ms", ms(m_runtime.now() - last.releasedAt) },
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
@@ -14,13 +15,25 @@
 
 namespace {
 
-    /** @brief Epoch of the last claim; 0 for none. */
-    Epoch epochOf(const std::optional<StoreEntry>& record)
-    {
+    /// Owners that may still order at a claim: one lasts at least as long as a takeover, of which five take 8 s.
+    constexpr std::size_t recentOwners = 5;
+
+    /** @brief Number of the last claim, and the owners since some claims before, the last one first. */
+    struct EpochRecord {
         Epoch epoch = 0;
-        if (record)
-            (void)absl::SimpleAtoi(record->value, &epoch);
-        return epoch;
+        std::vector<std::string> owners;
+    };
+
+    EpochRecord decodeEpoch(const std::optional<StoreEntry>& entry)
+    {
+        EpochRecord record;
+        if (!entry)
+            return record;
+        std::vector<std::string> parts = absl::StrSplit(entry->value, ' ', absl::SkipEmpty());
+        if (parts.empty() || !absl::SimpleAtoi(parts.front(), &record.epoch))
+            return {};
+        record.owners.assign(parts.begin() + 1, parts.end());
+        return record;
     }
 
     std::string headValueOf(Epoch epoch, const OwnerRecord& self)
@@ -199,22 +212,29 @@
 void OwnerLease::commitClaim(StoreLeaseId lease, const StoreValue& lastEpoch)
 {
     OwnerRecord record = m_self;
-    record.epoch = epochOf(lastEpoch.entry) + 1;
+    const EpochRecord last = decodeEpoch(lastEpoch.entry);
+    record.epoch = last.epoch + 1;
+    std::vector<std::string> owners { m_self.member };
+    owners.insert(owners.end(), last.owners.begin(), last.owners.end());
+    owners.resize(std::min(owners.size(), recentOwners));
     record.lease = lease;
     const std::string headValue = headValueOf(record.epoch, m_self);
     StoreTransaction transaction;
     transaction.conditions = { { m_settings.ownerKey, 0 },
         { m_settings.epochKey, lastEpoch.entry ? lastEpoch.entry->modRevision : Revision { 0 } } };
     transaction.puts = { { m_settings.ownerKey, encodeOwner(record), lease },
-        { m_settings.epochKey, std::to_string(record.epoch), std::nullopt } };
+        { m_settings.epochKey, absl::StrCat(record.epoch, " ", absl::StrJoin(owners, " ")), std::nullopt } };
     for (std::size_t i = 0; i < ledgerLanes; ++i)
         transaction.puts.push_back({ headRecordKey(i), headValue, std::nullopt });
     const TimePoint sentAt = m_runtime.now();
     m_store.commit(transaction, m_settings.callTimeout,
-        [this, lease, sentAt, headValue, epoch = record.epoch](const absl::StatusOr<CommitResult>& result) {
+        [this, lease, sentAt, headValue, epoch = record.epoch, earlier = last.owners](
+            const absl::StatusOr<CommitResult>& result) {
             m_claiming = false;
             if (result.ok() && result->applied) {
                 m_confirmedAt = sentAt;
+                m_earlierOwners = { earlier.begin(), earlier.end() };
+                m_earlierOwners.erase(m_self.member);
                 gained(lease, epoch, headValue, result->revision);
                 return;
             }
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace lycheeledge::jobs {
@@ -86,6 +87,8 @@
     /** @brief Whether this process is the owner and was confirmed recently enough to give orders. */
     bool mayOrder() const;
     std::optional<OwnerRecord> owner() const { return m_owner; }
+    /** @brief Members that owned the jobs shortly before this owner's claim, other than itself. */
+    const std::set<std::string>& earlierOwners() const { return m_earlierOwners; }
 
 private:
     void readOwner();
@@ -114,6 +117,7 @@
     StoreLeaseId m_lease = 0;
     TimePoint m_confirmedAt;
     bool m_claiming = false;
+    std::set<std::string> m_earlierOwners;
     TimePoint m_mayClaimFrom; ///< after it was given up
     TimePoint m_unownedSince; ///< when the owner record was found absent
     bool m_resigned = false;
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -433,3 +433,25 @@
     REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { step } }));
     CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(15)));
 }
+
+TEST_CASE("a refusal of the second attempt does not count for the first", "[jobs]")
+{
+    // Guards against starting a task elsewhere while its first start, whose response was lost, is carried out: the
+    // ticket may run out between the two attempts, so that the second one is refused.
+    JobCluster cluster(1);
+    withWorkers(cluster, 3);
+    std::size_t sent = 0;
+    cluster.workers.startFault = [&sent](const std::string&) {
+        return ++sent == 1 ? FakeJobWorkers::OrderFault::AnswerLost : FakeJobWorkers::OrderFault::None;
+    };
+    std::size_t carriedOut = 0;
+    cluster.workers.refuses = [&carriedOut](const RunKey& run) -> std::optional<OrderOutcome> {
+        if (run.run == 1 && ++carriedOut == 2)
+            return OrderOutcome::TicketRejected;
+        return std::nullopt;
+    };
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(2); };
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    CHECK(cluster.waitForState(1, "urgent", JobState::Completed, seconds(10)));
+    CHECK(cluster.workers.violations().empty());
+}
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -481,3 +481,27 @@
     CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(20)));
     CHECK(cluster.workers.starts().size() == 12);
 }
+
+TEST_CASE("tasks of workers that are gone start soon once the last owner is known to have stopped", "[takeover]")
+{
+    // Guards against waiting 13 s for an owner that may be cut off, while its VM runs a new process already.
+    JobCluster cluster(2);
+    addWorkers(cluster, 3);
+    auto step = simpleStep(3, 1000);
+    step.longRunning = true;
+    step.maxTasksPerWorker = 1;
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(600); };
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { step } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 3; }));
+    cluster.addWorker("w3", 8000);
+    cluster.advance(seconds(1));
+    const std::string owner = *cluster.owner();
+    cluster.kill(owner);
+    cluster.workers.restart("w0");
+    cluster.workers.cut("w0", true);
+    cluster.unregisterWorker("w0");
+    cluster.startMember(owner);
+    // A takeover, and a lease of 5 s that the last owner may have renewed just before its end.
+    CHECK(cluster.waitFor([&] { return cluster.workers.running() == 3; }, seconds(9)));
+    CHECK(cluster.workers.violations().empty());
+}
--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -48,6 +48,9 @@
         = [](const jobs::TaskKey&, const std::string&) { return jobs::EndKind::Done; };
     std::function<OrderFault(const std::string& worker)> startFault
         = [](const std::string&) { return OrderFault::None; };
+    /// Refuses a start that would be carried out, or confirmed; nothing: it does not.
+    std::function<std::optional<jobs::OrderOutcome>(const jobs::RunKey&)> refuses
+        = [](const jobs::RunKey&) { return std::nullopt; };
     Duration lateBy = std::chrono::seconds(4);
     Duration stopTime = std::chrono::milliseconds(150); ///< from a stop until the run is gone
 
@@ -233,6 +236,8 @@
         if (order.epoch < worker.epoch)
             return refusal(worker, jobs::OrderOutcome::Fenced);
         worker.epoch = order.epoch;
+        if (const auto outcome = refuses({ order.task, order.run }))
+            return refusal(worker, *outcome);
         const TimePoint lease = atClock(order.leaseUntilMs);
         if (lease <= m_runtime.now())
             return refusal(worker, jobs::OrderOutcome::Late);
