--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../coordination/Runtime.h"
+#include "../state/LatencyHistogram.h"
 #include "AdmissionDesk.h"
 #include "ClusterConfiguration.h"
 #include "EventLog.h"
@@ -60,6 +61,9 @@
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0;
     std::uint64_t jobsCancelled = 0;
+    LatencyHistogram completionTimes; ///< of completed jobs that are not scheduled, from their acceptance
+    LatencyHistogram admissionTimes; ///< of steps, from their release to the first grant
+    LatencyHistogram placementTimes; ///< of steps, from then until all tasks have a worker
 
     bool operator==(const JobSchedulerCounters&) const = default;
 };
@@ -106,6 +110,8 @@
     void recover(const JobId& id, std::optional<SubmissionRecord> submission, std::optional<ProgressRecord> progress);
     /** @brief Adds the workers that earlier owners may have given orders to. */
     void recoverWorkers(const WorkerSetRecord& workers);
+    /** @brief All earlier owners have certainly stopped ordering: tasks that they started end with their leases. */
+    void earlierOwnersStopped();
     /** @brief Everything was read: starts tasks once the workers have reported. */
     void activate();
     void end();
@@ -155,6 +161,7 @@
     void workerFenced(const WorkerId& id) override;
 
     // Passes (JobSchedulerPasses.cpp)
+    Duration longestLease() const;
     void requestPass();
     void pass();
     void tick();
