--- a/src/lycheeledge/jobs/WorkerSpeeds.cpp
+++ b/src/lycheeledge/jobs/WorkerSpeeds.cpp
@@ -40,8 +40,7 @@
     if (usual <= 0)
         return;
     for (const auto& run : runs) {
-        const double ratio
-            = std::clamp(static_cast<double>(run.runTime.count()) / usual, leastRatio, greatestRatio);
+        const double ratio = std::clamp(static_cast<double>(run.runTime.count()) / usual, leastRatio, greatestRatio);
         learn(m_workers.try_emplace(run.worker, slowness(run.worker, run.kind)).first->second, ratio, workerGain);
         learn(m_kinds.try_emplace(run.kind, 1).first->second, ratio, kindGain);
     }
