--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -247,8 +247,7 @@
 {
     const TimePoint now = m_runtime.now();
     if (worker.record.draining || worker.inMaintenance || !worker.reported || !worker.link
-        || !worker.link->isReachable()
-        || worker.link->isSuspect())
+        || !worker.link->isReachable() || worker.link->isSuspect())
         return false;
     if (!worker.registered && now - worker.missingSince > m_settings.missingGrace)
         return false;
--- a/src/lycheeledge/jobs/StallDetector.cpp
+++ b/src/lycheeledge/jobs/StallDetector.cpp
@@ -14,8 +14,8 @@
     constexpr double whole = 100; // percent
     // Progress comes in whole percent, and reports of a worker's ends come in quick succession.
     constexpr double shortestWindowMs = 500;
-    // A task without progress in this time and this part of its declared run time would take over a minute, or ten times
-    // as long as declared.
+    // A task without progress in this time and this part of its declared run time would take over a minute, or ten
+    // times as long as declared.
     constexpr double stallMs = 700;
     constexpr double stallPart = 0.1;
     // Stop (200 ms at most), its report, admission and start of another run.
--- a/src/lycheeledge/jobs/StallDetector.h
+++ b/src/lycheeledge/jobs/StallDetector.h
@@ -1,7 +1,7 @@
 // Decides when a running task should start again on another worker, because it makes too little progress.
 //
-// Answers workers whose tasks stand still, or work many times slower, while the worker itself answers: such a task would
-// keep its job waiting until the worker recovers or is lost.
+// Answers workers whose tasks stand still, or work many times slower, while the worker itself answers: such a task
+// would keep its job waiting until the worker recovers or is lost.
 #pragma once
 
 #include "JobSpec.h"
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -15,8 +15,8 @@
     /// short, because tasks of a lost worker are started elsewhere only after it.
     Duration lease = std::chrono::milliseconds(5000);
     Duration lookWait = std::chrono::milliseconds(800); ///< bounds the time until a silent worker is noticed
-    /// Beyond the wait. Healthy workers answer in 20 ms, but a busy owner reads answers late: a timeout then costs a new
-    /// connection, which makes it busier.
+    /// Beyond the wait. Healthy workers answer in 20 ms, but a busy owner reads answers late: a timeout then costs a
+    /// new connection, which makes it busier.
     Duration lookTimeout = std::chrono::milliseconds(1500);
     Duration retryPause = std::chrono::milliseconds(200); ///< between looks at an unreachable worker
     /// Longest pause until ends are stored and can be acknowledged. A slow store takes 300 ms; later ends are seen only
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -437,13 +437,17 @@
 TEST_CASE("a refusal of the second attempt does not count for the first", "[jobs]")
 {
     // Guards against starting a task elsewhere while its first start, whose response was lost, is carried out: the
-    // ticket may run out between the two attempts, so that the second one is refused.
+    // ticket may run out between the two attempts, so that the second one is refused. Looks of that time are lost, too.
     JobCluster cluster(1);
     withWorkers(cluster, 3);
     std::size_t sent = 0;
-    cluster.workers.startFault = [&sent](const std::string&) {
+    TimePoint firstSent;
+    cluster.workers.startFault = [&](const std::string&) {
+        firstSent = sent == 0 ? cluster.runtime.now() : firstSent;
         return ++sent == 1 ? FakeJobWorkers::OrderFault::AnswerLost : FakeJobWorkers::OrderFault::None;
     };
+    cluster.workers.losesLooks
+        = [&](const std::string&) { return sent > 0 && cluster.runtime.now() - firstSent < seconds(2); };
     std::size_t carriedOut = 0;
     cluster.workers.refuses = [&carriedOut](const RunKey& run) -> std::optional<OrderOutcome> {
         if (run.run == 1 && ++carriedOut == 2)
--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -51,6 +51,7 @@
     /// Refuses a start that would be carried out, or confirmed; nothing: it does not.
     std::function<std::optional<jobs::OrderOutcome>(const jobs::RunKey&)> refuses
         = [](const jobs::RunKey&) { return std::nullopt; };
+    std::function<bool(const std::string& worker)> losesLooks = [](const std::string&) { return false; };
     Duration lateBy = std::chrono::seconds(4);
     Duration stopTime = std::chrono::milliseconds(150); ///< from a stop until the run is gone
 
@@ -175,7 +176,7 @@
         std::function<void(jobs::LookResult)> done) override
     {
         const std::string id = to.id.value();
-        if (m_workers.at(id).cut) {
+        if (m_workers.at(id).cut || losesLooks(id)) {
             m_runtime.after(request.wait + timeout, [done] { done({}); });
             return;
         }
@@ -329,7 +330,7 @@
                 { { task, run.run }, "checkpoint-" + std::to_string(run.run), progressOf(run), usageOf(task) });
         for (const auto& ended : worker.ended)
             result.report.ended.push_back(ended);
-        if (worker.cut) // the answer is lost
+        if (worker.cut || losesLooks(id)) // the answer is lost
             m_runtime.after(std::chrono::milliseconds(400), [done] { done({}); });
         else
             m_runtime.after(m_latency / 2, [done, result] { done(result); });
