Split the scheduler's workers from its reports, and drop what nothing calls

Change, behaviour as before: JobSchedulerWorkers.cpp holds registration, loss and maintenance of workers; two cases of pure decisions move to DecisionsTest, their checks unchanged. WorkerLink::setEpoch and MaintenanceDesk::isActive are gone.

--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -218,6 +218,9 @@
     void checkProgress(Job& job, const TaskKey& key, Task& task, const RunningTask& running, std::int64_t clockMs);
     void adopt(Worker& worker, const RunningTask& running);
     void missingRuns(Worker& worker, const absl::flat_hash_set<RunKey>& listed, TimePoint sentAt);
+    void controlPace(Worker& worker, const LookReport& report);
+
+    // Workers (JobSchedulerWorkers.cpp)
     void loseRuns(const Worker& worker, const char* reason);
     void loseWorker(const WorkerId& id, const char* reason);
     void expireWorkers();
@@ -225,7 +228,6 @@
     void storeWorkerSet();
     void evacuate(Worker& worker);
     bool mayInterrupt(Job& job, const TaskKey& key) const;
-    void controlPace(Worker& worker, const LookReport& report);
 
     Job* find(const JobId& id);
 
--- /dev/null
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -0,0 +1,218 @@
+// The owner's scheduler: workers that come and go, and drain for maintenance.
+
+#include "JobScheduler.h"
+
+#include <absl/strings/str_join.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    // A worker that neither is registered nor answers is forgotten this long after everything there has ended.
+    constexpr Duration forgetDelay = std::chrono::seconds(1);
+
+} // namespace
+
+// --- Workers ---
+
+void JobScheduler::setWorkers(const std::vector<WorkerRecord>& records)
+{
+    if (!m_running)
+        return;
+    absl::flat_hash_set<WorkerId> listed;
+    bool grown = false;
+    for (const auto& record : records) {
+        listed.insert(record.id);
+        Worker* known = m_workers.find(record.id);
+        if (known == nullptr) {
+            Worker& worker = m_workers.add(record.id);
+            worker.record = record;
+            worker.registered = true;
+            connect(worker);
+            grown = grown || !m_storedWorkers.contains(record.id);
+            m_log.record("worker_joined",
+                { { "worker", record.id.value() }, { "address", record.address },
+                    { "milli_cpu", record.capacity.milliCpu }, { "labels", absl::StrJoin(record.labels, ",") } });
+            continue;
+        }
+        const bool drains = record.draining && !known->record.draining;
+        const bool moved = record.address != known->record.address;
+        // The registry lags behind the worker's own reports.
+        const std::int64_t bornUnixMs = std::max(record.bornUnixMs, known->record.bornUnixMs);
+        known->record = record;
+        known->record.bornUnixMs = bornUnixMs;
+        known->registered = true;
+        if (moved)
+            connect(*known);
+        if (drains) {
+            m_log.record("worker_draining", { { "worker", record.id.value() }, { "runs", known->runs.size() } });
+            evacuate(*known);
+        }
+    }
+    for (auto& [id, worker] : m_workers.all()) {
+        if (worker.registered && !listed.contains(id)) {
+            worker.registered = false;
+            worker.missingSince = m_runtime.now();
+            m_log.record("worker_unregistered", { { "worker", id.value() }, { "runs", worker.runs.size() } });
+        }
+    }
+    if (grown)
+        storeWorkerSet();
+    requestPass();
+}
+
+void JobScheduler::connect(Worker& worker)
+{
+    worker.link = std::make_unique<WorkerLink>(
+        m_runtime, m_port, static_cast<WorkerLinkListener&>(*this),
+        WorkerTarget { worker.record.id, worker.record.address }, m_epoch, [this] { return m_host.mayOrder(); },
+        m_settings.link);
+    worker.link->begin();
+}
+
+// The next owner waits for the reports of these workers, so they are stored before they get orders.
+void JobScheduler::storeWorkerSet()
+{
+    WorkerSetRecord record;
+    std::vector<WorkerId> ids;
+    for (const auto& [id, worker] : m_workers.all()) {
+        record.workers.push_back({ id, worker.record.address });
+        ids.push_back(id);
+    }
+    m_ledger.setWorkers(std::move(record), [this, ids, session = std::weak_ptr<int>(m_session)] {
+        if (session.expired())
+            return;
+        m_storedWorkers.insert(ids.begin(), ids.end());
+        requestPass();
+    });
+}
+
+void JobScheduler::expireWorkers()
+{
+    const TimePoint now = m_runtime.now();
+    std::vector<WorkerId> expired;
+    for (auto& [id, worker] : m_workers.all()) {
+        if (!worker.link || worker.link->isReachable())
+            continue;
+        // A worker that never reported to this owner may hold a lease of an earlier one.
+        const TimePoint end = worker.reported ? worker.link->leaseExpiry() : m_unlocatedUntil;
+        if (now < end)
+            continue;
+        if (!worker.runs.empty() || !worker.reported) {
+            worker.reported = true;
+            loseRuns(worker, "lease of an unreachable worker ended");
+        }
+        if (!worker.registered && now - worker.missingSince > m_settings.missingGrace && now > end + forgetDelay)
+            expired.push_back(id);
+    }
+    for (const auto& id : expired)
+        loseWorker(id, "unreachable and not registered");
+}
+
+// Each lost task takes its run out of the worker's, so the tasks are collected first.
+void JobScheduler::loseRuns(const Worker& worker, const char* reason)
+{
+    std::vector<TaskKey> tasks;
+    for (const auto& [task, run] : worker.runs)
+        tasks.push_back(task);
+    for (const auto& task : tasks)
+        taskLost(task, reason);
+}
+
+void JobScheduler::loseWorker(const WorkerId& id, const char* reason)
+{
+    Worker* worker = m_workers.find(id);
+    if (worker == nullptr)
+        return;
+    m_log.record("worker_lost", { { "worker", id.value() }, { "runs", worker->runs.size() }, { "reason", reason } });
+    loseRuns(*worker, reason);
+    m_workers.erase(id);
+    m_storedWorkers.erase(id);
+    m_quarantine.forget(id);
+    m_speeds.forget(id);
+    storeWorkerSet();
+    requestPass();
+}
+
+void JobScheduler::workerReachabilityChanged(const WorkerId& id, bool reachable)
+{
+    m_log.record("worker_reachability", { { "worker", id.value() }, { "reachable", reachable } });
+    requestPass();
+}
+
+void JobScheduler::workerIncarnationEnded(const WorkerId& id)
+{
+    // The caller may be the worker's own link.
+    m_runtime.post([this, id, session = std::weak_ptr<int>(m_session)] {
+        if (!session.expired())
+            loseWorker(id, "another incarnation answers at its address");
+    });
+}
+
+void JobScheduler::workerFenced(const WorkerId& id)
+{
+    m_log.record("order_fenced", { { "worker", id.value() }, { "epoch", m_epoch } });
+    m_runtime.post([this, session = std::weak_ptr<int>(m_session)] {
+        if (!session.expired())
+            m_host.fenced();
+    });
+}
+
+// A draining worker ends soon, and everything on it. Tasks that run until cancelled would not end before it.
+void JobScheduler::evacuate(Worker& worker)
+{
+    std::vector<TaskKey> leaving;
+    for (const auto& [key, run] : worker.runs) {
+        Job* job = find(key.job);
+        if (job == nullptr || isFinal(job->state))
+            continue;
+        const StepSpec& spec = job->spec().steps[key.step];
+        if (spec.longRunning)
+            leaving.push_back(key);
+    }
+    for (const auto& key : leaving)
+        stopTask(*find(key.job), key, "worker drains");
+}
+
+// --- Maintenance ---
+
+void JobScheduler::setMaintenance(const WorkerId& id, bool isDraining)
+{
+    if (Worker* worker = m_workers.find(id))
+        worker->inMaintenance = isDraining;
+    requestPass();
+}
+
+// A long-running step states how many of its tasks may be unavailable by our own action. A task that is not at work
+// already is not made unavailable.
+bool JobScheduler::mayInterrupt(Job& job, const TaskKey& key) const
+{
+    const StepSpec& spec = job.spec().steps[key.step];
+    const Step& step = *job.find(stepOf(key));
+    return spec.maxUnavailable == 0 || !step.tasks[key.index].isAtWork()
+        || step.awayWithout(key.index) < spec.maxUnavailable;
+}
+
+std::size_t JobScheduler::drain(const WorkerId& id, bool force)
+{
+    Worker* worker = m_workers.find(id);
+    if (worker == nullptr)
+        return 0;
+    std::vector<TaskKey> tasks;
+    for (const auto& [key, run] : worker->runs)
+        tasks.push_back(key);
+    for (const auto& key : tasks) {
+        Job* job = find(key.job);
+        if (job == nullptr || isFinal(job->state))
+            continue; // it is being stopped
+        const bool longRunning = job->spec().steps[key.step].longRunning;
+        if (longRunning ? mayInterrupt(*job, key) : force)
+            stopTask(*job, key, "maintenance of the VM");
+    }
+    return worker->runs.size() + worker->strays.size();
+}
+
+} // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/MaintenanceDesk.h
+++ b/src/lycheeledge/jobs/MaintenanceDesk.h
@@ -62,7 +62,6 @@
     void end();
     /** @brief A wave is asked for; one that is known already is left as it is. */
     void add(const MaintenanceWave& wave);
-    bool isActive() const { return !m_waves.empty(); }
 
 private:
     struct Wave {
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -54,7 +54,6 @@
     void acknowledge(std::uint64_t sequence);
     /** @brief Starts counting ends anew, after the worker began another life under its id. */
     void resetEnds();
-    void setEpoch(Epoch epoch) { m_epoch = epoch; }
     /** @brief Lease for an order that is sent now, on the worker's clock; nothing before its first report. */
     std::optional<std::int64_t> leaseForOrder();
     /** @brief When everything that runs on the worker has certainly ended, if no order reaches it any more. */
--- a/test/jobs/DecisionsTest.cpp
+++ b/test/jobs/DecisionsTest.cpp
@@ -3,7 +3,9 @@
 #include "support/FakeJobWorkers.h"
 #include "support/JobCluster.h"
 
+#include <lycheeledge/jobs/ClaimPatience.h>
 #include <lycheeledge/jobs/FailureQuarantine.h>
+#include <lycheeledge/jobs/OwnerYield.h>
 #include <lycheeledge/jobs/Placement.h>
 #include <lycheeledge/jobs/StallDetector.h>
 #include <lycheeledge/jobs/StepOrder.h>
@@ -264,3 +266,37 @@
     CHECK_FALSE(quarantine.isQuarantined(WorkerId("w"), now + seconds(3)));
     CHECK(quarantine.isOnProbation(WorkerId("w")));
 }
+
+TEST_CASE("a claim waits for larger VMs and for an owner that is heard", "[ownership]")
+{
+    const ClaimSettings settings;
+    const auto unowned = [](int ms, bool heard, double share, double largest) {
+        return ClaimSituation {
+            .unowned = milliseconds(ms), .ownerIsHeard = heard, .cpuShare = share, .largestCpuShare = largest
+        };
+    };
+    CHECK(shouldClaim(unowned(0, false, 0.5, 0.5), settings));
+    CHECK(shouldClaim(unowned(0, false, 0.12, 0), settings)); // sizes are not known
+    CHECK_FALSE(shouldClaim(unowned(100, false, 0.12, 0.5), settings));
+    CHECK(shouldClaim(unowned(400, false, 0.12, 0.5), settings));
+    CHECK_FALSE(shouldClaim(unowned(400, true, 0.5, 0.5), settings));
+    CHECK(shouldClaim(unowned(900, true, 0.5, 0.5), settings)); // the store may turn only the owner away
+    CHECK_FALSE(shouldClaim(unowned(900, true, 0.12, 0.5), settings)); // larger VMs claim first then, too
+}
+
+TEST_CASE("an owner yields on a VM that is small or slow, if another member can do better", "[ownership]")
+{
+    const YieldSettings settings;
+    const auto situation = [](int owningMs, double share, double largest, int lagMs) {
+        return YieldSituation {
+            .owning = milliseconds(owningMs), .cpuShare = share, .largestMember = largest, .lag = milliseconds(lagMs)
+        };
+    };
+    CHECK(shouldYield(situation(10000, 0.5, 0.5, 40), settings) == YieldReason::None);
+    CHECK(shouldYield(situation(100, 0.12, 0.5, 0), settings) == YieldReason::None);
+    CHECK(shouldYield(situation(700, 0.12, 0.5, 0), settings) == YieldReason::SmallVm);
+    CHECK(shouldYield(situation(10000, 0.5, 0.5, 400), settings) == YieldReason::SlowVm);
+    CHECK(shouldYield(situation(1000, 0.5, 0.5, 400), settings) == YieldReason::None); // still recovering
+    CHECK(shouldYield(situation(10000, 0.5, 0.12, 400), settings) == YieldReason::None);
+    CHECK(shouldYield(situation(10000, 0.5, 0, 400), settings) == YieldReason::None);
+}
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -399,23 +399,6 @@
     CHECK((*late)->kind == ReplyKind::Refused);
 }
 
-TEST_CASE("a claim waits for larger VMs and for an owner that is heard", "[takeover]")
-{
-    const ClaimSettings settings;
-    const auto unowned = [](int ms, bool heard, double share, double largest) {
-        return ClaimSituation {
-            .unowned = milliseconds(ms), .ownerIsHeard = heard, .cpuShare = share, .largestCpuShare = largest
-        };
-    };
-    CHECK(shouldClaim(unowned(0, false, 0.5, 0.5), settings));
-    CHECK(shouldClaim(unowned(0, false, 0.12, 0), settings)); // sizes are not known
-    CHECK_FALSE(shouldClaim(unowned(100, false, 0.12, 0.5), settings));
-    CHECK(shouldClaim(unowned(400, false, 0.12, 0.5), settings));
-    CHECK_FALSE(shouldClaim(unowned(400, true, 0.5, 0.5), settings));
-    CHECK(shouldClaim(unowned(900, true, 0.5, 0.5), settings)); // the store may turn only the owner away
-    CHECK_FALSE(shouldClaim(unowned(900, true, 0.12, 0.5), settings)); // larger VMs claim first then, too
-}
-
 TEST_CASE("a living owner keeps its ownership when its lease lapses with an outage", "[takeover]")
 {
     // Guards against a takeover after each outage that outlasts the lease: members reach the store again before the
@@ -432,23 +415,6 @@
     CHECK(cluster.submit(survivor(cluster), "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
 }
 
-TEST_CASE("an owner yields on a VM that is small or slow, if another member can do better", "[takeover]")
-{
-    const YieldSettings settings;
-    const auto situation = [](int owningMs, double share, double largest, int lagMs) {
-        return YieldSituation {
-            .owning = milliseconds(owningMs), .cpuShare = share, .largestMember = largest, .lag = milliseconds(lagMs)
-        };
-    };
-    CHECK(shouldYield(situation(10000, 0.5, 0.5, 40), settings) == YieldReason::None);
-    CHECK(shouldYield(situation(100, 0.12, 0.5, 0), settings) == YieldReason::None);
-    CHECK(shouldYield(situation(700, 0.12, 0.5, 0), settings) == YieldReason::SmallVm);
-    CHECK(shouldYield(situation(10000, 0.5, 0.5, 400), settings) == YieldReason::SlowVm);
-    CHECK(shouldYield(situation(1000, 0.5, 0.5, 400), settings) == YieldReason::None); // still recovering
-    CHECK(shouldYield(situation(10000, 0.5, 0.12, 400), settings) == YieldReason::None);
-    CHECK(shouldYield(situation(10000, 0.5, 0, 400), settings) == YieldReason::None);
-}
-
 TEST_CASE("ownership moves from a small VM to a larger one, and its jobs go on", "[takeover]")
 {
     // Guards against an owner that cannot keep up: after the loss of all VMs the first to claim may be the smallest.
