Give overdue steps of every queue a turn at the admission service

Steps of low priority, and long steps whose result had expired, were asked for last, for as long as others kept coming. Change: a quarter of the relays serves steps that have waited over a second without a run; the queues take turns. Steps whose result has expired are ordered by age. A call that finds few workers with free capacity also names busy ones, whose answer stays valid.

--- a/src/lycheeledge/jobs/AdmissionDispatcher.cpp
+++ b/src/lycheeledge/jobs/AdmissionDispatcher.cpp
@@ -13,6 +13,8 @@
     constexpr Duration slowCallThreshold = std::chrono::milliseconds(100);
     // One in three relays is reserved for fast calls.
     constexpr std::size_t reservedRelayDivisor = 3;
+    // One in four relays may call for overdue steps, whatever else is waiting.
+    constexpr std::size_t overdueRelayDivisor = 4;
     // Added to the service's own time: the round trip to a relay in another data centre and a call in progress there.
     constexpr Duration timeoutMargin = std::chrono::milliseconds(700);
 
@@ -37,6 +39,11 @@
     return n <= 1 ? n : n - std::max<std::size_t>(1, n / reservedRelayDivisor);
 }
 
+std::size_t AdmissionDispatcher::overdueRelays() const
+{
+    return std::max<std::size_t>(1, m_relays.size() / overdueRelayDivisor);
+}
+
 void AdmissionDispatcher::addRelay(RelayId relay)
 {
     m_relays[relay] = { .busy = false, .slow = false, .session = m_nextSession++, .idleSince = m_runtime.now() };
--- a/src/lycheeledge/jobs/AdmissionDispatcher.h
+++ b/src/lycheeledge/jobs/AdmissionDispatcher.h
@@ -68,6 +68,8 @@
     void clear();
 
     std::size_t inProgress() const;
+    /** @brief Number of relays that calls for overdue steps may occupy at a time, so that no backlog starves a step. */
+    std::size_t overdueRelays() const;
     std::size_t relays() const { return m_relays.size(); }
 
 private:
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -71,6 +71,8 @@
     m_jobs.clear();
     m_readySteps.clear();
     m_upcomingSteps.clear();
+    m_overdueRequests = 0;
+    m_lastOverdueRequest.clear();
     m_workers.clear();
     m_storedWorkers.clear();
     m_usage.clear();
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -51,6 +51,8 @@
     std::size_t maxWorkersPerTicketRenewal = 10; ///< workers named when tickets are renewed
     /// Workers named for a gang, whose tickets must all be valid at the same time.
     std::size_t maxWorkersPerGangCall = 60;
+    /// A step of which no task runs this long after its release asks for admission ahead of the scheduling order.
+    Duration overdueAfter = std::chrono::seconds(1);
 };
 
 /** @brief Counters since the start of the process. */
@@ -188,8 +190,13 @@
     std::vector<PlacementCandidate> candidates(Job& job, const StepKey& key, bool needsTicket);
     bool hasUsableTicket(const Step& step, const Resources& reservation) const;
     bool withinLimit(const Job& job, const StepSpec& spec, std::uint32_t count) const;
-    void requestAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy);
-    std::vector<WorkerId> selectAdmissionWorkers(Job& job, const StepKey& key);
+    /**
+     * @param overdue the request is made ahead of the scheduling order.
+     * @return whether a request was made.
+     */
+    bool requestAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy, bool overdue = false);
+    void requestOverdueAdmissions();
+    std::vector<WorkerId> selectAdmissionWorkers(Job& job, const StepKey& key, const AdmissionPolicy& policy);
     void handleAdmissionReply(const StepKey& key, const AdmissionPolicy& policy, const std::vector<WorkerId>& requested,
         const absl::StatusOr<std::vector<AdmissionGrant>>& grants);
     const QueuePolicy* queueOf(const Job& job) const;
@@ -259,6 +266,8 @@
     std::map<JobId, std::unique_ptr<Job>> m_jobs;
     std::set<StepKey> m_readySteps; ///< released steps with waiting tasks
     std::set<StepKey> m_upcomingSteps; ///< urgent steps whose predecessors' tasks are all running or done
+    std::size_t m_overdueRequests = 0; ///< pending admission requests made ahead of the scheduling order
+    std::map<std::string, TimePoint> m_lastOverdueRequest; ///< by queue; the queues take turns
     WorkerTable m_workers;
     absl::flat_hash_set<WorkerId> m_storedWorkers; ///< workers in the stored set; only these receive orders
     absl::flat_hash_map<AccountId, Resources> m_usage; ///< resources charged to each account
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -3,6 +3,7 @@
 #include "JobScheduler.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace lycheeledge::jobs {
@@ -199,6 +200,7 @@
         if (isPlaceable(worker))
             m_placeableWorkers[worker.record.pool].push_back(&worker);
     }
+    requestOverdueAdmissions();
     for (const auto& [urgency, key] : waiting) {
         if (Job* job = find(key.job); job != nullptr && !isFinal(job->state))
             scheduleStep(*job, key);
@@ -376,24 +378,65 @@
 
 // --- Admission ---
 
-void JobScheduler::requestAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy)
+// Answers a backlog of admission calls, for example while one client account sends many times its usual load: calls are
+// made in scheduling order, so without this a step of low priority would wait until the backlog has gone, although
+// there are workers for it. The queues take turns, and within a queue the oldest step comes first.
+void JobScheduler::requestOverdueAdmissions()
+{
+    const std::size_t limit = m_admission.overdueRelays();
+    if (m_overdueRequests >= limit)
+        return;
+    const TimePoint now = m_runtime.now();
+    std::vector<std::tuple<TimePoint, TimePoint, StepKey>> overdue;
+    for (const auto& key : m_readySteps) {
+        Job& job = *m_jobs.at(key.job);
+        const Step& step = *job.find(key);
+        if (step.assigned == 0 && !step.admission.requestPending && now - step.releasedAt > m_settings.overdueAfter
+            && now >= step.admission.nextRequestAt)
+            overdue.emplace_back(m_lastOverdueRequest[job.submission.queue], step.releasedAt, key);
+    }
+    std::sort(overdue.begin(), overdue.end());
+    for (const auto& [lastRequest, releasedAt, key] : overdue) {
+        Job& job = *m_jobs.at(key.job);
+        const QueuePolicy* queue = queueOf(job);
+        const Step& step = *job.find(key);
+        const StepSpec& spec = job.spec().steps[key.step];
+        if (queue == nullptr || !queue->admission || !mayStart(job) || !withinLimit(job, spec, 1)
+            || hasUsableTicket(step, reservationOf(spec)))
+            continue;
+        if (!requestAdmission(job, key, *queue->admission, true))
+            continue;
+        m_lastOverdueRequest[queue->name] = now;
+        if (m_overdueRequests >= limit)
+            return;
+    }
+}
+
+bool JobScheduler::requestAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy, bool overdue)
 {
     Step& step = *job.find(key);
     if (step.admission.requestPending || m_runtime.now() < step.admission.nextRequestAt
         || !m_admission.hasFreeRelay(policy))
-        return;
-    auto workers = selectAdmissionWorkers(job, key);
+        return false;
+    auto workers = selectAdmissionWorkers(job, key, policy);
     if (workers.empty())
-        return;
+        return false;
     step.admission.requestPending = true;
+    m_overdueRequests += overdue ? 1 : 0;
     m_admission.call({ key, workers }, policy,
-        [this, key, policy, workers](const auto& grants) { handleAdmissionReply(key, policy, workers, grants); });
+        [this, key, policy, workers, overdue](const auto& grants) {
+            m_overdueRequests -= overdue ? 1 : 0;
+            handleAdmissionReply(key, policy, workers, grants);
+        });
+    return true;
 }
 
 // Selects the best workers that have capacity for a task and that the service may allow: workers that it has allowed
-// before and, if their capacity does not suffice for the step, workers that no request has named yet. Workers
-// without free capacity are left out: naming one takes time, and its ticket would expire after about 2 s.
-std::vector<WorkerId> JobScheduler::selectAdmissionWorkers(Job& job, const StepKey& key)
+// before and, if their capacity does not suffice for the step, workers that no request has named yet. A request that
+// names few of them is filled up with workers without free capacity, as far as that costs less than the call itself:
+// answers do not change, so that a later request names only workers that are allowed.
+std::vector<WorkerId> JobScheduler::selectAdmissionWorkers(
+    Job& job, const StepKey& key, const AdmissionPolicy& policy)
 {
     const Step* step = job.find(key);
     const StepSpec& spec = job.spec().steps[key.step];
@@ -404,7 +447,8 @@
     std::vector<WorkerId> selected;
     std::vector<WorkerId> unrequested;
     std::uint64_t taskCapacity = 0; // number of tasks of the step that fit on allowed workers
-    for (const auto n : placement.ranking()) {
+    const auto ranking = placement.ranking();
+    for (const auto n : ranking) {
         const WorkerId& worker = placement.candidate(n).worker;
         const auto answer = step->admission.allowed.find(worker);
         if (answer == step->admission.allowed.end()) {
@@ -426,6 +470,18 @@
         selected.insert(
             selected.end(), std::make_move_iterator(unrequested.begin()), std::make_move_iterator(unrequested.end()));
     }
+    if (selected.empty())
+        return selected;
+    const std::size_t affordable
+        = policy.perWorker > Duration::zero() ? static_cast<std::size_t>(policy.perCall / policy.perWorker) : maxWorkers;
+    const std::size_t target = std::min(maxWorkers, affordable);
+    absl::flat_hash_set<std::size_t> fitting(ranking.begin(), ranking.end());
+    for (std::size_t n = 0; n < placement.candidateCount() && selected.size() < target; ++n) {
+        const PlacementCandidate& candidate = placement.candidate(n);
+        if (!fitting.contains(n) && placement.reservation().fitsIn(candidate.capacity)
+            && !step->admission.allowed.contains(candidate.worker))
+            selected.push_back(candidate.worker);
+    }
     return selected;
 }
 
--- a/src/lycheeledge/jobs/Placement.h
+++ b/src/lycheeledge/jobs/Placement.h
@@ -49,6 +49,7 @@
 
     /** @brief Number of tasks of the step that fit on a candidate. */
     std::uint64_t taskCapacityOn(std::size_t n) const;
+    std::size_t candidateCount() const { return m_candidates.size(); }
     const PlacementCandidate& candidate(std::size_t n) const { return m_candidates[n]; }
     /** @brief Resources that a task reserves on its worker. */
     const Resources& reservation() const { return m_reservation; }
--- a/src/lycheeledge/jobs/StepOrder.cpp
+++ b/src/lycheeledge/jobs/StepOrder.cpp
@@ -12,8 +12,12 @@
         const bool expired = now + it.remaining > it.resultExpiry;
         const bool late = now + it.remaining > it.objective;
         const bool overShare = it.accountShare > m_fairShare;
-        return std::tuple(
-            it.priority, expired, overShare, late, late ? TimePoint() + it.remaining : it.objective, it.releaseOrder);
+        TimePoint position = it.objective;
+        if (expired)
+            position = {};
+        else if (late)
+            position = TimePoint() + it.remaining;
+        return std::tuple(it.priority, expired, overShare, late, position, it.releaseOrder);
     };
     return sortKey(a) < sortKey(b);
 }
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -2,6 +2,8 @@
 
 #include "support/JobCluster.h"
 
+#include <lycheeledge/jobs/StepOrder.h>
+
 #include <catch2/catch.hpp>
 
 using namespace lycheeledge;
@@ -434,6 +436,58 @@
     CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(15)));
 }
 
+TEST_CASE("a batch step starts within 3 s although a backlog of urgent steps waits for admission", "[jobs][load]")
+{
+    // One client account sends many times its usual load: urgent steps ask for admission faster than the service answers,
+    // while most workers are idle. Guards against asking in scheduling order only.
+    JobCluster cluster(1);
+    auto configuration = simpleConfiguration();
+    configuration.queues[0].admission
+        = AdmissionPolicy { milliseconds(30), std::chrono::microseconds(400), seconds(2) };
+    configuration.queues[1].admission = AdmissionPolicy { milliseconds(400), milliseconds(6), seconds(2) };
+    cluster.setConfiguration(configuration);
+    cluster.admission.answerTime = milliseconds(60);
+    addWorkers(cluster, 40);
+    for (std::uint64_t n = 1; n <= 200; ++n)
+        REQUIRE(cluster.submit("m0", "urgent", n, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    REQUIRE(cluster.submit("m0", "batch", 500, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    CHECK(cluster.waitFor([&] { return cluster.workers.startsOf(taskOf(500, 0, 0)) > 0; }, seconds(3)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("steps whose result has expired start in the order of their age", "[jobs][load]")
+{
+    const TimePoint now(seconds(100));
+    const ObjectiveOrder order(0.2);
+    StepUrgency longer;
+    longer.objective = now - seconds(20);
+    longer.resultExpiry = now - seconds(10);
+    longer.remaining = seconds(8);
+    longer.releaseOrder = 1;
+    StepUrgency shorter = longer;
+    shorter.remaining = seconds(1);
+    shorter.releaseOrder = 2;
+    CHECK(order.before(longer, shorter, now));
+}
+
+TEST_CASE("an admission request that has few workers with free capacity also names busy ones", "[jobs][load]")
+{
+    // A call takes much longer than naming a further worker, and the answer stays valid. Guards against one call after
+    // another that names a single worker on a nearly full pool.
+    JobCluster cluster(1);
+    auto configuration = simpleConfiguration();
+    configuration.queues[1].admission = AdmissionPolicy { milliseconds(400), milliseconds(6), seconds(2) };
+    cluster.setConfiguration(configuration);
+    cluster.workers.runTime = [](const TaskKey& task) { return task.step == 0 ? seconds(4) : milliseconds(100); };
+    addWorkers(cluster, 12);
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(11, 8000) } }));
+    cluster.advance(seconds(1));
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(4, 8000) } }));
+    cluster.advance(seconds(1));
+    REQUIRE_FALSE(cluster.admission.calls.empty());
+    CHECK(cluster.admission.calls.front().request.workers.size() == 12);
+}
+
 TEST_CASE("a refused second start attempt does not mean that the first was refused", "[jobs]")
 {
     // Guards against starting a task elsewhere while its first start order, whose response was lost, is carried out:
