Let members talk to the workers of a large fleet

Cause: the owner alone polled every worker and sent every order, as HTTP and JSON. Change: above 128 workers, calls to workers go in batches to members on large VMs, near the worker if possible (jobs/relay). The owner still decides and tracks everything; outcomes are those of direct calls. A batch carries an upper bound of its age, so that a member that was frozen makes no call that the owner has given up. Polls of a lost or silent member are repeated on another way, and a worker that its member cannot reach is called directly. The peer transport reads and writes several frames with one call. Members of this build send a message that older builds cannot read, so the two do not share a cluster. Removing the age check, the repeated polls or the detour fails a test each; nine cases, 100 random histories of kills, freezes and cut paths.

--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -204,7 +204,9 @@
             { "ticket_rejected", counters.startsRefusedTicket }, { "unanswered", counters.startsWithoutResponse },
             { "questions_open", m_node.admissionDispatcher().inProgress() },
             { "relays", m_node.admissionDispatcher().relays() }, { "questions", counters.admissionCalls },
-            { "commits", session.ledger().commits() }, { "calls", m_callsTotal } });
+            { "commits", session.ledger().commits() }, { "calls", m_callsTotal },
+            { "relayed_calls", m_node.relayedWorkers().counters().relayedCalls },
+            { "relayed_open", m_node.relayedWorkers().callsInProgress() } });
 }
 
 void JobDaemon::updateMetrics()
@@ -231,6 +233,26 @@
     setGauge("lycheeledge_commits_total", "Commits to the store.", static_cast<double>(session.ledger().commits()));
     setGauge("lycheeledge_admission_questions_total", "Questions to the admission service.",
         static_cast<double>(counters.admissionCalls));
+    const auto& relayed = m_node.relayedWorkers().counters();
+    const auto& relay = m_node.workerRelay();
+    setGauge("lycheeledge_worker_calls_relayed_total", "Calls to workers that this owner made through members.",
+        static_cast<double>(relayed.relayedCalls));
+    setGauge("lycheeledge_worker_calls_direct_total", "Calls to workers that this owner made itself.",
+        static_cast<double>(relayed.directCalls));
+    setGauge(
+        "lycheeledge_worker_call_batches_total", "Messages with relayed calls.", static_cast<double>(relayed.batches));
+    setGauge("lycheeledge_worker_polls_repeated_total", "Polls repeated because the member that relayed them was lost.",
+        static_cast<double>(relayed.repeatedPolls));
+    setGauge("lycheeledge_relays_silent_total", "Times that a relaying member was found silent.",
+        static_cast<double>(relayed.silences));
+    setGauge("lycheeledge_relays", "Members that can relay calls.",
+        static_cast<double>(m_node.relayedWorkers().usableMembers()));
+    setGauge("lycheeledge_worker_calls_in_progress", "Relayed calls in progress.",
+        static_cast<double>(m_node.relayedWorkers().callsInProgress()));
+    setGauge("lycheeledge_relay_calls_total", "Calls to workers that this member made for an owner.",
+        static_cast<double>(relay.calls()));
+    setGauge("lycheeledge_relay_calls_expired_total", "Calls that this member received too late to make them.",
+        static_cast<double>(relay.expiredCalls()));
     const auto setHistogram = [this](const char* name, const char* help, const LatencyHistogram& latencies) {
         m_metrics.histogram(name, help).set(latencies);
     };
--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -40,14 +40,18 @@
     , m_admission(ports.admission)
     , m_log(ports.log)
     , m_admissionDispatcher(m_runtime, *this)
+    , m_relayedWorkers(m_runtime, ports.workers, m_members, m_log, settings.relay)
+    , m_workerRelay(m_runtime, ports.workers, m_members, settings.dataCentre)
     , m_lease(m_runtime, ports.store, m_log, self, leaseSettings(settings))
-    , m_link(m_runtime, m_members, m_admission, m_log, Handshake { self.member, settings.cpuShare }, settings.link)
-    , m_session({ m_runtime, ports.store, ports.records, ports.codec, ports.submissions, ports.workers, ports.vms,
+    , m_link(m_runtime, m_members, m_admission, m_workerRelay, m_log, Handshake { self.member, settings.cpuShare },
+          settings.link)
+    , m_session({ m_runtime, ports.store, ports.records, ports.codec, ports.submissions, m_relayedWorkers, ports.vms,
                     m_admissionDispatcher, m_log, m_lease, self.member, ports.unixMs, [this] { activated(); } },
           schedulerSettings(settings), settings.service, settings.ledger, settings.maintenance, settings.session)
 {
     m_lease.setListener(this);
     m_admissionDispatcher.addRelay(localRelay);
+    m_relayedWorkers.setWorkerCount([this] { return m_session.scheduler().workers().all().size(); });
 }
 
 void EntryNode::start()
@@ -149,6 +153,7 @@
 void EntryNode::ownershipLost(const char*)
 {
     auto unfinished = m_session.end();
+    m_relayedWorkers.clear();
     for (const auto& [connection, share] : std::exchange(m_followers, {})) {
         m_admissionDispatcher.removeRelay(connection);
         m_members.close(connection);
@@ -208,8 +213,10 @@
         m_handshakeSenders.insert(handshake->member);
         checkEarlierOwners();
         const double largest = largestCpuShare();
-        if (m_followers.emplace(connection, handshake->cpuShare).second)
+        if (m_followers.emplace(connection, handshake->cpuShare).second) {
             m_admissionDispatcher.addRelay(connection);
+            m_relayedWorkers.addMember(connection, handshake->member, handshake->cpuShare);
+        }
         m_log.record("member_connected", { { "member", handshake->member }, { "members", m_followers.size() } });
         sendOwnerStatus(connection);
         if (handshake->cpuShare > largest)
@@ -223,6 +230,10 @@
             completeAdmission(reply->id, reply->grants);
         else
             completeAdmission(reply->id, absl::UnavailableError(reply->error));
+    } else if (const auto* offer = std::get_if<RelayOffer>(&message)) {
+        m_relayedWorkers.received(connection, *offer);
+    } else if (const auto* batch = std::get_if<WorkerReplyBatch>(&message)) {
+        m_relayedWorkers.received(connection, *batch);
     } else if (const auto* ping = std::get_if<Ping>(&message)) {
         if (!ping->reply)
             m_members.send(connection, Ping { ping->number, true });
@@ -238,6 +249,7 @@
     if (m_followers.erase(connection) == 0)
         return;
     m_admissionDispatcher.removeRelay(connection);
+    m_relayedWorkers.removeMember(connection);
     std::vector<std::uint64_t> lost;
     for (const auto& [id, pending] : m_admissionRequests) {
         if (pending.relay == connection)
--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -5,6 +5,8 @@
 #include "OwnerLink.h"
 #include "OwnerSession.h"
 #include "OwnerYield.h"
+#include "relay/RelayedWorkers.h"
+#include "relay/WorkerRelay.h"
 
 #include <functional>
 #include <map>
@@ -22,6 +24,8 @@
     MaintenanceSettings maintenance;
     YieldSettings yield;
     OwnerSessionSettings session;
+    RelaySettings relay;
+    std::string dataCentre; ///< of this VM
     double cpuShare = 1; ///< of this VM, in cores
     /// Maximum wait for pending commits before the ownership is released.
     Duration resignLimit = std::chrono::milliseconds(600);
@@ -31,7 +35,7 @@
  * @brief Coordination of one entry process.
  *
  * Every member accepts client calls. The owner handles them; the other members forward them to the owner. Members also
- * call the admission service on the owner's behalf.
+ * call the admission service and, on large fleets, the workers on the owner's behalf.
  */
 class EntryNode final : private OwnerLeaseListener, private MemberListener, private AdmissionPort {
 public:
@@ -67,6 +71,8 @@
     const OwnerSession& session() const { return m_session; }
     const OwnerLink& link() const { return m_link; }
     const AdmissionDispatcher& admissionDispatcher() const { return m_admissionDispatcher; }
+    const RelayedWorkers& relayedWorkers() const { return m_relayedWorkers; }
+    const WorkerRelay& workerRelay() const { return m_workerRelay; }
 
 private:
     // OwnerLeaseListener
@@ -107,6 +113,8 @@
     AdmissionPort& m_admission;
     EventLog& m_log;
     AdmissionDispatcher m_admissionDispatcher;
+    RelayedWorkers m_relayedWorkers; ///< used while this process is the owner
+    WorkerRelay m_workerRelay; ///< used while it is not
     OwnerLease m_lease;
     OwnerLink m_link;
     OwnerSession m_session;
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -423,11 +423,10 @@
         return false;
     step.admission.requestPending = true;
     m_overdueRequests += overdue ? 1 : 0;
-    m_admission.call({ key, workers }, policy,
-        [this, key, policy, workers, overdue](const auto& grants) {
-            m_overdueRequests -= overdue ? 1 : 0;
-            handleAdmissionReply(key, policy, workers, grants);
-        });
+    m_admission.call({ key, workers }, policy, [this, key, policy, workers, overdue](const auto& grants) {
+        m_overdueRequests -= overdue ? 1 : 0;
+        handleAdmissionReply(key, policy, workers, grants);
+    });
     return true;
 }
 
@@ -435,8 +434,7 @@
 // before and, if their capacity does not suffice for the step, workers that no request has named yet. A request that
 // names few of them is filled up with workers without free capacity, as far as that costs less than the call itself:
 // answers do not change, so that a later request names only workers that are allowed.
-std::vector<WorkerId> JobScheduler::selectAdmissionWorkers(
-    Job& job, const StepKey& key, const AdmissionPolicy& policy)
+std::vector<WorkerId> JobScheduler::selectAdmissionWorkers(Job& job, const StepKey& key, const AdmissionPolicy& policy)
 {
     const Step* step = job.find(key);
     const StepSpec& spec = job.spec().steps[key.step];
@@ -472,8 +470,9 @@
     }
     if (selected.empty())
         return selected;
-    const std::size_t affordable
-        = policy.perWorker > Duration::zero() ? static_cast<std::size_t>(policy.perCall / policy.perWorker) : maxWorkers;
+    const std::size_t affordable = policy.perWorker > Duration::zero()
+        ? static_cast<std::size_t>(policy.perCall / policy.perWorker)
+        : maxWorkers;
     const std::size_t target = std::min(maxWorkers, affordable);
     absl::flat_hash_set<std::size_t> fitting(ranking.begin(), ranking.end());
     for (std::size_t n = 0; n < placement.candidateCount() && selected.size() < target; ++n) {
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -48,6 +48,8 @@
         known->registered = true;
         if (moved)
             connect(*known);
+        else if (known->link)
+            known->link->setDataCentre(record.dataCentre);
         if (drains) {
             m_log.record("worker_draining", { { "worker", record.id.value() }, { "runs", known->runs.size() } });
             evacuate(*known);
@@ -69,8 +71,8 @@
 {
     worker.link = std::make_unique<WorkerLink>(
         m_runtime, m_port, static_cast<WorkerLinkListener&>(*this),
-        WorkerTarget { worker.record.id, worker.record.address }, m_epoch, [this] { return m_host.maySendOrders(); },
-        m_settings.link);
+        WorkerTarget { worker.record.id, worker.record.address, worker.record.dataCentre }, m_epoch,
+        [this] { return m_host.maySendOrders(); }, m_settings.link);
     worker.link->begin();
 }
 
--- a/src/lycheeledge/jobs/MemberMessages.h
+++ b/src/lycheeledge/jobs/MemberMessages.h
@@ -3,6 +3,7 @@
 
 #include "AdmissionDispatcher.h"
 #include "ClientCall.h"
+#include "relay/RelayMessages.h"
 
 #include <cstdint>
 #include <string>
@@ -69,8 +70,9 @@
     bool operator==(const Ping&) const = default;
 };
 
-using MemberMessage
-    = std::variant<Handshake, OwnerStatus, CallMessage, CallReply, AdmissionMessage, AdmissionReply, Ping>;
+// Alternatives are encoded by position, so new ones are added at the end.
+using MemberMessage = std::variant<Handshake, OwnerStatus, CallMessage, CallReply, AdmissionMessage, AdmissionReply,
+    Ping, RelayOffer, WorkerCallBatch, WorkerReplyBatch>;
 
 using MemberConnection = std::uint64_t;
 
--- a/src/lycheeledge/jobs/OwnerLink.cpp
+++ b/src/lycheeledge/jobs/OwnerLink.cpp
@@ -7,11 +7,12 @@
 
 namespace lycheeledge::jobs {
 
-OwnerLink::OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, EventLog& log, Handshake handshake,
-    OwnerLinkSettings settings)
+OwnerLink::OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, WorkerRelay& relay, EventLog& log,
+    Handshake handshake, OwnerLinkSettings settings)
     : m_runtime(runtime)
     , m_port(port)
     , m_admission(admission)
+    , m_relay(relay)
     , m_log(log)
     , m_handshake(std::move(handshake))
     , m_settings(settings)
@@ -49,6 +50,7 @@
     if (m_active)
         m_log.record("owner_connection_lost", { { "reason", reason }, { "calls", m_calls.size() } });
     m_active = false;
+    m_relay.disconnected();
     m_port.close(connection);
 }
 
@@ -62,6 +64,7 @@
         return;
     }
     m_port.send(connection, Ping { ++m_pings, false });
+    m_relay.sendOffer(connection);
     m_runtime.after(m_settings.pingInterval, [this, connection] { ping(connection); });
 }
 
@@ -127,6 +130,8 @@
             node.mapped().reply(answer->reply);
     } else if (const auto* request = std::get_if<AdmissionMessage>(&message)) {
         handleAdmissionRequest(connection, *request);
+    } else if (const auto* batch = std::get_if<WorkerCallBatch>(&message)) {
+        m_relay.received(connection, *batch);
     }
 }
 
--- a/src/lycheeledge/jobs/OwnerLink.h
+++ b/src/lycheeledge/jobs/OwnerLink.h
@@ -6,6 +6,7 @@
 #include "JobService.h"
 #include "MemberMessages.h"
 #include "OwnerLease.h"
+#include "relay/WorkerRelay.h"
 
 #include <functional>
 #include <map>
@@ -30,8 +31,8 @@
     using Reply = std::function<void(ClientReply)>;
 
     /** @param handshake first message on each connection; identifies this process. */
-    OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, EventLog& log, Handshake handshake,
-        OwnerLinkSettings settings = {});
+    OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, WorkerRelay& relay, EventLog& log,
+        Handshake handshake, OwnerLinkSettings settings = {});
 
     /** @brief Sets the owner to connect to; empty if there is none or it is this process. */
     void setOwner(const std::optional<OwnerRecord>& owner);
@@ -75,6 +76,7 @@
     Runtime& m_runtime;
     MemberPort& m_port;
     AdmissionPort& m_admission;
+    WorkerRelay& m_relay;
     EventLog& m_log;
     Handshake m_handshake;
     OwnerLinkSettings m_settings;
--- a/src/lycheeledge/jobs/StepOrder.h
+++ b/src/lycheeledge/jobs/StepOrder.h
@@ -3,8 +3,8 @@
 // Queues are ordered by priority, urgent queues first. Within a priority, steps whose result can no longer be of use to
 // the caller come last. The next criteria are: client accounts below their share before others, then steps that can
 // still meet their objective before late ones. Steps in time are ordered by objective, late ones by the least remaining
-// work. Steps whose result is of no use any more are ordered by age, because the least remaining work first would starve
-// long ones for as long as shorter ones keep expiring.
+// work. Steps whose result is of no use any more are ordered by age, because the least remaining work first would
+// starve long ones for as long as shorter ones keep expiring.
 #pragma once
 
 #include "JobSpec.h"
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -68,6 +68,8 @@
     /** @brief Whether the last order or poll got no response. */
     bool isSuspect() const { return m_failures > 0; }
     const WorkerTarget& target() const { return m_target; }
+    /** @brief Applies to the calls from now on. */
+    void setDataCentre(const std::string& dataCentre) { m_target.dataCentre = dataCentre; }
 
 private:
     void poll();
--- a/src/lycheeledge/jobs/WorkerPort.h
+++ b/src/lycheeledge/jobs/WorkerPort.h
@@ -33,6 +33,7 @@
 struct WorkerTarget {
     WorkerId id;
     std::string address;
+    std::string dataCentre; ///< empty if unknown
 
     bool operator==(const WorkerTarget&) const = default;
 };
--- a/src/lycheeledge/protocol/JobSerialization.h
+++ b/src/lycheeledge/protocol/JobSerialization.h
@@ -6,6 +6,7 @@
 #include "Serialization.h"
 
 #include <cereal/types/chrono.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
@@ -104,4 +105,74 @@
 
 template <typename Archive> void serialize(Archive& archive, Ping& value) { archive(value.number, value.reply); }
 
+template <typename Archive> void serialize(Archive& archive, TaskKey& value)
+{
+    archive(value.job, value.occurrence, value.step, value.index);
+}
+
+template <typename Archive> void serialize(Archive& archive, RunKey& value) { archive(value.task, value.run); }
+
+// The data centre only selects the way of a call, so it is not sent.
+template <typename Archive> void serialize(Archive& archive, WorkerTarget& value) { archive(value.id, value.address); }
+
+template <typename Archive> void serialize(Archive& archive, StartOrder& value)
+{
+    archive(value.task, value.run, value.payload, value.checkpoint, value.ticket, value.epoch, value.leaseUntilMs);
+}
+
+template <typename Archive> void serialize(Archive& archive, StopOrder& value)
+{
+    archive(value.task, value.run, value.epoch);
+}
+
+template <typename Archive> void serialize(Archive& archive, PaceOrder& value)
+{
+    archive(value.task, value.run, value.percent, value.epoch);
+}
+
+template <typename Archive> void serialize(Archive& archive, PollRequest& value)
+{
+    archive(value.epoch, value.acknowledged, value.leaseUntilMs, value.wait);
+}
+
+template <typename Archive> void serialize(Archive& archive, RunningTask& value)
+{
+    archive(value.run, value.checkpoint, value.progressPercent, value.usage);
+}
+
+template <typename Archive> void serialize(Archive& archive, EndedTask& value)
+{
+    archive(value.sequence, value.run, value.kind, value.checkpoint);
+}
+
+template <typename Archive> void serialize(Archive& archive, PollReport& value)
+{
+    archive(value.clockMs, value.incarnationStartUnixMs, value.running, value.ended);
+}
+
+template <typename Archive> void serialize(Archive& archive, RelayOffer& value)
+{
+    archive(value.dataCentre, value.memberClockMs);
+}
+
+template <typename Archive> void serialize(Archive& archive, WorkerCall& value)
+{
+    archive(value.id, value.target, value.timeoutMs, value.request);
+}
+
+template <typename Archive> void serialize(Archive& archive, WorkerCallBatch& value)
+{
+    archive(value.memberClockMs, value.heldMs, value.calls);
+}
+
+template <typename Archive> void serialize(Archive& archive, WorkerReply& value)
+{
+    archive(value.id, value.outcome, value.hasClock, value.clockMs, value.report);
+}
+
+template <typename Archive> void serialize(Archive& archive, WorkerReplyBatch& value)
+{
+    archive(value.memberClockMs, value.replies);
+}
+
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/transport/PeerTransport.cpp
+++ b/src/lycheeledge/transport/PeerTransport.cpp
@@ -7,11 +7,13 @@
 #include <asio.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <deque>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace lycheeledge {
 
@@ -22,6 +24,9 @@
 
     constexpr std::size_t headerBytes = 4; // frame length, big-endian
     constexpr std::size_t maxDatagramBytes = 65507; // largest UDP payload over IPv4
+    constexpr std::size_t readChunkBytes = 4096; // of each connection; the owner has one to each member
+    constexpr std::size_t maxFramesPerWrite = 32;
+    constexpr std::size_t maxIdleBufferBytes = 64 << 10; // a larger receive buffer is freed once it is empty
 
     std::array<unsigned char, headerBytes> encodeLength(std::size_t n)
     {
@@ -29,10 +34,12 @@
             static_cast<unsigned char>(n >> 8), static_cast<unsigned char>(n) };
     }
 
-    std::size_t decodeLength(const std::array<unsigned char, headerBytes>& header)
+    std::size_t decodeLength(const char* header)
     {
-        return (static_cast<std::size_t>(header[0]) << 24) | (static_cast<std::size_t>(header[1]) << 16)
-            | (static_cast<std::size_t>(header[2]) << 8) | header[3];
+        std::size_t result = 0;
+        for (std::size_t i = 0; i < headerBytes; ++i)
+            result = (result << 8) | static_cast<unsigned char>(header[i]);
+        return result;
     }
 
     std::string prependHeader(std::string frame)
@@ -55,10 +62,10 @@
         Tcp::socket socket;
         bool open = false; // TCP connection is established
         bool writing = false;
-        std::deque<std::string> sendQueue; // frames with header; the first one is being written if `writing`
+        std::deque<std::string> sendQueue; // frames with header; the first ones are being written if `writing`
         std::size_t queuedBytes = 0; // total size of `sendQueue`
-        std::array<unsigned char, headerBytes> header {};
-        std::string body;
+        std::array<char, readChunkBytes> chunk {};
+        std::string received; // not yet complete frames
     };
     using ConnectionPointer = std::shared_ptr<Connection>;
 
@@ -125,7 +132,7 @@
         asio::error_code ec;
         connection->socket.set_option(Tcp::no_delay(true), ec);
         connection->open = true;
-        readHeader(id, connection);
+        read(id, connection);
         writeNext(id, connection);
     }
 
@@ -150,32 +157,43 @@
             });
     }
 
-    void readHeader(ConnectionId id, const ConnectionPointer& connection)
+    // Reads whatever has arrived: under load, one call returns many small frames.
+    void read(ConnectionId id, const ConnectionPointer& connection)
     {
-        asio::async_read(connection->socket, asio::buffer(connection->header),
-            [this, id, connection](asio::error_code ec, std::size_t) {
-                const std::size_t n = decodeLength(connection->header);
-                if (ec || n > settings.maxFrameBytes) {
+        connection->socket.async_read_some(
+            asio::buffer(connection->chunk), [this, id, connection](asio::error_code ec, std::size_t n) {
+                if (ec) {
                     close(id);
                     return;
                 }
-                connection->body.resize(n);
-                readBody(id, connection);
+                connection->received.append(connection->chunk.data(), n);
+                if (handleFrames(id, connection))
+                    read(id, connection);
             });
     }
 
-    void readBody(ConnectionId id, const ConnectionPointer& connection)
+    /** @return false if the connection is closed. */
+    bool handleFrames(ConnectionId id, const ConnectionPointer& connection)
     {
-        asio::async_read(connection->socket, asio::buffer(connection->body),
-            [this, id, connection](asio::error_code ec, std::size_t) {
-                if (ec) {
-                    close(id);
-                    return;
-                }
-                handlers.frame(id, std::exchange(connection->body, {}));
-                if (connections.contains(id))
-                    readHeader(id, connection);
-            });
+        std::string& received = connection->received;
+        std::size_t begin = 0;
+        while (received.size() - begin >= headerBytes) {
+            const std::size_t n = decodeLength(received.data() + begin);
+            if (n > settings.maxFrameBytes) {
+                close(id);
+                return false;
+            }
+            if (received.size() - begin - headerBytes < n)
+                break;
+            handlers.frame(id, received.substr(begin + headerBytes, n));
+            begin += headerBytes + n;
+            if (!connections.contains(id))
+                return false;
+        }
+        received.erase(0, begin);
+        if (received.empty() && received.capacity() > maxIdleBufferBytes)
+            std::string().swap(received);
+        return true;
     }
 
     void sendFrame(ConnectionId id, std::string frame)
@@ -194,19 +212,26 @@
         writeNext(id, connection);
     }
 
+    // Writes all queued frames with one call.
     void writeNext(ConnectionId id, const ConnectionPointer& connection)
     {
         if (!connection->open || connection->writing || connection->sendQueue.empty())
             return;
         connection->writing = true;
-        asio::async_write(connection->socket, asio::buffer(connection->sendQueue.front()),
-            [this, id, connection](asio::error_code ec, std::size_t n) {
+        const std::size_t frames = std::min(connection->sendQueue.size(), maxFramesPerWrite);
+        std::vector<asio::const_buffer> buffers;
+        buffers.reserve(frames);
+        for (std::size_t i = 0; i < frames; ++i)
+            buffers.push_back(asio::buffer(connection->sendQueue[i]));
+        asio::async_write(
+            connection->socket, buffers, [this, id, connection, frames](asio::error_code ec, std::size_t n) {
                 connection->writing = false;
                 if (ec) {
                     close(id);
                     return;
                 }
-                connection->sendQueue.pop_front();
+                connection->sendQueue.erase(
+                    connection->sendQueue.begin(), connection->sendQueue.begin() + static_cast<std::ptrdiff_t>(frames));
                 connection->queuedBytes -= n;
                 writeNext(id, connection);
             });
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -438,8 +438,8 @@
 
 TEST_CASE("a batch step starts within 3 s although a backlog of urgent steps waits for admission", "[jobs][load]")
 {
-    // One client account sends many times its usual load: urgent steps ask for admission faster than the service answers,
-    // while most workers are idle. Guards against asking in scheduling order only.
+    // One client account sends many times its usual load: urgent steps ask for admission faster than the service
+    // answers, while most workers are idle. Guards against asking in scheduling order only.
     JobCluster cluster(1);
     auto configuration = simpleConfiguration();
     configuration.queues[0].admission
--- a/test/support/JobCluster.h
+++ b/test/support/JobCluster.h
@@ -305,28 +305,44 @@
             , m_process(process)
         {
         }
+        /// Workers that this member cannot reach. Its calls to them end without a response.
+        std::function<bool(const std::string& worker)> isCutOff = [](const std::string&) { return false; };
+        std::size_t starts = 0; ///< start orders that this member sent
         void start(const jobs::WorkerTarget& to, const jobs::StartOrder& order, Duration timeout,
             std::function<void(jobs::OrderResult)> done) override
         {
-            m_workers.start(to, order, timeout, onProcess(std::move(done)));
+            ++starts;
+            if (!loses(to, timeout, done))
+                m_workers.start(to, order, timeout, onProcess(std::move(done)));
         }
         void stop(const jobs::WorkerTarget& to, const jobs::StopOrder& order, Duration timeout,
             std::function<void(jobs::OrderResult)> done) override
         {
-            m_workers.stop(to, order, timeout, onProcess(std::move(done)));
+            if (!loses(to, timeout, done))
+                m_workers.stop(to, order, timeout, onProcess(std::move(done)));
         }
         void pace(const jobs::WorkerTarget& to, const jobs::PaceOrder& order, Duration timeout,
             std::function<void(jobs::OrderResult)> done) override
         {
-            m_workers.pace(to, order, timeout, onProcess(std::move(done)));
+            if (!loses(to, timeout, done))
+                m_workers.pace(to, order, timeout, onProcess(std::move(done)));
         }
         void poll(const jobs::WorkerTarget& to, const jobs::PollRequest& request, Duration timeout,
             std::function<void(jobs::PollResult)> done) override
         {
-            m_workers.poll(to, request, timeout, onProcess(std::move(done)));
+            if (!loses(to, request.wait + timeout, done))
+                m_workers.poll(to, request, timeout, onProcess(std::move(done)));
         }
 
     private:
+        template <typename T>
+        bool loses(const jobs::WorkerTarget& to, Duration timeout, const std::function<void(T)>& done)
+        {
+            if (!isCutOff(to.id.value()))
+                return false;
+            m_process.after(timeout, [done] { done({}); });
+            return true;
+        }
         template <typename T> std::function<void(T)> onProcess(std::function<void(T)> done)
         {
             return [process = &m_process, done = std::move(done)](
--- a/test/support/ProcessRuntime.h
+++ b/test/support/ProcessRuntime.h
@@ -61,6 +61,7 @@
     }
 
     void pause() { m_paused = true; }
+    bool isPaused() const { return m_paused; }
 
     /** @brief Ends the process: discards its timers and queued tasks, and runs none from now on. */
     void kill()
