--- a/src/lycheeledge/coordination/JournalIndex.cpp
+++ b/src/lycheeledge/coordination/JournalIndex.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-    // Longer than any range of a real journal. Prevents a corrupt index from exhausting the memory.
-    constexpr std::uint64_t maxRangeLength = 1'000'000;
+    // More than the values of any real journal. Prevents a corrupt index from exhausting the memory.
+    constexpr std::uint64_t maxSequences = 1'000'000;
 
 } // namespace
 
@@ -45,10 +45,12 @@
         std::uint64_t first = 0;
         std::uint64_t last = 0;
         if (bounds.size() > 2 || !absl::SimpleHexAtoi(bounds.front(), &first)
-            || !absl::SimpleHexAtoi(bounds.back(), &last) || last < first || last - first > maxRangeLength)
+            || !absl::SimpleHexAtoi(bounds.back(), &last) || last < first
+            || last - first >= maxSequences - sequences.size())
             return absl::InvalidArgumentError(absl::StrCat("journal index has a malformed range: ", part));
-        for (std::uint64_t n = first; n <= last; ++n)
-            sequences.insert(n);
+        // Counts the values, since `last` may be the largest number.
+        for (std::uint64_t i = 0; i <= last - first; ++i)
+            sequences.insert(first + i);
     }
     return sequences;
 }
--- a/src/lycheeledge/coordination/RequestRouter.cpp
+++ b/src/lycheeledge/coordination/RequestRouter.cpp
@@ -249,7 +249,14 @@
     }
     const std::uint64_t call = m_nextId++;
     query(CancelMessage { .call = call, .cell = m_settings.cell, .work = id }, call,
-        { .answered = [done](const PeerMessage& reply) { done(statusOf(std::get<StatusReply>(reply))); },
+        { .answered =
+                [done](const PeerMessage& reply) {
+                    const auto* status = std::get_if<StatusReply>(&reply);
+                    if (status != nullptr)
+                        done(statusOf(*status));
+                    else
+                        done(unexpectedReply());
+                },
             .failed = done });
 }
 
@@ -261,7 +268,14 @@
     }
     const std::uint64_t call = m_nextId++;
     query(StatusMessage { .call = call, .cell = m_settings.cell, .work = id }, call,
-        { .answered = [done](const PeerMessage& reply) { done(statusOf(std::get<StatusReply>(reply))); },
+        { .answered =
+                [done](const PeerMessage& reply) {
+                    const auto* status = std::get_if<StatusReply>(&reply);
+                    if (status != nullptr)
+                        done(statusOf(*status));
+                    else
+                        done(unexpectedReply());
+                },
             .failed = done });
 }
 
@@ -273,10 +287,23 @@
     }
     const std::uint64_t call = m_nextId++;
     query(OverviewMessage { .call = call, .cell = m_settings.cell }, call,
-        { .answered = [done](const PeerMessage& reply) { done(std::get<OverviewReply>(reply).json); },
+        { .answered =
+                [done](const PeerMessage& reply) {
+                    const auto* overview = std::get_if<OverviewReply>(&reply);
+                    if (overview != nullptr)
+                        done(overview->json);
+                    else
+                        done(unexpectedReply());
+                },
             .failed = done });
 }
 
+// Whatever a peer sends, this process goes on.
+absl::Status RequestRouter::unexpectedReply()
+{
+    return absl::UnavailableError("the owner of the cell sent a reply of another kind");
+}
+
 void RequestRouter::messageReceived(const MemberId& from, const PeerMessage& message)
 {
     if (const auto* submit = std::get_if<SubmitMessage>(&message))
--- a/test/coordination/RequestRouterTest.cpp
+++ b/test/coordination/RequestRouterTest.cpp
@@ -186,6 +186,27 @@
     CHECK(std::get<SubmitReply>(f.link.replies[1].second).result == f.success());
 }
 
+TEST_CASE("A reply of another kind than the query fails the query, and the process goes on", "[router]")
+{
+    Fixture fixture;
+    fixture.owners.owner = Fixture::location("owner", 1);
+    std::vector<absl::Status> ended;
+    fixture.router.status(fixture.request().id, [&ended](const auto& result) { ended.push_back(result.status()); });
+    fixture.router.overview([&ended](const auto& result) { ended.push_back(result.status()); });
+    REQUIRE(fixture.link.sent.size() == 2);
+    const auto statusCall = std::get<StatusMessage>(fixture.link.sent[0].message).call;
+    const auto overviewCall = std::get<OverviewMessage>(fixture.link.sent[1].message).call;
+    OverviewReply overview;
+    overview.call = statusCall;
+    fixture.router.messageReceived(MemberId("owner"), overview);
+    StatusReply status;
+    status.call = overviewCall;
+    fixture.router.messageReceived(MemberId("owner"), status);
+    REQUIRE(ended.size() == 2);
+    CHECK(absl::IsUnavailable(ended[0]));
+    CHECK(absl::IsUnavailable(ended[1]));
+}
+
 TEST_CASE("Work for an unreachable owner is reported as not run", "[router]")
 {
     Fixture f;
--- a/test/coordination/StoreJournalTest.cpp
+++ b/test/coordination/StoreJournalTest.cpp
@@ -179,3 +179,12 @@
     for (const char* text : { ",", "1-", "x", "3-1", "1-ffffffffffffffff", "1,,2" })
         CHECK_FALSE(decodeJournalIndex(text).ok());
 }
+
+TEST_CASE("A corrupt journal index neither hangs the process nor exhausts its memory", "[journal]")
+{
+    CHECK(decodeJournalIndex("fffffffffffffff0-ffffffffffffffff")->size() == 16);
+    std::string manyRanges = "1-f0000";
+    for (int i = 1; i < 200; ++i)
+        manyRanges += "," + std::to_string(i) + "00000-" + std::to_string(i) + "f0000";
+    CHECK_FALSE(decodeJournalIndex(manyRanges).ok());
+}
