Repeat unanswered start orders after 0.2 s, and spare workers after one failure

A worker that fails all tasks got a second urgent one before its quarantine. Change: the first attempt waits 0.2 s; the second has the same run number, so the worker carries out one of them. Measured: both new tests fail without the change.

--- a/src/lycheeledge/jobs/FailureQuarantine.cpp
+++ b/src/lycheeledge/jobs/FailureQuarantine.cpp
@@ -45,6 +45,12 @@
     return it != m_states.end() && now < it->second.until;
 }
 
+bool FailureQuarantine::hasRecentFailure(const WorkerId& worker, TimePoint now) const
+{
+    const auto it = m_states.find(worker);
+    return it != m_states.end() && now - it->second.lastFailure < m_settings.initialDuration;
+}
+
 bool FailureQuarantine::isOnProbation(const WorkerId& worker) const
 {
     const auto it = m_states.find(worker);
--- a/src/lycheeledge/jobs/FailureQuarantine.h
+++ b/src/lycheeledge/jobs/FailureQuarantine.h
@@ -36,6 +36,11 @@
     void recordSuccess(const WorkerId& worker);
     /** @brief Whether the worker must not receive tasks now. */
     bool isQuarantined(const WorkerId& worker, TimePoint now) const;
+    /**
+     * @brief Whether the last task to end on the worker failed a short time ago. One in 200 urgent tasks fails by its
+     * own fault, so the worker is the likelier cause if a twentieth of the workers fail all tasks.
+     */
+    bool hasRecentFailure(const WorkerId& worker, TimePoint now) const;
     /** @brief Whether the worker has completed no task since its last quarantine: the next failure starts another. */
     bool isOnProbation(const WorkerId& worker) const;
     void forget(const WorkerId& worker) { m_states.erase(worker); }
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -35,6 +35,9 @@
     Duration tickInterval = std::chrono::milliseconds(50);
     /// Healthy workers respond within 20 ms, but a busy owner reads responses late.
     Duration startTimeout = std::chrono::milliseconds(500);
+    /// A start order without a response for this long is sent a second time: the worker carries out only one of them.
+    /// Ten times the response time of a healthy worker.
+    Duration startRepeatDelay = std::chrono::milliseconds(200);
     Duration stopTimeout = std::chrono::milliseconds(500);
     Duration orderRetryDelay = std::chrono::milliseconds(150);
     /// Time from a confirmed stop until the run has ended (bound set by the platform).
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -265,7 +265,8 @@
     const QueuePolicy* queue = queueOf(job);
     const Step& step = *job.find(key);
     const StepSpec& spec = job.spec().steps[key.step];
-    const TimePoint minExpiry = m_runtime.now() + minTicketValidity;
+    const TimePoint now = m_runtime.now();
+    const TimePoint minExpiry = now + minTicketValidity;
     std::vector<PlacementCandidate> result;
     for (const Worker* worker : m_placeableWorkers[queue->pool]) {
         const WorkerId& id = worker->record.id;
@@ -283,7 +284,8 @@
         candidate.capacity = worker->record.capacity;
         candidate.hasLatencySensitiveTasks = worker->latencySensitiveRuns > 0;
         candidate.hasIdleCpuTasks = worker->idleCpuRuns > 0;
-        candidate.deprioritized = m_quarantine.isOnProbation(id);
+        candidate.deprioritized = m_quarantine.isOnProbation(id)
+            || (queue->priority == urgentPriority && m_quarantine.hasRecentFailure(id, now));
         candidate.slowness = m_speeds.slowness(id, worker->record.kind);
         if (spec.maxTasksPerWorker > 0)
             candidate.tasksOfStep = static_cast<std::uint32_t>(std::count_if(step.tasks.begin(), step.tasks.end(),
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -144,7 +144,8 @@
     const auto ticket = step.admission.tickets.find(workerId);
     if (ticket != step.admission.tickets.end())
         order.ticket = ticket->second.text;
-    m_port.start(worker->link->target(), order, m_settings.startTimeout,
+    const Duration timeout = attempt == 1 ? m_settings.startRepeatDelay : m_settings.startTimeout;
+    m_port.start(worker->link->target(), order, timeout,
         [this, key, run, workerId, attempt, session = std::weak_ptr<int>(m_session)](const OrderResult& result) {
             if (!session.expired())
                 handleStartReply(key, run, workerId, attempt, result);
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -436,6 +436,42 @@
     CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(15)));
 }
 
+TEST_CASE("a start order without a response is repeated within 0.3 s", "[jobs][load]")
+{
+    // A twentieth of the orders are carried out seconds late. An urgent step of 6 tasks has a margin of 0.3 s.
+    JobCluster cluster(1);
+    int orders = 0;
+    cluster.workers.startFault = [&orders](const std::string&) {
+        return orders++ == 2 ? FakeJobWorkers::OrderFault::Late : FakeJobWorkers::OrderFault::None;
+    };
+    addWorkers(cluster, 3);
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(6, 1000) } }));
+    const TimePoint submitted = cluster.runtime.now();
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+    CHECK(orders > 6);
+    for (std::uint32_t i = 0; i < 6; ++i)
+        CHECK(firstStart(cluster, taskOf(1, 0, i))->at - submitted < milliseconds(300));
+    cluster.advance(seconds(10));
+    CHECK(cluster.workers.starts().size() == 6);
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("urgent tasks avoid a worker after its first failure", "[jobs][load]")
+{
+    // A worker that fails everything is quarantined after failures of two jobs; the second one need not happen while
+    // other workers have free capacity.
+    JobCluster cluster(1);
+    cluster.workers.endOf
+        = [](const TaskKey&, const std::string& worker) { return worker == "w0" ? EndKind::Failed : EndKind::Done; };
+    addWorkers(cluster, 4);
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        REQUIRE(cluster.submit("m0", "urgent", n, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+        REQUIRE(cluster.waitForState(n, "urgent", JobState::Completed, seconds(5)));
+    }
+    const auto& starts = cluster.workers.starts();
+    CHECK(std::count_if(starts.begin(), starts.end(), [](const auto& start) { return start.worker == "w0"; }) == 1);
+}
+
 TEST_CASE("a batch step starts within 3 s although a backlog of urgent steps waits for admission", "[jobs][load]")
 {
     // One client account sends many times its usual load: urgent steps ask for admission faster than the service
