Replace an owner at once whose process ended or that the store turns away

Submissions are refused meanwhile. A killed owner cost the rest of its lease, too. Change: an owner that the store has not confirmed for 0.5 to 0.8 s asks the members to take over; one to which the store has answered for 0.3 s ends the owner's lease. Members end it as well after two refused connections to the owner's address. The claim fences the old owner as before; in an outage of the whole store nobody acts. Four new tests; two of them fail without the change, two guard against replacing a healthy owner.

--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -12,6 +12,8 @@
 
     constexpr RelayId localRelay = 0;
     constexpr Duration lagSampleInterval = std::chrono::milliseconds(100);
+    // Members that find the owner's process ended together act within this time, so that one call serves all of them.
+    constexpr Duration endedOwnerJitter = std::chrono::milliseconds(60);
     constexpr int lagSamples = 10; // number of samples that the moving average covers
 
     // A new owner waits as long as an earlier owner may keep sending orders.
@@ -36,6 +38,7 @@
     , m_resignLimit(settings.resignLimit)
     , m_cpuShare(settings.cpuShare)
     , m_yield(settings.yield)
+    , m_handoverRequestInterval(settings.lease.handover.requestInterval)
     , m_members(ports.members)
     , m_admission(ports.admission)
     , m_log(ports.log)
@@ -50,6 +53,7 @@
           schedulerSettings(settings), settings.service, settings.ledger, settings.maintenance, settings.session)
 {
     m_lease.setListener(this);
+    m_link.setListener(this);
     m_admissionDispatcher.addRelay(localRelay);
     m_relayedWorkers.setWorkerCount([this] { return m_session.scheduler().workers().all().size(); });
 }
@@ -110,8 +114,10 @@
 {
     const Duration late = m_runtime.now() - due;
     m_timerLag += (late - m_timerLag) / lagSamples;
-    if (m_lease.isOwner())
+    if (m_lease.isOwner()) {
         yieldIfNeeded();
+        requestHandoverIfNeeded();
+    }
     const TimePoint next = m_runtime.now() + lagSampleInterval;
     m_runtime.after(lagSampleInterval, [this, next] { measureLag(next); });
 }
@@ -140,6 +146,29 @@
     });
 }
 
+// --- Handover ---
+
+// The owner goes on until a member has claimed: known tasks still start meanwhile.
+void EntryNode::requestHandoverIfNeeded()
+{
+    const TimePoint now = m_runtime.now();
+    if (!m_lease.needsHandover() || now - m_lastHandoverRequest < m_handoverRequestInterval)
+        return;
+    m_lastHandoverRequest = now;
+    m_log.record("handover_requested", { { "epoch", m_lease.epoch() }, { "members", m_followers.size() } });
+    for (const auto& [connection, share] : m_followers)
+        m_members.send(connection, HandoverRequest { m_lease.epoch() });
+}
+
+void EntryNode::ownerProcessEnded()
+{
+    const auto jitter = m_runtime.random() % static_cast<std::uint64_t>(endedOwnerJitter.count());
+    m_runtime.after(Duration(static_cast<Duration::rep>(jitter)), [this, owner = m_lease.owner()] {
+        if (owner && m_lease.owner() == owner)
+            m_lease.ownerProcessEnded();
+    });
+}
+
 void EntryNode::ownershipGained(Epoch epoch, const std::string& headValue, Revision headRevision)
 {
     m_ownerSince = m_runtime.now();
--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -37,7 +37,10 @@
  * Every member accepts client calls. The owner handles them; the other members forward them to the owner. Members also
  * call the admission service and, on large fleets, the workers on the owner's behalf.
  */
-class EntryNode final : private OwnerLeaseListener, private MemberListener, private AdmissionPort {
+class EntryNode final : private OwnerLeaseListener,
+                        private OwnerLinkListener,
+                        private MemberListener,
+                        private AdmissionPort {
 public:
     struct Ports {
         Runtime& runtime;
@@ -81,6 +84,9 @@
     void ownerChanged(const std::optional<OwnerRecord>& owner) override;
     bool ownerIsReachable() const override { return m_link.ownerIsReachable(); }
     double largestCpuShare() const override;
+    // OwnerLinkListener
+    void handoverRequested(Epoch epoch) override { m_lease.handoverRequested(epoch); }
+    void ownerProcessEnded() override;
     // MemberListener
     void received(MemberConnection connection, const MemberMessage& message) override;
     void closed(MemberConnection connection) override;
@@ -90,6 +96,7 @@
     void checkEarlierOwners();
     void measureLag(TimePoint due);
     void yieldIfNeeded();
+    void requestHandoverIfNeeded();
     void flushAndRelease(std::function<void()> release);
     void sendOwnerStatus(MemberConnection connection);
     void sendOwnerStatusToAll();
@@ -109,6 +116,8 @@
     Duration m_timerLag {}; ///< moving average of timer lateness over about the last second
     TimePoint m_ownerSince;
     bool m_yielding = false;
+    Duration m_handoverRequestInterval;
+    TimePoint m_lastHandoverRequest;
     MemberPort& m_members;
     AdmissionPort& m_admission;
     EventLog& m_log;
--- a/src/lycheeledge/jobs/MemberMessages.h
+++ b/src/lycheeledge/jobs/MemberMessages.h
@@ -70,9 +70,16 @@
     bool operator==(const Ping&) const = default;
 };
 
+/** @brief Sent by an owner to which the store does not answer: a member to which it answers shall take over. */
+struct HandoverRequest {
+    Epoch epoch = 0;
+
+    bool operator==(const HandoverRequest&) const = default;
+};
+
 // Alternatives are encoded by position, so new ones are added at the end.
 using MemberMessage = std::variant<Handshake, OwnerStatus, CallMessage, CallReply, AdmissionMessage, AdmissionReply,
-    Ping, RelayOffer, WorkerCallBatch, WorkerReplyBatch>;
+    Ping, RelayOffer, WorkerCallBatch, WorkerReplyBatch, HandoverRequest>;
 
 using MemberConnection = std::uint64_t;
 
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -84,6 +84,61 @@
 
 void OwnerLease::confirmed(TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); }
 
+bool OwnerLease::needsHandover() const
+{
+    const TimePoint now = m_runtime.now();
+    const StoreContact contact { .unconfirmed = now - m_confirmedAt,
+        .failedRenewals = m_failedRenewals,
+        .pendingRenewal = m_renewalSentAt ? now - *m_renewalSentAt : Duration::zero() };
+    return m_epoch && shouldRequestHandover(contact, m_settings.handover);
+}
+
+void OwnerLease::handoverRequested(Epoch epoch)
+{
+    if (m_epoch || m_resigned || !m_owner || m_owner->epoch != epoch)
+        return;
+    m_handoverRequestedAt = m_runtime.now();
+    if (std::exchange(m_handoverEpoch, epoch) == epoch)
+        return; // the check is in progress
+    checkForHandover(epoch, [this, epoch] {
+        m_runtime.after(m_settings.handover.memberCheckTime, [this, epoch] {
+            checkForHandover(epoch, [this, epoch] {
+                m_handoverEpoch = 0;
+                if (m_runtime.now() - m_handoverRequestedAt < m_settings.handover.requestValidity)
+                    endLeaseOf(*m_owner, "the owner asked for a handover");
+            });
+        });
+    });
+}
+
+// Calls `done` if the store answers this process and the owner is still the one of this epoch.
+void OwnerLease::checkForHandover(Epoch epoch, const std::function<void()>& done)
+{
+    m_store.get(m_settings.ownerKey, m_settings.handover.memberCheckTime,
+        [this, epoch, done](const absl::StatusOr<StoreValue>& value) {
+            if (value.ok() && !m_epoch && m_owner && m_owner->epoch == epoch)
+                done();
+            else
+                m_handoverEpoch = 0;
+        });
+}
+
+void OwnerLease::ownerProcessEnded()
+{
+    if (!m_epoch && !m_resigned && m_owner)
+        endLeaseOf(*m_owner, "its process has ended");
+}
+
+// The owner record goes with the lease, so that members claim at once. An owner that still acts is fenced by the claim.
+// Each member tries once for an epoch: if its call fails, another member's or the end of the lease serves as well.
+void OwnerLease::endLeaseOf(const OwnerRecord& owner, const char* reason)
+{
+    if (std::exchange(m_releasedEpoch, owner.epoch) == owner.epoch)
+        return;
+    m_log.record("owner_lease_ending", { { "owner", owner.member }, { "epoch", owner.epoch }, { "reason", reason } });
+    m_store.revokeLease(owner.lease, m_settings.callTimeout, [](const absl::Status&) {});
+}
+
 void OwnerLease::retry(void (OwnerLease::*step)())
 {
     m_runtime.after(m_settings.retryPause, [this, step] { (this->*step)(); });
@@ -143,6 +198,8 @@
         m_withoutOwnerSince = m_runtime.now();
     if (m_owner != owner) {
         m_owner = owner;
+        if (owner)
+            m_lastOwnerEpoch = owner->epoch;
         m_log.record("owner_learned",
             { { "owner", owner ? owner->member : std::string("none") }, { "epoch", owner ? owner->epoch : 0 } });
         if (!self)
@@ -177,7 +234,7 @@
         return;
     }
     const ClaimSituation situation { .timeWithoutOwner = m_runtime.now() - m_withoutOwnerSince,
-        .ownerIsReachable = m_listener->ownerIsReachable(),
+        .ownerIsReachable = m_releasedEpoch != m_lastOwnerEpoch && m_listener->ownerIsReachable(),
         .cpuShare = m_settings.cpuShare,
         .largestCpuShare = m_listener->largestCpuShare() };
     if (m_runtime.now() >= m_earliestClaim && shouldClaim(situation, m_settings.claim))
@@ -258,6 +315,8 @@
 {
     m_lease = lease;
     m_epoch = epoch;
+    m_failedRenewals = 0;
+    m_renewalSentAt.reset();
     m_owner = m_self;
     m_owner->epoch = epoch;
     m_log.record("ownership_gained", { { "epoch", epoch }, { "head_revision", headRevision } });
@@ -271,10 +330,13 @@
 void OwnerLease::renew()
 {
     const TimePoint sentAt = m_runtime.now();
+    m_renewalSentAt = sentAt;
     m_store.renewLease(
         m_lease, m_settings.callTimeout, [this, sentAt, epoch = m_epoch](const absl::StatusOr<Duration>& left) {
             if (!m_epoch || m_epoch != epoch)
                 return;
+            m_renewalSentAt.reset();
+            m_failedRenewals = left.ok() ? 0 : m_failedRenewals + 1;
             if (left.ok())
                 confirmed(sentAt);
             if (absl::IsNotFound(left.status())) {
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -44,6 +44,7 @@
     Duration claimDelay = std::chrono::milliseconds(40);
     Duration claimCheckInterval = std::chrono::milliseconds(50); ///< between checks while a claim is delayed
     ClaimSettings claim;
+    HandoverSettings handover;
     double cpuShare = 1; ///< of this VM, in cores
     /// An owner whose ownership has not been confirmed for this long stops sending orders. Must exceed the store
     /// outages that an owner should survive. A new owner waits this long where it cannot fence workers.
@@ -82,6 +83,13 @@
     void resign();
     /** @brief Ends the ownership and does not claim it again during `pause`. */
     void yield(const char* reason, Duration pause);
+    /** @brief Whether this owner should ask the members to take over, because the store does not answer it. */
+    bool needsHandover() const;
+    /** @brief The owner of this epoch asks for a handover. Ends its lease once the store has answered this process for
+     * a while. */
+    void handoverRequested(Epoch epoch);
+    /** @brief The owner's process has ended: nothing listens at its address. Ends its lease. */
+    void ownerProcessEnded();
     /** @brief Confirms the ownership: the store answered a call that this owner sent at this time, in its epoch. */
     void confirmed(TimePoint sentAt);
 
@@ -99,6 +107,8 @@
     void handleOwnerEvents(const absl::StatusOr<StoreEvents>& events, Revision after);
     void updateOwner(const std::optional<StoreEntry>& entry);
     void endLeaseOfEarlierProcess();
+    void endLeaseOf(const OwnerRecord& owner, const char* reason);
+    void checkForHandover(Epoch epoch, const std::function<void()>& done);
     void scheduleClaim();
     void claimOrWait();
     void claim();
@@ -120,6 +130,12 @@
     StoreLeaseId m_lease = 0;
     TimePoint m_confirmedAt;
     bool m_claiming = false;
+    int m_failedRenewals = 0; ///< in a row, as the owner
+    std::optional<TimePoint> m_renewalSentAt; ///< of the renewal in progress
+    Epoch m_handoverEpoch = 0; ///< epoch whose owner asked for a handover, while that is being checked
+    TimePoint m_handoverRequestedAt; ///< time of the last request
+    Epoch m_releasedEpoch = 0; ///< its owner does not restore its record, so a claim does not wait for that
+    Epoch m_lastOwnerEpoch = 0; ///< of the last owner that was read
     std::set<std::string> m_earlierOwners;
     TimePoint m_earliestClaim; ///< no claim before this time, after a yield
     TimePoint m_withoutOwnerSince; ///< when the owner record was found to be absent
--- a/src/lycheeledge/jobs/OwnerLink.cpp
+++ b/src/lycheeledge/jobs/OwnerLink.cpp
@@ -7,6 +7,14 @@
 
 namespace lycheeledge::jobs {
 
+namespace {
+
+    // A connection that is closed before a message arrives means that nothing listens at the address. Two of them, a
+    // reconnect pause apart, rule out a connection that was only reset.
+    constexpr int refusalsUntilEnded = 2;
+
+} // namespace
+
 OwnerLink::OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, WorkerRelay& relay, EventLog& log,
     Handshake handshake, OwnerLinkSettings settings)
     : m_runtime(runtime)
@@ -28,6 +36,7 @@
     if (m_owner && owner && sameProcess(*m_owner, *owner))
         return;
     m_owner = owner;
+    m_refusedConnections = 0;
     disconnect("the owner changed");
     connect();
 }
@@ -37,6 +46,7 @@
     if (!m_owner || m_connection)
         return;
     m_connection = m_port.connect(m_owner->host, m_owner->port);
+    m_receivedOnConnection = false;
     m_lastReceivedAt = m_runtime.now();
     m_port.send(*m_connection, m_handshake);
     ping(*m_connection);
@@ -116,6 +126,8 @@
 void OwnerLink::received(MemberConnection connection, const MemberMessage& message)
 {
     m_lastReceivedAt = m_runtime.now();
+    m_receivedOnConnection = true;
+    m_refusedConnections = 0;
     if (const auto* status = std::get_if<OwnerStatus>(&message)) {
         if (status->active && !m_active) {
             m_log.record("owner_connected", { { "epoch", status->epoch }, { "calls", m_calls.size() } });
@@ -132,6 +144,9 @@
         handleAdmissionRequest(connection, *request);
     } else if (const auto* batch = std::get_if<WorkerCallBatch>(&message)) {
         m_relay.received(connection, *batch);
+    } else if (const auto* handover = std::get_if<HandoverRequest>(&message)) {
+        if (m_listener != nullptr)
+            m_listener->handoverRequested(handover->epoch);
     }
 }
 
@@ -156,6 +171,9 @@
     if (m_connection != connection)
         return;
     disconnect("the connection closed");
+    m_refusedConnections += m_receivedOnConnection ? 0 : 1;
+    if (m_refusedConnections >= refusalsUntilEnded && m_listener != nullptr)
+        m_listener->ownerProcessEnded();
     m_runtime.after(m_settings.reconnectPause, [this] { connect(); });
 }
 
--- a/src/lycheeledge/jobs/OwnerLink.h
+++ b/src/lycheeledge/jobs/OwnerLink.h
@@ -16,6 +16,16 @@
 
 namespace lycheeledge::jobs {
 
+/** @brief Called on the coordination thread. */
+class OwnerLinkListener {
+public:
+    virtual ~OwnerLinkListener() = default;
+
+    virtual void handoverRequested(Epoch epoch) = 0;
+    /** @brief Connections to the owner's address are refused. */
+    virtual void ownerProcessEnded() = 0;
+};
+
 struct OwnerLinkSettings {
     Duration pingInterval = std::chrono::milliseconds(400);
     /// A connection on which no message has arrived for this long is closed.
@@ -34,6 +44,7 @@
     OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, WorkerRelay& relay, EventLog& log,
         Handshake handshake, OwnerLinkSettings settings = {});
 
+    void setListener(OwnerLinkListener* listener) { m_listener = listener; }
     /** @brief Sets the owner to connect to; empty if there is none or it is this process. */
     void setOwner(const std::optional<OwnerRecord>& owner);
     /**
@@ -80,7 +91,10 @@
     EventLog& m_log;
     Handshake m_handshake;
     OwnerLinkSettings m_settings;
+    OwnerLinkListener* m_listener = nullptr;
     std::optional<OwnerRecord> m_owner;
+    int m_refusedConnections = 0; ///< in a row, closed before a message arrived
+    bool m_receivedOnConnection = false;
     std::optional<MemberConnection> m_connection;
     bool m_active = false; ///< whether the owner accepts calls
     bool m_ended = false; ///< whether endCalls() was called
--- a/src/lycheeledge/protocol/JobSerialization.h
+++ b/src/lycheeledge/protocol/JobSerialization.h
@@ -150,6 +150,8 @@
     archive(value.clockMs, value.incarnationStartUnixMs, value.running, value.ended);
 }
 
+template <typename Archive> void serialize(Archive& archive, HandoverRequest& value) { archive(value.epoch); }
+
 template <typename Archive> void serialize(Archive& archive, RelayOffer& value)
 {
     archive(value.dataCentre, value.memberClockMs);
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -106,6 +106,59 @@
     CHECK(cluster.workers.violations().empty());
 }
 
+TEST_CASE("an owner that the store turns away is replaced within 1.5 s", "[takeover]")
+{
+    // The store serves the other members. Guards against waiting for the owner's lease to end and for the owner, which
+    // is reachable, to restore its record.
+    for (const auto fault : { FakeClusterStore::Fault::Refuse, FakeClusterStore::Fault::Silent }) {
+        JobCluster cluster(4);
+        addWorkers(cluster, 3);
+        const std::string owner = *cluster.owner();
+        cluster.store.setFault(owner, fault);
+        const Duration limit = fault == FakeClusterStore::Fault::Refuse ? milliseconds(1500) : milliseconds(2000);
+        CHECK(cluster.waitFor([&] { return hasOtherOwner(cluster, owner); }, limit));
+        CHECK(cluster.log.counts["handover_requested"] > 0);
+    }
+}
+
+TEST_CASE("an owner whose process was killed is replaced within 0.8 s", "[takeover]")
+{
+    // Its lease lasts up to 1.5 s longer, but its address refuses connections.
+    JobCluster cluster(4);
+    addWorkers(cluster, 3);
+    const std::string owner = *cluster.owner();
+    cluster.kill(owner);
+    CHECK(cluster.waitFor([&] { return hasOtherOwner(cluster, owner); }, milliseconds(800)));
+}
+
+TEST_CASE("a reset connection does not replace the owner", "[takeover]")
+{
+    JobCluster cluster(3);
+    addWorkers(cluster, 2);
+    const std::string owner = *cluster.owner();
+    for (int i = 0; i < 5; ++i) {
+        cluster.resetConnections(owner);
+        cluster.advance(milliseconds(400));
+    }
+    CHECK(cluster.owner() == owner);
+    CHECK(cluster.log.counts["owner_lease_ending"] == 0);
+}
+
+TEST_CASE("after an outage of the whole store the owner goes on", "[takeover]")
+{
+    for (const auto fault : { FakeClusterStore::Fault::Refuse, FakeClusterStore::Fault::Silent }) {
+        JobCluster cluster(4);
+        addWorkers(cluster, 3);
+        const std::string owner = *cluster.owner();
+        cluster.store.setFault(fault);
+        cluster.advance(milliseconds(3300));
+        cluster.store.setFault(FakeClusterStore::Fault::None);
+        cluster.advance(seconds(3));
+        CHECK(cluster.owner() == owner);
+        CHECK(cluster.log.counts["ownership_gained"] == 1);
+    }
+}
+
 TEST_CASE("the owner keeps starting known tasks while the store is down", "[takeover]")
 {
     JobCluster cluster(2);
--- a/test/support/JobCluster.h
+++ b/test/support/JobCluster.h
@@ -125,6 +125,10 @@
     {
         if (m_network.m_ports[m_host] == this)
             m_network.m_ports.erase(m_host);
+        closeAll();
+    }
+    void closeAll()
+    {
         std::vector<jobs::MemberConnection> own;
         for (const auto& [id, end] : m_network.m_connectionEnds) {
             if (end.port == this)
@@ -419,6 +423,8 @@
         node.mapped()->network->disconnect();
         m_killedMembers.push_back(std::move(node.mapped()));
     }
+    /** @brief Closes all connections of a member; new ones work. */
+    void resetConnections(const std::string& name) { m_members.at(name)->network->closeAll(); }
     Member& member(const std::string& name) { return *m_members.at(name); }
     std::vector<std::string> memberNames() const
     {
