Search a part of a large pool, and read the registry in proportion

Each pass walked all 3,000 workers, each admission call built and sorted a candidate for each of them, and the registry's 3,000 entries were decoded twice a second. Change: pools are indexed when workers change (PoolIndex); placement under tickets looks at the ticket holders only; a search in a pool of over 512 workers ends at 256 with room; whether all workers have reported is determined once a pass; the registry is read every 0.5 to 1.5 s by the size of the fleet.

--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -74,6 +74,7 @@
     m_overdueRequests = 0;
     m_lastOverdueRequest.clear();
     m_workers.clear();
+    m_pools.invalidate();
     m_storedWorkers.clear();
     m_usage.clear();
     m_finishedJobs.clear();
@@ -129,6 +130,7 @@
         if (m_workers.find(known.id) != nullptr)
             continue;
         Worker& worker = m_workers.add(known.id);
+        m_pools.invalidate();
         worker.record.id = known.id;
         worker.record.address = known.address;
         worker.unregisteredSince = m_runtime.now();
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -11,6 +11,7 @@
 #include "JobLedger.h"
 #include "MaintenanceCoordinator.h"
 #include "Placement.h"
+#include "PoolIndex.h"
 #include "StepOrder.h"
 #include "WorkerTable.h"
 
@@ -183,14 +184,19 @@
     void releaseDueOccurrences(Job& job);
     void releaseSteps(Job& job);
     void refreshReady(const StepKey& key, const Job& job, const Step& step);
-    /** @param capacity total capacity of each pool, by pool name. */
-    StepUrgency urgencyOf(const Job& job, const StepKey& key, const std::map<std::string, Resources>& capacity) const;
+    StepUrgency urgencyOf(const Job& job, const StepKey& key);
     void scheduleStep(Job& job, const StepKey& key);
     std::size_t placeTasks(
         Job& job, const StepKey& key, const QueuePolicy& queue, const std::vector<std::uint32_t>& due);
-    bool mayStart(const Job& job) const;
+    bool mayStart(const Job& job);
     bool isPlaceable(const Worker& worker) const;
-    std::vector<PlacementCandidate> candidates(Job& job, const StepKey& key, bool needsTicket);
+    /** @brief Workers of the queue's pool on which a task of the step may run now. */
+    std::vector<PlacementCandidate> candidates(Job& job, const StepKey& key);
+    /** @brief The same, for workers for which the step has a ticket. */
+    std::vector<PlacementCandidate> candidatesWithTicket(Job& job, const StepKey& key);
+    /** @brief Adds the worker unless it must not run tasks of the step. */
+    void addCandidate(std::vector<PlacementCandidate>& to, const Worker& worker, const QueuePolicy& queue,
+        const Step& step, const StepSpec& spec) const;
     bool hasUsableTicket(const Step& step, const Resources& reservation) const;
     bool withinLimit(const Job& job, const StepSpec& spec, std::uint32_t count) const;
     /**
@@ -278,8 +284,9 @@
     WorkerSpeeds m_speeds;
     std::set<std::pair<std::int64_t, JobId>> m_finishedJobs; ///< ordered by end time
     absl::flat_hash_set<JobId> m_scheduledJobs; ///< jobs with occurrences that are not yet due
-    /// By pool; valid only during a scheduling pass.
-    std::map<std::string, std::vector<const Worker*>> m_placeableWorkers;
+    PoolIndex m_pools;
+    std::size_t m_scanOffset = 0; ///< where the next search for workers in a large pool begins
+    std::optional<bool> m_allWorkersReported; ///< determined once in each pass
     TimePoint m_nextPass;
     std::optional<Runtime::TimerId> m_passTimer;
     std::optional<Runtime::TimerId> m_tickTimer;
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -20,6 +20,12 @@
     // After an admission call that did not lead to a placement, leaves time for free capacity to change.
     constexpr Duration admissionRepeatDelay = std::chrono::milliseconds(150);
 
+    // Pools up to this size are searched as a whole.
+    constexpr std::size_t largePool = 512;
+    // Several times the number of workers that an admission call names or a step usually needs.
+    constexpr std::size_t maxFittingCandidates = 256;
+    constexpr std::size_t maxFullCandidates = 64; // without room for a task; they only fill up admission calls
+
     Duration milliseconds(double n)
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(n));
@@ -142,25 +148,25 @@
         m_readySteps.erase(key);
 }
 
-bool JobScheduler::mayStart(const Job& job) const
+bool JobScheduler::mayStart(const Job& job)
 {
-    return !job.mayHaveUnlocatedRuns || m_runtime.now() >= m_unlocatedRunsExpiry
-        || std::all_of(
+    if (!job.mayHaveUnlocatedRuns || m_runtime.now() >= m_unlocatedRunsExpiry)
+        return true;
+    if (!m_allWorkersReported)
+        m_allWorkersReported = std::all_of(
             m_workers.all().begin(), m_workers.all().end(), [](const auto& it) { return it.second.reported; });
+    return *m_allWorkersReported;
 }
 
-StepUrgency JobScheduler::urgencyOf(
-    const Job& job, const StepKey& key, const std::map<std::string, Resources>& capacity) const
+StepUrgency JobScheduler::urgencyOf(const Job& job, const StepKey& key)
 {
     StepUrgency result;
     const QueuePolicy* queue = queueOf(job);
     result.priority = queue != nullptr ? queue->priority : 0;
     const ClientAccount* account = m_configuration ? m_configuration->account(job.submission.account) : nullptr;
-    if (account != nullptr && queue != nullptr && account->weight > 0) {
-        const auto pool = capacity.find(queue->pool);
-        const Resources total = pool == capacity.end() ? Resources {} : pool->second;
-        result.accountShare = usage(account->id).dominantShare(total) / account->weight;
-    }
+    if (account != nullptr && queue != nullptr && account->weight > 0)
+        result.accountShare
+            = usage(account->id).dominantShare(m_pools.pool(queue->pool, m_workers).capacity) / account->weight;
     const auto open = job.open.find(key.occurrence);
     if (open != job.open.end()) {
         const Occurrence& occurrence = open->second;
@@ -181,12 +187,12 @@
     if (!m_recovered || !m_configuration || !m_host.maySendOrders())
         return;
     std::vector<std::pair<StepUrgency, StepKey>> waiting;
-    const auto capacity = m_workers.capacityOfPools();
+    m_allWorkersReported.reset();
     double weights = 0;
     absl::flat_hash_set<AccountId> accounts;
     for (const auto& key : m_readySteps) {
         const Job& job = *m_jobs.at(key.job);
-        waiting.emplace_back(urgencyOf(job, key, capacity), key);
+        waiting.emplace_back(urgencyOf(job, key), key);
         const ClientAccount* account = m_configuration->account(job.submission.account);
         if (account != nullptr && accounts.insert(account->id).second)
             weights += account->weight;
@@ -195,11 +201,6 @@
     const TimePoint now = m_runtime.now();
     std::sort(waiting.begin(), waiting.end(),
         [&order, now](const auto& a, const auto& b) { return order.before(a.first, b.first, now); });
-    m_placeableWorkers.clear();
-    for (const auto& [id, worker] : m_workers.all()) {
-        if (isPlaceable(worker))
-            m_placeableWorkers[worker.record.pool].push_back(&worker);
-    }
     requestOverdueAdmissions();
     for (const auto& [urgency, key] : waiting) {
         if (Job* job = find(key.job); job != nullptr && !isFinal(job->state))
@@ -260,40 +261,80 @@
         && !m_quarantine.isQuarantined(worker.record.id, now);
 }
 
-std::vector<PlacementCandidate> JobScheduler::candidates(Job& job, const StepKey& key, bool needsTicket)
+// In a large pool, the search ends once there are enough candidates with room for a task: the best of them are nearly
+// as good as the best of all. The next search begins where this one ended, so that the load spreads over all workers.
+std::vector<PlacementCandidate> JobScheduler::candidates(Job& job, const StepKey& key)
 {
     const QueuePolicy* queue = queueOf(job);
     const Step& step = *job.find(key);
     const StepSpec& spec = job.spec().steps[key.step];
-    const TimePoint now = m_runtime.now();
-    const TimePoint minExpiry = now + minTicketValidity;
+    const auto& workers = m_pools.pool(queue->pool, m_workers).workers;
+    const Resources reservation = reservationOf(spec);
+    const bool needsAll = workers.size() <= largePool || spec.gang || !spec.preferredRack.empty();
     std::vector<PlacementCandidate> result;
-    for (const Worker* worker : m_placeableWorkers[queue->pool]) {
-        const WorkerId& id = worker->record.id;
-        if (!hasLabel(worker->record, spec.requiredLabel))
+    std::size_t fitting = 0;
+    std::size_t full = 0;
+    const std::size_t begin = needsAll ? 0 : m_scanOffset % workers.size();
+    std::size_t scanned = 0;
+    for (; scanned < workers.size() && (needsAll || fitting < maxFittingCandidates); ++scanned) {
+        const Worker& worker = *workers[(begin + scanned) % workers.size()];
+        const bool fits = reservation.fitsIn(worker.free());
+        if (!needsAll && (step.admission.allowed.contains(worker.record.id) || (!fits && full >= maxFullCandidates)))
             continue;
-        if (needsTicket) {
-            const auto ticket = step.admission.tickets.find(id);
-            if (ticket == step.admission.tickets.end() || ticket->second.expiry < minExpiry)
-                continue;
-        }
-        PlacementCandidate& candidate = result.emplace_back();
-        candidate.worker = id;
-        candidate.rack = worker->record.rack;
-        candidate.free = worker->free();
-        candidate.capacity = worker->record.capacity;
-        candidate.hasLatencySensitiveTasks = worker->latencySensitiveRuns > 0;
-        candidate.hasIdleCpuTasks = worker->idleCpuRuns > 0;
-        candidate.deprioritized = m_quarantine.isOnProbation(id)
-            || (queue->priority == urgentPriority && m_quarantine.hasRecentFailure(id, now));
-        candidate.slowness = m_speeds.slowness(id, worker->record.kind);
-        if (spec.maxTasksPerWorker > 0)
-            candidate.tasksOfStep = static_cast<std::uint32_t>(std::count_if(step.tasks.begin(), step.tasks.end(),
-                [&id](const Task& task) { return task.isAssigned() && task.worker == id; }));
+        const std::size_t before = result.size();
+        addCandidate(result, worker, *queue, step, spec);
+        if (result.size() > before)
+            ++(fits ? fitting : full);
+    }
+    if (needsAll)
+        return result;
+    m_scanOffset = (begin + scanned) % workers.size();
+    // Workers that the admission service allowed are always candidates, those that it refused never.
+    for (const auto& [id, allowed] : step.admission.allowed) {
+        const Worker* worker = allowed ? m_workers.find(id) : nullptr;
+        if (worker != nullptr && worker->record.pool == queue->pool)
+            addCandidate(result, *worker, *queue, step, spec);
+    }
+    return result;
+}
+
+std::vector<PlacementCandidate> JobScheduler::candidatesWithTicket(Job& job, const StepKey& key)
+{
+    const QueuePolicy* queue = queueOf(job);
+    const Step& step = *job.find(key);
+    const TimePoint minExpiry = m_runtime.now() + minTicketValidity;
+    std::vector<PlacementCandidate> result;
+    for (const auto& [id, ticket] : step.admission.tickets) {
+        const Worker* worker = m_workers.find(id);
+        if (worker != nullptr && ticket.expiry >= minExpiry && worker->record.pool == queue->pool)
+            addCandidate(result, *worker, *queue, step, job.spec().steps[key.step]);
     }
+    // The order of the map differs between runs.
+    std::sort(result.begin(), result.end(), [](const auto& a, const auto& b) { return a.worker < b.worker; });
     return result;
 }
 
+void JobScheduler::addCandidate(std::vector<PlacementCandidate>& to, const Worker& worker, const QueuePolicy& queue,
+    const Step& step, const StepSpec& spec) const
+{
+    if (!hasLabel(worker.record, spec.requiredLabel) || !isPlaceable(worker))
+        return;
+    const WorkerId& id = worker.record.id;
+    PlacementCandidate& candidate = to.emplace_back();
+    candidate.worker = id;
+    candidate.rack = worker.record.rack;
+    candidate.free = worker.free();
+    candidate.capacity = worker.record.capacity;
+    candidate.hasLatencySensitiveTasks = worker.latencySensitiveRuns > 0;
+    candidate.hasIdleCpuTasks = worker.idleCpuRuns > 0;
+    candidate.deprioritized = m_quarantine.isOnProbation(id)
+        || (queue.priority == urgentPriority && m_quarantine.hasRecentFailure(id, m_runtime.now()));
+    candidate.slowness = m_speeds.slowness(id, worker.record.kind);
+    if (spec.maxTasksPerWorker > 0)
+        candidate.tasksOfStep = static_cast<std::uint32_t>(std::count_if(step.tasks.begin(), step.tasks.end(),
+            [&id](const Task& task) { return task.isAssigned() && task.worker == id; }));
+}
+
 bool JobScheduler::hasUsableTicket(const Step& step, const Resources& reservation) const
 {
     const TimePoint minExpiry = m_runtime.now() + minTicketValidity;
@@ -351,7 +392,7 @@
     const Step& step = *job.find(key);
     const StepSpec& spec = job.spec().steps[key.step];
     const auto goal = queue.priority == urgentPriority ? PlacementGoal::Spread : PlacementGoal::Pack;
-    Placement placement(spec, candidates(job, key, queue.admission.has_value()), goal);
+    Placement placement(spec, queue.admission ? candidatesWithTicket(job, key) : candidates(job, key), goal);
     const auto start = [&](std::uint32_t index, std::size_t place, RunNumber run) {
         const WorkerId worker = placement.candidate(place).worker;
         startTask(job, { key.job, key.occurrence, key.step, index }, *m_workers.find(worker), run);
@@ -443,7 +484,7 @@
     const TimePoint minExpiry = m_runtime.now() + minTicketValidity;
     // Spread also for batch work: a ticket covers all tasks of the step on a worker, so the least loaded ones come
     // first.
-    const Placement placement(spec, candidates(job, key, false), PlacementGoal::Spread);
+    const Placement placement(spec, candidates(job, key), PlacementGoal::Spread);
     std::vector<WorkerId> selected;
     std::vector<WorkerId> unrequested;
     std::uint64_t taskCapacity = 0; // number of tasks of the step that fit on allowed workers
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -22,6 +22,7 @@
 {
     if (!m_running)
         return;
+    m_pools.invalidate();
     absl::flat_hash_set<WorkerId> listed;
     bool hasNewWorker = false;
     for (const auto& record : records) {
@@ -134,6 +135,7 @@
     m_log.record("worker_lost", { { "worker", id.value() }, { "runs", worker->runs.size() }, { "reason", reason } });
     markRunsLost(*worker, reason);
     m_workers.erase(id);
+    m_pools.invalidate();
     m_storedWorkers.erase(id);
     m_quarantine.forget(id);
     m_speeds.forget(id);
--- a/src/lycheeledge/jobs/OwnerSession.cpp
+++ b/src/lycheeledge/jobs/OwnerSession.cpp
@@ -282,7 +282,11 @@
 
 void OwnerSession::scheduleRegistryRead()
 {
-    m_runtime.after(m_settings.registryInterval, [this, session = SessionToken(m_sessionToken)] {
+    const std::size_t workers = m_scheduler.workers().all().size();
+    const auto factor
+        = static_cast<Duration::rep>(std::max<std::size_t>(1, workers / m_settings.workersPerRegistryInterval));
+    const Duration interval = std::min(m_settings.registryInterval * factor, m_settings.maxRegistryInterval);
+    m_runtime.after(interval, [this, session = SessionToken(m_sessionToken)] {
         if (!session.expired())
             readRegistry();
     });
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -17,6 +17,9 @@
     /// Each response confirms the configuration, so this limits how outdated the known keys can be.
     Duration operatorWatchWait = std::chrono::milliseconds(700);
     Duration registryInterval = std::chrono::milliseconds(500); ///< well below the time limit for draining workers
+    /// Larger fleets are read less often, in proportion: decoding the registry costs the owner some us for each entry.
+    std::size_t workersPerRegistryInterval = 1000;
+    Duration maxRegistryInterval = std::chrono::milliseconds(1500);
     Duration callTimeout = std::chrono::milliseconds(900);
     Duration retryPause = std::chrono::milliseconds(100);
 };
--- a/src/lycheeledge/jobs/WorkerTable.cpp
+++ b/src/lycheeledge/jobs/WorkerTable.cpp
@@ -4,16 +4,6 @@
 
 namespace lycheeledge::jobs {
 
-std::map<std::string, Resources> WorkerTable::capacityOfPools() const
-{
-    std::map<std::string, Resources> result;
-    for (const auto& [id, worker] : m_workers) {
-        if (worker.registered)
-            result[worker.record.pool] += worker.record.capacity;
-    }
-    return result;
-}
-
 void reserve(Worker& worker, const TaskKey& task, const PlacedRun& run)
 {
     (void)release(worker, task);
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -63,9 +63,6 @@
     Map& all() { return m_workers; }
     const Map& all() const { return m_workers; }
 
-    /** @brief Total capacity of the registered workers of each pool, by pool name. */
-    std::map<std::string, Resources> capacityOfPools() const;
-
 private:
     Map m_workers;
 };
--- a/src/lycheeledge/jobs/relay/WorkerRelay.cpp
+++ b/src/lycheeledge/jobs/relay/WorkerRelay.cpp
@@ -13,6 +13,16 @@
     constexpr Duration replyDelay = std::chrono::milliseconds(2);
     // Bounds the size of a message; a report of a worker with many tasks has some kilobytes.
     constexpr std::size_t maxRepliesPerBatch = 64;
+    // No call takes longer; also the age of a batch whose times make no sense.
+    constexpr std::int64_t maxTimeoutMs = 60'000;
+
+    /** @brief Upper bound of the time for which the batch was under way. */
+    std::int64_t ageOf(const WorkerCallBatch& batch, std::int64_t nowMs)
+    {
+        const bool plausible
+            = batch.memberClockMs >= 0 && batch.memberClockMs <= nowMs && batch.heldMs >= 0 && batch.heldMs <= nowMs;
+        return plausible ? std::max<std::int64_t>(0, nowMs - batch.memberClockMs - batch.heldMs) : maxTimeoutMs;
+    }
 
 } // namespace
 
@@ -47,9 +57,9 @@
 {
     if (m_owner != owner)
         return;
-    const std::int64_t ageMs = std::max<std::int64_t>(0, clockMs() - batch.memberClockMs - batch.heldMs);
+    const std::int64_t ageMs = ageOf(batch, clockMs());
     for (const auto& call : batch.calls) {
-        const std::int64_t remainingMs = call.timeoutMs - ageMs;
+        const std::int64_t remainingMs = std::min(call.timeoutMs, maxTimeoutMs) - ageMs;
         if (remainingMs > 0) {
             ++m_calls;
             makeCall(call, std::chrono::milliseconds(remainingMs));
