Give admission of steps a file of its own

Change: JobSchedulerAdmission.cpp holds what asks for tickets; QueuePolicy::isUrgent() and minTicketValidity stand where both files find them; one function checks the reply. No decision changes.

--- a/src/lycheeledge/coordination/RequestRouter.cpp
+++ b/src/lycheeledge/coordination/RequestRouter.cpp
@@ -19,9 +19,15 @@
         return { .id = id, .run = run, .error = error, .message = std::move(message), .body = {} };
     }
 
-    std::optional<WorkStatus> statusOf(const StatusReply& reply)
+    // The sender decides on the kind of a reply, so that another one than expected must not end this process.
+    constexpr const char* wrongReplyKind = "the owner of the cell sent a reply of another kind";
+
+    absl::StatusOr<std::optional<WorkStatus>> statusOrError(const PeerMessage& message)
     {
-        return reply.found ? std::optional(reply.status) : std::nullopt;
+        const auto* reply = std::get_if<StatusReply>(&message);
+        if (reply == nullptr)
+            return absl::UnavailableError(wrongReplyKind);
+        return reply->found ? std::optional(reply->status) : std::nullopt;
     }
 
 } // namespace
@@ -249,15 +255,7 @@
     }
     const std::uint64_t call = m_nextId++;
     query(CancelMessage { .call = call, .cell = m_settings.cell, .work = id }, call,
-        { .answered =
-                [done](const PeerMessage& reply) {
-                    const auto* status = std::get_if<StatusReply>(&reply);
-                    if (status != nullptr)
-                        done(statusOf(*status));
-                    else
-                        done(unexpectedReply());
-                },
-            .failed = done });
+        { .answered = [done](const PeerMessage& reply) { done(statusOrError(reply)); }, .failed = done });
 }
 
 void RequestRouter::status(const WorkId& id, std::function<void(absl::StatusOr<std::optional<WorkStatus>>)> done)
@@ -268,15 +266,7 @@
     }
     const std::uint64_t call = m_nextId++;
     query(StatusMessage { .call = call, .cell = m_settings.cell, .work = id }, call,
-        { .answered =
-                [done](const PeerMessage& reply) {
-                    const auto* status = std::get_if<StatusReply>(&reply);
-                    if (status != nullptr)
-                        done(statusOf(*status));
-                    else
-                        done(unexpectedReply());
-                },
-            .failed = done });
+        { .answered = [done](const PeerMessage& reply) { done(statusOrError(reply)); }, .failed = done });
 }
 
 void RequestRouter::overview(std::function<void(absl::StatusOr<std::string>)> done)
@@ -293,17 +283,11 @@
                     if (overview != nullptr)
                         done(overview->json);
                     else
-                        done(unexpectedReply());
+                        done(absl::UnavailableError(wrongReplyKind));
                 },
             .failed = done });
 }
 
-// Whatever a peer sends, this process goes on.
-absl::Status RequestRouter::unexpectedReply()
-{
-    return absl::UnavailableError("the owner of the cell sent a reply of another kind");
-}
-
 void RequestRouter::messageReceived(const MemberId& from, const PeerMessage& message)
 {
     if (const auto* submit = std::get_if<SubmitMessage>(&message))
--- a/src/lycheeledge/coordination/RequestRouter.h
+++ b/src/lycheeledge/coordination/RequestRouter.h
@@ -118,7 +118,6 @@
     void submitReplied(const SubmitReply& reply);
     void query(PeerMessage message, std::uint64_t call, Query pending);
     template <typename Reply> void queryReplied(const Reply& reply);
-    static absl::Status unexpectedReply();
     void handleSubmit(const MemberId& from, const SubmitMessage& message);
     void handleCancel(const MemberId& from, const CancelMessage& message);
     void handleStatus(const MemberId& from, const StatusMessage& message);
--- a/src/lycheeledge/jobs/AdmissionDispatcher.h
+++ b/src/lycheeledge/jobs/AdmissionDispatcher.h
@@ -31,6 +31,9 @@
     bool operator==(const AdmissionGrant&) const = default;
 };
 
+/// A ticket must stay valid until the order that carries it has arrived.
+inline constexpr Duration minTicketValidity = std::chrono::milliseconds(60);
+
 /** @brief A VM that can call the admission service: this one (0) or another member. */
 using RelayId = std::uint64_t;
 
--- a/src/lycheeledge/jobs/ClusterConfiguration.h
+++ b/src/lycheeledge/jobs/ClusterConfiguration.h
@@ -37,6 +37,9 @@
     std::optional<AdmissionPolicy> admission;
 
     bool operator==(const QueuePolicy&) const = default;
+
+    /** @brief Whether its tasks are short and are spread over the least loaded workers. */
+    bool isUrgent() const { return priority == 0; }
 };
 
 struct ClientAccount {
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -179,8 +179,6 @@
     void requestPass();
     void pass();
     void tick();
-    void prefetchTickets();
-    void markUpcomingSteps(const Job& job, const StepKey& placed);
     void releaseDueOccurrences(Job& job);
     void releaseSteps(Job& job);
     void refreshReady(const StepKey& key, const Job& job, const Step& step);
@@ -197,8 +195,12 @@
     /** @brief Adds the worker unless it must not run tasks of the step. */
     void addCandidate(std::vector<PlacementCandidate>& to, const Worker& worker, const QueuePolicy& queue,
         const Step& step, const StepSpec& spec) const;
-    bool hasUsableTicket(const Step& step, const Resources& reservation) const;
     bool withinLimit(const Job& job, const StepSpec& spec, std::uint32_t count) const;
+
+    // Admission (JobSchedulerAdmission.cpp)
+    void prefetchTickets();
+    void markUpcomingSteps(const Job& job, const StepKey& placed);
+    bool hasUsableTicket(const Step& step, const Resources& reservation) const;
     /**
      * @param overdue the request is made ahead of the scheduling order.
      * @return whether a request was made.
@@ -208,7 +210,6 @@
     std::vector<WorkerId> selectAdmissionWorkers(Job& job, const StepKey& key, const AdmissionPolicy& policy);
     void handleAdmissionReply(const StepKey& key, const AdmissionPolicy& policy, const std::vector<WorkerId>& requested,
         const absl::StatusOr<std::vector<AdmissionGrant>>& grants);
-    const QueuePolicy* queueOf(const Job& job) const;
 
     // Runs (JobSchedulerRuns.cpp)
     RunNumber nextRun(const Step& step, const Task& task, bool gang) const;
@@ -257,6 +258,7 @@
     bool mayInterrupt(Job& job, const TaskKey& key) const;
 
     Job* find(const JobId& id);
+    const QueuePolicy* queueOf(const Job& job) const;
 
     Runtime& m_runtime;
     WorkerPort& m_port;
--- /dev/null
+++ b/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
@@ -0,0 +1,207 @@
+// Scheduler of the owner: requests admission of steps and keeps their tickets.
+
+#include "JobScheduler.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+namespace {
+
+    constexpr Duration admissionRetryDelay = std::chrono::milliseconds(100);
+    // After an admission call that did not lead to a placement, leaves time for free capacity to change.
+    constexpr Duration admissionRepeatDelay = std::chrono::milliseconds(150);
+
+} // namespace
+
+bool JobScheduler::hasUsableTicket(const Step& step, const Resources& reservation) const
+{
+    const TimePoint minExpiry = m_runtime.now() + minTicketValidity;
+    return std::any_of(step.admission.tickets.begin(), step.admission.tickets.end(), [&](const auto& it) {
+        const auto worker = m_workers.all().find(it.first);
+        return it.second.expiry >= minExpiry && worker != m_workers.all().end()
+            && reservation.fitsIn(worker->second.free());
+    });
+}
+
+// Requests tickets for an urgent step while the last tasks of its predecessors run. Tickets stay valid longer than such
+// tasks run, and an admission call takes up to a tenth of the run time of one.
+void JobScheduler::prefetchTickets()
+{
+    for (auto it = m_upcomingSteps.begin(); it != m_upcomingSteps.end();) {
+        const StepKey key = *it;
+        Job* job = find(key.job);
+        Step* step = job != nullptr ? job->find(key) : nullptr;
+        const QueuePolicy* queue = job != nullptr ? queueOf(*job) : nullptr;
+        if (step == nullptr || isFinal(job->state) || step->released || step->admission.prefetched || queue == nullptr
+            || !queue->admission) {
+            it = m_upcomingSteps.erase(it);
+            continue;
+        }
+        if (!m_admission.hasFreeRelay(*queue->admission))
+            return;
+        step->admission.prefetched = true;
+        requestAdmission(*job, key, *queue->admission);
+        it = m_upcomingSteps.erase(it);
+    }
+}
+
+void JobScheduler::markUpcomingSteps(const Job& job, const StepKey& placed)
+{
+    const QueuePolicy* queue = queueOf(job);
+    if (queue == nullptr || !queue->isUrgent() || !queue->admission)
+        return;
+    const Occurrence& occurrence = job.open.at(placed.occurrence);
+    for (std::uint32_t i = placed.step + 1; i < occurrence.steps.size(); ++i) {
+        const auto& after = job.spec().steps[i].after;
+        const bool dependsOnPlaced = std::find(after.begin(), after.end(), placed.step) != after.end();
+        const bool predecessorsPlaced = std::none_of(
+            after.begin(), after.end(), [&occurrence](std::uint32_t k) { return occurrence.steps[k].hasWaiting(); });
+        if (dependsOnPlaced && predecessorsPlaced && !occurrence.steps[i].released)
+            m_upcomingSteps.insert({ placed.job, placed.occurrence, i });
+    }
+}
+
+// Answers a backlog of admission calls, for example while one client account sends many times its usual load: calls are
+// made in scheduling order, so without this a step of low priority would wait until the backlog has gone, although
+// there are workers for it. The queues take turns, and within a queue the oldest step comes first.
+void JobScheduler::requestOverdueAdmissions()
+{
+    const std::size_t limit = m_admission.overdueRelays();
+    if (m_overdueRequests >= limit)
+        return;
+    const TimePoint now = m_runtime.now();
+    std::vector<std::tuple<TimePoint, TimePoint, StepKey>> overdue;
+    for (const auto& key : m_readySteps) {
+        Job& job = *m_jobs.at(key.job);
+        const Step& step = *job.find(key);
+        if (step.assigned == 0 && !step.admission.requestPending && now - step.releasedAt > m_settings.overdueAfter
+            && now >= step.admission.nextRequestAt)
+            overdue.emplace_back(m_lastOverdueRequest[job.submission.queue], step.releasedAt, key);
+    }
+    std::sort(overdue.begin(), overdue.end());
+    for (const auto& [lastRequest, releasedAt, key] : overdue) {
+        Job& job = *m_jobs.at(key.job);
+        const QueuePolicy* queue = queueOf(job);
+        const Step& step = *job.find(key);
+        const StepSpec& spec = job.spec().steps[key.step];
+        if (queue == nullptr || !queue->admission || !mayStart(job) || !withinLimit(job, spec, 1)
+            || hasUsableTicket(step, reservationOf(spec)))
+            continue;
+        if (!requestAdmission(job, key, *queue->admission, true))
+            continue;
+        m_lastOverdueRequest[queue->name] = now;
+        if (m_overdueRequests >= limit)
+            return;
+    }
+}
+
+bool JobScheduler::requestAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy, bool overdue)
+{
+    Step& step = *job.find(key);
+    if (step.admission.requestPending || m_runtime.now() < step.admission.nextRequestAt
+        || !m_admission.hasFreeRelay(policy))
+        return false;
+    auto workers = selectAdmissionWorkers(job, key, policy);
+    if (workers.empty())
+        return false;
+    step.admission.requestPending = true;
+    m_overdueRequests += overdue ? 1 : 0;
+    m_admission.call({ key, workers }, policy, [this, key, policy, workers, overdue](const auto& grants) {
+        m_overdueRequests -= overdue ? 1 : 0;
+        handleAdmissionReply(key, policy, workers, grants);
+    });
+    return true;
+}
+
+// Selects the best workers that have capacity for a task and that the service may allow: workers that it has allowed
+// before and, if their capacity does not suffice for the step, workers that no request has named yet. A request that
+// names few of them is filled up with workers without free capacity, as far as that costs less than the call itself:
+// answers do not change, so that a later request names only workers that are allowed.
+std::vector<WorkerId> JobScheduler::selectAdmissionWorkers(Job& job, const StepKey& key, const AdmissionPolicy& policy)
+{
+    const Step* step = job.find(key);
+    const StepSpec& spec = job.spec().steps[key.step];
+    const TimePoint minExpiry = m_runtime.now() + minTicketValidity;
+    // Spread also for batch work: a ticket covers all tasks of the step on a worker, so the least loaded ones come
+    // first.
+    const Placement placement(spec, candidates(job, key), PlacementGoal::Spread);
+    std::vector<WorkerId> selected;
+    std::vector<WorkerId> unrequested;
+    std::uint64_t taskCapacity = 0; // number of tasks of the step that fit on allowed workers
+    const auto ranking = placement.ranking();
+    for (const auto n : ranking) {
+        const WorkerId& worker = placement.candidate(n).worker;
+        const auto answer = step->admission.allowed.find(worker);
+        if (answer == step->admission.allowed.end()) {
+            unrequested.push_back(worker);
+            continue;
+        }
+        if (!answer->second)
+            continue;
+        taskCapacity += placement.taskCapacityOn(n);
+        const auto ticket = step->admission.tickets.find(worker);
+        if (ticket == step->admission.tickets.end() || ticket->second.expiry < minExpiry)
+            selected.push_back(worker);
+    }
+    const std::size_t waiting = step->tasks.size() - step->done - step->assigned;
+    const std::size_t maxWorkers = spec.gang ? m_settings.maxWorkersPerGangCall : m_settings.maxWorkersPerAdmissionCall;
+    selected.resize(std::min(selected.size(), spec.gang ? maxWorkers : m_settings.maxWorkersPerTicketRenewal));
+    if (selected.empty() || taskCapacity < waiting) {
+        unrequested.resize(std::min(unrequested.size(), maxWorkers - selected.size()));
+        selected.insert(
+            selected.end(), std::make_move_iterator(unrequested.begin()), std::make_move_iterator(unrequested.end()));
+    }
+    if (selected.empty())
+        return selected;
+    const std::size_t affordable = policy.perWorker > Duration::zero()
+        ? static_cast<std::size_t>(policy.perCall / policy.perWorker)
+        : maxWorkers;
+    const std::size_t target = std::min(maxWorkers, affordable);
+    absl::flat_hash_set<std::size_t> fitting(ranking.begin(), ranking.end());
+    for (std::size_t n = 0; n < placement.candidateCount() && selected.size() < target; ++n) {
+        const PlacementCandidate& candidate = placement.candidate(n);
+        if (!fitting.contains(n) && placement.reservation().fitsIn(candidate.capacity)
+            && !step->admission.allowed.contains(candidate.worker))
+            selected.push_back(candidate.worker);
+    }
+    return selected;
+}
+
+void JobScheduler::handleAdmissionReply(const StepKey& key, const AdmissionPolicy& policy,
+    const std::vector<WorkerId>& requested, const absl::StatusOr<std::vector<AdmissionGrant>>& grants)
+{
+    Job* job = find(key.job);
+    Step* step = job != nullptr ? job->find(key) : nullptr;
+    if (step == nullptr)
+        return;
+    auto& admission = step->admission;
+    admission.requestPending = false;
+    ++m_counters.admissionCalls;
+    const TimePoint now = m_runtime.now();
+    if (!grants.ok()) {
+        admission.nextRequestAt = now + admissionRetryDelay;
+        m_log.record("admission_failed",
+            { { "job", key.job.value() }, { "step", key.step }, { "asked", requested.size() },
+                { "error", grants.status().message() } });
+        requestPass();
+        return;
+    }
+    for (const auto& worker : requested)
+        admission.allowed[worker] = false;
+    for (const auto& grant : *grants) {
+        admission.allowed[grant.worker] = true;
+        admission.tickets[grant.worker] = { grant.ticket, now + policy.validity };
+    }
+    if (!grants->empty() && admission.grantedAt == TimePoint())
+        admission.grantedAt = now;
+    admission.nextRequestAt = now + admissionRepeatDelay;
+    m_log.record("admission_answered",
+        { { "job", key.job.value() }, { "step", key.step }, { "asked", requested.size() },
+            { "granted", grants->size() } });
+    requestPass();
+}
+
+} // namespace lycheeledge::jobs
