--- a/src/lycheeledge/jobs/relay/RelayedWorkers.cpp
+++ b/src/lycheeledge/jobs/relay/RelayedWorkers.cpp
@@ -92,7 +92,7 @@
         return;
     ++m_counters.silences;
     m_log.record("relay_silent",
-        { { "member", member.name }, { "silent_ms", toMilliseconds(m_runtime.now() - member.lastReceivedAt) },
+        { { "relay", member.name }, { "silent_ms", toMilliseconds(m_runtime.now() - member.lastReceivedAt) },
             { "calls", member.callsInProgress } });
     membersChanged();
 }
