Accept connections of up to 3,800 members

Cause: a member takes two connections that are closed at once for the end of the owner's process; the peer transport closes connections beyond 1,024, so that members of a larger fleet would end the lease of a healthy owner.

--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -33,6 +33,8 @@
         result.port = settings.peerPort;
         result.maxFrameBytes = 4 << 20; // holds the body of a call, or an admission request, with headroom
         result.maxQueuedBytes = 16 << 20;
+        // One from each member. A member whose connections are closed at once takes the owner's process for ended.
+        result.maxConnections = 3800; // below the descriptors of the smallest VM
         return result;
     }
 
