Complete a gang under the next owner if one of its members is done

One member's end completes the gang; the others are marked to be done when their runs end, in memory only. If the owner changes between, the next one reads some members as done and started the rest by itself. Change: a gang of which a stored member is done is done as a whole. When a gang ends, members of another run are stopped and count as done, too, instead of waiting again.

--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -90,7 +90,11 @@
             const StepProgress& progress = entry.steps[i];
             Step& step = occurrence.steps[i];
             step.failedGangRuns = progress.failedGangRuns;
-            if (progress.allDone) {
+            // The end of one member completes a gang; the others may not have been stored as done yet.
+            const bool gangDone = spec().steps[i].gang
+                && std::any_of(
+                    progress.tasks.begin(), progress.tasks.end(), [](const auto& task) { return task.done; });
+            if (progress.allDone || gangDone) {
                 for (auto& task : step.tasks)
                     task.phase = TaskPhase::Done;
                 step.done = static_cast<std::uint32_t>(step.tasks.size());
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -379,12 +379,14 @@
     if (isFinal(job.state))
         return;
     if (job.spec().steps[key.step].gang) {
-        // One member that ends as done completes all members of the same run.
+        // One member that ends as done completes the gang. Members of the same run end by themselves.
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
             Task& member = step.tasks[i];
-            if (member.isAssigned() && member.run == task.run)
+            if (member.isAssigned()) {
                 member.doneWhenRunEnds = true;
-            else if (member.phase == TaskPhase::Waiting) {
+                if (member.run != task.run)
+                    stopTask(job, { key.job, key.occurrence, key.step, i }, "the gang is done");
+            } else if (member.phase == TaskPhase::Waiting) {
                 member.phase = TaskPhase::Done;
                 ++step.done;
             }
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -528,3 +528,21 @@
     CHECK(cluster.waitFor([&] { return cluster.workers.running() == 3; }, seconds(9)));
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("a gang of which one member is stored as done is done as a whole", "[takeover]")
+{
+    // Its other members were about to end when the owner changed. Guards against starting one of them again: it would
+    // wait for the others in vain, run after run.
+    Job job;
+    job.id = JobId(jobName(1));
+    auto step = simpleStep(3, 1000);
+    step.gang = true;
+    job.submission.spec = { .payload = {}, .steps = { step, simpleStep(2, 1000) } };
+    ProgressRecord record;
+    record.state = JobState::Running;
+    const TaskProgress done { 1, true, {}, "" };
+    record.open = { { 0, { { {}, false, { done } }, { {}, false, { done } } } } };
+    job.restore(record, TimePoint(seconds(1)));
+    CHECK(job.open.at(0).steps[0].isDone());
+    CHECK(job.open.at(0).steps[1].done == 1); // not a gang
+}
