Take the wait at a frozen owner off a relayed order's time

The age of a batch counts from the moment it is sent, so an owner that was frozen between queueing an order and sending its batch sent it on waking with its full timeout. Fence and lease still bounded the harm. Change: the time that a call has waited is taken off its timeout; the member then does not make it. Measured: the new test fails before (200 ms left after 9 s) and passes now; test_jobs 104 of 104.

--- a/src/lycheeledge/jobs/relay/RelayedWorkers.cpp
+++ b/src/lycheeledge/jobs/relay/RelayedWorkers.cpp
@@ -173,6 +173,13 @@
     if (member.batch.empty())
         return;
     ++m_counters.batches;
+    // The age of the batch counts from now, so the time for which a call has waited here is taken off. It is long if
+    // this process was frozen meanwhile; the member then does not make the call.
+    for (auto& call : member.batch) {
+        const auto pending = m_pending.find(call.id);
+        call.timeoutMs
+            -= pending == m_pending.end() ? call.timeoutMs : toMilliseconds(m_runtime.now() - pending->second.sentAt);
+    }
     // Rounded down, so that the member never takes a call for younger than it is.
     const std::int64_t heldMs = toMilliseconds(m_runtime.now() - member.lastReceivedAt);
     m_port.send(connection, WorkerCallBatch { member.clockMs, heldMs, std::exchange(member.batch, {}) });
--- a/test/jobs/relay/RelayMessageFuzzTest.cpp
+++ b/test/jobs/relay/RelayMessageFuzzTest.cpp
@@ -25,10 +25,13 @@
     {
         if (const auto* batch = std::get_if<WorkerReplyBatch>(&message))
             replies.insert(replies.end(), batch->replies.begin(), batch->replies.end());
+        if (const auto* batch = std::get_if<WorkerCallBatch>(&message))
+            calls.insert(calls.end(), batch->calls.begin(), batch->calls.end());
     }
     void close(MemberConnection) override { }
 
     std::vector<WorkerReply> replies;
+    std::vector<WorkerCall> calls;
 };
 
 std::vector<MemberMessage> sampleMessages()
@@ -96,3 +99,23 @@
     relay.received(1, endless);
     CHECK(relay.calls() == batch.calls.size());
 }
+
+TEST_CASE("an order that waited while the owner was frozen has no time left", "[relay]")
+{
+    ManualRuntime base;
+    base.advance(seconds(100));
+    ProcessRuntime runtime(base);
+    FakeJobWorkers workers(base);
+    IgnoringMemberPort members;
+    RecordingLog log;
+    RelayedWorkers owner(runtime, workers, members, log, { .maxDirectWorkers = 0 });
+    owner.setWorkerCount([] { return std::size_t(1); });
+    owner.addMember(1, "m1", 0.5);
+    owner.received(1, RelayOffer { "dc", 1000 });
+    owner.start({ WorkerId("w0"), "w0:80", {} }, {}, milliseconds(200), [](const OrderResult&) {});
+    runtime.pause(); // before the batch is sent
+    base.advance(seconds(9));
+    runtime.resume();
+    REQUIRE(members.calls.size() == 1);
+    CHECK(members.calls.front().timeoutMs <= 0);
+}
