Count runs that no worker has reported yet against the limits of accounts

Cause: the upper limit was checked against the runs that this owner had placed or that workers had reported to it. Tasks of earlier jobs waited until all workers had reported; a new job of the same account started at once, beside runs of the earlier owner on workers whose first poll was left unanswered.

Change: until every worker of the stored set has reported or its leases have ended, an account is charged with an upper bound for unknown runs: the declared sizes of its unlocated tasks, or the capacity of the silent workers together, whichever is less. So an account without earlier jobs is not held back. The bound only falls as workers report; it is evaluated again only then. Events account_held_back and earlier_workers_located tell of it.

--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -77,6 +77,9 @@
     m_pools.invalidate();
     m_storedWorkers.clear();
     m_usage.clear();
+    m_uncounted = {};
+    m_uncountedChanged = false;
+    m_heldBackAccounts.clear();
     m_finishedJobs.clear();
     m_scheduledJobs.clear();
     m_quarantine = FailureQuarantine();
@@ -133,6 +136,7 @@
         m_pools.invalidate();
         worker.record.id = known.id;
         worker.record.address = known.address;
+        worker.mayHaveEarlierRuns = true;
         worker.unregisteredSince = m_runtime.now();
         connect(worker);
     }
@@ -141,6 +145,7 @@
 void JobScheduler::activate()
 {
     m_recovered = true;
+    m_uncountedChanged = true;
     m_log.record("scheduler_recovered",
         { { "epoch", m_epoch }, { "jobs", m_jobs.size() }, { "workers", m_workers.all().size() } });
     requestPass();
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -13,6 +13,7 @@
 #include "Placement.h"
 #include "PoolIndex.h"
 #include "StepOrder.h"
+#include "UncountedUsage.h"
 #include "WorkerTable.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -196,6 +197,9 @@
     void addCandidate(std::vector<PlacementCandidate>& to, const Worker& worker, const QueuePolicy& queue,
         const Step& step, const StepSpec& spec) const;
     bool withinLimit(const Job& job, const StepSpec& spec, std::uint32_t count) const;
+    /** @brief Evaluates again what unknown runs may use, if that has changed since the last pass. */
+    void refreshUncountedUsage();
+    void logHeldBackAccounts();
 
     // Admission (JobSchedulerAdmission.cpp)
     void prefetchTickets();
@@ -282,6 +286,9 @@
     WorkerTable m_workers;
     absl::flat_hash_set<WorkerId> m_storedWorkers; ///< workers in the stored set; only these receive orders
     absl::flat_hash_map<AccountId, Resources> m_usage; ///< resources charged to each account
+    UncountedUsage m_uncounted; ///< what runs that are not in `m_usage` may use; too high at worst
+    bool m_uncountedChanged = false; ///< a worker of earlier owners reported or was lost since the last evaluation
+    absl::flat_hash_set<AccountId> m_heldBackAccounts; ///< logged as held back by unknown runs
     FailureQuarantine m_quarantine;
     WorkerSpeeds m_speeds;
     std::set<std::pair<std::int64_t, JobId>> m_finishedJobs; ///< ordered by end time
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -24,6 +24,14 @@
 
     double toMs(Duration value) { return std::chrono::duration<double, std::milli>(value).count(); }
 
+    /** @brief Whether an account may use this much. A limit of 0 means no limit. */
+    bool isWithin(const Resources& usage, const Resources& limit)
+    {
+        const auto within = [](std::int64_t amount, std::int64_t maximum) { return maximum == 0 || amount <= maximum; };
+        return within(usage.milliCpu, limit.milliCpu) && within(usage.memoryMb, limit.memoryMb)
+            && within(usage.accelerators, limit.accelerators);
+    }
+
     bool hasLabel(const WorkerRecord& record, const std::string& label)
     {
         return label.empty() || std::find(record.labels.begin(), record.labels.end(), label) != record.labels.end();
@@ -179,6 +187,7 @@
         return;
     std::vector<std::pair<StepUrgency, StepKey>> waiting;
     m_allWorkersReported.reset();
+    refreshUncountedUsage();
     double weights = 0;
     absl::flat_hash_set<AccountId> accounts;
     for (const auto& key : m_readySteps) {
@@ -293,11 +302,36 @@
     const ClientAccount* account = m_configuration->account(job.submission.account);
     if (account == nullptr)
         return true;
-    const Resources after = usage(account->id) + spec.request * count;
-    const Resources& limit = account->upperLimit;
-    const auto within = [](std::int64_t amount, std::int64_t maximum) { return maximum == 0 || amount <= maximum; };
-    return within(after.milliCpu, limit.milliCpu) && within(after.memoryMb, limit.memoryMb)
-        && within(after.accelerators, limit.accelerators);
+    return isWithin(usage(account->id) + m_uncounted.of(account->id) + spec.request * count, account->upperLimit);
+}
+
+void JobScheduler::refreshUncountedUsage()
+{
+    if (!std::exchange(m_uncountedChanged, false))
+        return;
+    const std::size_t silentBefore = m_uncounted.silentWorkers();
+    m_uncounted = UncountedUsage(m_jobs, m_workers, m_host.unixMs());
+    if (m_uncounted.silentWorkers() > 0)
+        logHeldBackAccounts();
+    else if (silentBefore > 0)
+        m_log.record("earlier_workers_located",
+            { { "epoch", m_epoch },
+                { "after_ms", std::chrono::duration<double, std::milli>(m_runtime.now() - m_beginTime).count() } });
+}
+
+void JobScheduler::logHeldBackAccounts()
+{
+    for (const auto& account : m_configuration->accounts) {
+        const Resources known = usage(account.id);
+        const Resources unknown = m_uncounted.of(account.id);
+        if (isWithin(known + unknown, account.upperLimit) || !m_heldBackAccounts.insert(account.id).second)
+            continue;
+        m_log.record("account_held_back",
+            { { "account", account.id.value() }, { "silent_workers", m_uncounted.silentWorkers() },
+                { "milli_cpu", known.milliCpu }, { "uncounted_milli_cpu", unknown.milliCpu },
+                { "limit_milli_cpu", account.upperLimit.milliCpu }, { "memory_mb", known.memoryMb },
+                { "uncounted_memory_mb", unknown.memoryMb }, { "limit_memory_mb", account.upperLimit.memoryMb } });
+    }
 }
 
 void JobScheduler::scheduleStep(Job& job, const StepKey& key)
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -54,8 +54,10 @@
     processEnds(*worker, report);
     processRunning(*worker, report, sentAt);
     controlPace(*worker, report);
-    if (first)
+    if (first) {
+        m_uncountedChanged = true;
         requestPass();
+    }
 }
 
 void JobScheduler::handleWorkerRestart(Worker& worker, std::int64_t incarnationStartUnixMs)
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -106,6 +106,7 @@
         if (now < end)
             continue;
         if (!worker.runs.empty() || !worker.reported) {
+            m_uncountedChanged = m_uncountedChanged || !worker.reported;
             worker.reported = true;
             markRunsLost(worker, "lease of an unreachable worker ended");
         }
@@ -134,6 +135,7 @@
         return;
     m_log.record("worker_lost", { { "worker", id.value() }, { "runs", worker->runs.size() }, { "reason", reason } });
     markRunsLost(*worker, reason);
+    m_uncountedChanged = m_uncountedChanged || !worker->reported;
     m_workers.erase(id);
     m_pools.invalidate();
     m_storedWorkers.erase(id);
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -39,6 +39,7 @@
     bool registered = false; ///< present in the platform's worker list when it was last read
     TimePoint unregisteredSince; ///< time since which it is not registered
     bool reported = false; ///< has sent a report in the current epoch
+    bool mayHaveEarlierRuns = false; ///< earlier owners may have sent it orders
     std::uint64_t lastProcessedEnd = 0; ///< highest sequence number of a processed end, in this incarnation
     EndAcknowledgements acknowledgements;
     TimePoint backoffUntil; ///< receives no tasks until then, after it refused a start
