Count stray runs against the limits of accounts until they have ended

What callers would see: after a takeover, an account starts new tasks up to its limit although runs of a job that it has just cancelled, or that has failed, still go on.

Cause: a reported run that belongs to no task is stopped, and its worker gets no tasks meanwhile, but no account is charged for it. The next owner learns of such a run if its job ended before the stop orders arrived.

Change: such runs are charged until they have ended: with the declared size where it is known, else with the room beside the worker's other runs, since the sizes are not stored for ended jobs. Runs of jobs that are not known any more may belong to any account and are charged to all. An unreachable worker's stray runs are forgotten once its lease has ended.

Test: "an account's limit covers runs of a cancelled job until they have ended" failed before (8 tasks of 4).

--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -253,6 +253,7 @@
     void controlPace(Worker& worker, const PollReport& report);
 
     // Workers (JobSchedulerWorkers.cpp)
+    void forgetStrayRuns(Worker& worker);
     void markRunsLost(const Worker& worker, const char* reason);
     void removeLostWorker(const WorkerId& id, const char* reason);
     void expireWorkers();
@@ -287,7 +288,8 @@
     absl::flat_hash_set<WorkerId> m_storedWorkers; ///< workers in the stored set; only these receive orders
     absl::flat_hash_map<AccountId, Resources> m_usage; ///< resources charged to each account
     UncountedUsage m_uncounted; ///< what runs that are not in `m_usage` may use; too high at worst
-    bool m_uncountedChanged = false; ///< a worker of earlier owners reported or was lost since the last evaluation
+    /// Whether a worker of earlier owners reported or was lost, or stray runs appeared or ended, since the evaluation.
+    bool m_uncountedChanged = false;
     absl::flat_hash_set<AccountId> m_heldBackAccounts; ///< logged as held back by unknown runs
     FailureQuarantine m_quarantine;
     WorkerSpeeds m_speeds;
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -311,9 +311,8 @@
         return;
     const std::size_t silentBefore = m_uncounted.silentWorkers();
     m_uncounted = UncountedUsage(m_jobs, m_workers, m_host.unixMs());
-    if (m_uncounted.silentWorkers() > 0)
-        logHeldBackAccounts();
-    else if (silentBefore > 0)
+    logHeldBackAccounts();
+    if (m_uncounted.silentWorkers() == 0 && silentBefore > 0)
         m_log.record("earlier_workers_located",
             { { "epoch", m_epoch },
                 { "after_ms", std::chrono::duration<double, std::milli>(m_runtime.now() - m_beginTime).count() } });
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -68,7 +68,7 @@
     worker.record.incarnationStartUnixMs = incarnationStartUnixMs;
     worker.lastProcessedEnd = 0;
     worker.acknowledgements.reset();
-    worker.strayRuns.clear();
+    forgetStrayRuns(worker);
     worker.link->resetForNewIncarnation();
     markRunsLost(worker, "worker restarted");
     for (auto& [id, job] : m_jobs) {
@@ -119,8 +119,10 @@
 {
     const TaskKey& key = end.run.task;
     const auto stray = worker.strayRuns.find(key);
-    if (stray != worker.strayRuns.end() && stray->second <= end.run.run)
+    if (stray != worker.strayRuns.end() && stray->second <= end.run.run) {
         worker.strayRuns.erase(stray);
+        m_uncountedChanged = true;
+    }
     Job* job = find(key.job);
     Task* task = job != nullptr ? job->find(key) : nullptr;
     const TimePoint now = m_runtime.now();
@@ -256,7 +258,7 @@
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
     markStarted(*job);
-    worker.strayRuns.erase(key);
+    m_uncountedChanged = worker.strayRuns.erase(key) > 0 || m_uncountedChanged;
     refreshReady(stepOf(key), *job, *job->find(stepOf(key)));
     m_log.record(
         "run_adopted", { { "task", describe(key) }, { "run", task->run }, { "worker", worker.record.id.value() } });
@@ -281,8 +283,10 @@
         taskLost(key, "run missing from the worker's report");
     for (auto it = worker.strayRuns.begin(); it != worker.strayRuns.end();) {
         const auto stray = it++;
-        if (!listed.contains({ stray->first, stray->second }))
-            worker.strayRuns.erase(stray);
+        if (listed.contains({ stray->first, stray->second }))
+            continue;
+        worker.strayRuns.erase(stray);
+        m_uncountedChanged = true;
     }
 }
 
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -306,6 +306,7 @@
     if (!added && it->second >= run.run)
         return;
     it->second = run.run;
+    m_uncountedChanged = true;
     m_log.record("stray_run_stopping",
         { { "task", describe(run.task) }, { "run", run.run }, { "worker", worker.record.id.value() } });
     sendStop(run.task, run.run, worker.record.id);
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -105,6 +105,7 @@
         const TimePoint end = worker.reported ? worker.link->leaseExpiry() : m_unlocatedRunsExpiry;
         if (now < end)
             continue;
+        forgetStrayRuns(worker);
         if (!worker.runs.empty() || !worker.reported) {
             m_uncountedChanged = m_uncountedChanged || !worker.reported;
             worker.reported = true;
@@ -118,6 +119,13 @@
         removeLostWorker(id, "worker is unreachable and not registered");
 }
 
+// Called when they have certainly ended.
+void JobScheduler::forgetStrayRuns(Worker& worker)
+{
+    m_uncountedChanged = m_uncountedChanged || !worker.strayRuns.empty();
+    worker.strayRuns.clear();
+}
+
 // taskLost() removes entries from worker.runs, so the tasks are collected first.
 void JobScheduler::markRunsLost(const Worker& worker, const char* reason)
 {
@@ -135,6 +143,7 @@
         return;
     m_log.record("worker_lost", { { "worker", id.value() }, { "runs", worker->runs.size() }, { "reason", reason } });
     markRunsLost(*worker, reason);
+    forgetStrayRuns(*worker);
     m_uncountedChanged = m_uncountedChanged || !worker->reported;
     m_workers.erase(id);
     m_pools.invalidate();
--- a/src/lycheeledge/jobs/UncountedUsage.cpp
+++ b/src/lycheeledge/jobs/UncountedUsage.cpp
@@ -33,23 +33,51 @@
 
 } // namespace
 
-UncountedUsage::UncountedUsage(
-    const std::map<JobId, std::unique_ptr<Job>>& jobs, const WorkerTable& workers, std::int64_t nowUnixMs)
+UncountedUsage::UncountedUsage(const Jobs& jobs, const WorkerTable& workers, std::int64_t nowUnixMs)
 {
     Resources largest;
     std::size_t unregistered = 0;
     for (const auto& [id, worker] : workers.all()) {
         largest = highest(largest, worker.record.capacity);
+        addStrayRuns(jobs, worker);
         if (!worker.mayHaveEarlierRuns || worker.reported)
             continue;
         ++m_silentWorkers;
         m_silentCapacity += worker.record.capacity;
         unregistered += worker.record.capacity.isZero() ? 1 : 0;
     }
-    if (m_silentWorkers == 0)
-        return;
     // The stored set of workers has no capacities, so one that left the registry counts as large as any.
     m_silentCapacity += largest * static_cast<std::int64_t>(unregistered);
+    if (m_silentWorkers > 0)
+        addUnlocatedTasks(jobs, nowUnixMs);
+}
+
+// A stray run of a job that has ended is as large as the room beside the worker's other runs, at most.
+void UncountedUsage::addStrayRuns(const Jobs& jobs, const Worker& worker)
+{
+    const Resources room = highest(worker.free(), {});
+    absl::flat_hash_set<AccountId> accountsOfEndedJobs;
+    bool isUnattributed = false;
+    for (const auto& [task, run] : worker.strayRuns) {
+        const auto it = jobs.find(task.job);
+        if (it == jobs.end()) {
+            isUnattributed = true;
+            continue;
+        }
+        const Job& job = *it->second;
+        if (task.step < job.spec().steps.size())
+            m_strayRuns[job.submission.account] += job.spec().steps[task.step].request;
+        else
+            accountsOfEndedJobs.insert(job.submission.account);
+    }
+    for (const auto& account : accountsOfEndedJobs)
+        m_strayRuns[account] += room;
+    if (isUnattributed)
+        m_unattributed += room;
+}
+
+void UncountedUsage::addUnlocatedTasks(const Jobs& jobs, std::int64_t nowUnixMs)
+{
     for (const auto& [id, job] : jobs) {
         const AccountId& account = job->submission.account;
         if (mayHaveRunsAfterEnd(*job, nowUnixMs))
@@ -70,13 +98,15 @@
 
 Resources UncountedUsage::of(const AccountId& account) const
 {
+    const auto stray = m_strayRuns.find(account);
+    const Resources reported = m_unattributed + (stray == m_strayRuns.end() ? Resources {} : stray->second);
     if (m_silentWorkers == 0)
-        return {};
+        return reported;
     const auto it = m_tasks.find(account);
     const Tasks tasks = it == m_tasks.end() ? Tasks {} : it->second;
     if (m_accountsWithUnknownTasks.contains(account))
-        return m_silentCapacity + tasks.onIdleCpu;
-    return lowest(tasks.withReservation, m_silentCapacity) + tasks.onIdleCpu;
+        return reported + m_silentCapacity + tasks.onIdleCpu;
+    return reported + lowest(tasks.withReservation, m_silentCapacity) + tasks.onIdleCpu;
 }
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/UncountedUsage.h
+++ b/src/lycheeledge/jobs/UncountedUsage.h
@@ -1,7 +1,8 @@
 // Upper bound of the resources that runs unknown to the owner may use.
 //
-// After a takeover, workers that have not reported yet may run tasks that earlier owners started. The upper limit of a
-// client account covers these runs, too.
+// After a takeover, workers that have not reported yet may run tasks that earlier owners started, and reported runs may
+// belong to no task: their job ended, or their task has another run. The upper limit of a client account covers all of
+// these runs, too.
 #pragma once
 
 #include "Job.h"
@@ -33,17 +34,24 @@
     std::size_t silentWorkers() const { return m_silentWorkers; }
 
 private:
+    using Jobs = std::map<JobId, std::unique_ptr<Job>>;
+
     /** @brief Declared sizes of an account's tasks that may have an unknown run. */
     struct Tasks {
         Resources withReservation;
         Resources onIdleCpu; ///< of these tasks, only the memory is reserved on a worker
     };
 
+    void addStrayRuns(const Jobs& jobs, const Worker& worker);
+    void addUnlocatedTasks(const Jobs& jobs, std::int64_t nowUnixMs);
+
     std::size_t m_silentWorkers = 0;
     Resources m_silentCapacity; ///< of all silent workers together
     absl::flat_hash_map<AccountId, Tasks> m_tasks;
     /// Accounts of jobs that failed or were cancelled recently. The sizes of their tasks are not stored any more.
     absl::flat_hash_set<AccountId> m_accountsWithUnknownTasks;
+    absl::flat_hash_map<AccountId, Resources> m_strayRuns; ///< reported runs that belong to no task
+    Resources m_unattributed; ///< the same, of jobs that are not known any more; may be any account's
 };
 
 } // namespace lycheeledge::jobs
--- a/test/jobs/UnlocatedRunsTest.cpp
+++ b/test/jobs/UnlocatedRunsTest.cpp
@@ -125,3 +125,26 @@
     CHECK(limited.mostRunning(1, 2, seconds(8)) == 4);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("an account's limit covers runs of a cancelled job until they have ended", "[takeover]")
+{
+    // The owner died before its stop orders arrived, and the next one does not know the sizes of the tasks.
+    LimitedCluster limited(2);
+    JobCluster& cluster = limited.cluster;
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(20); };
+    const std::string owner = *cluster.owner();
+    REQUIRE(cluster.submit(owner, "urgent", 1, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    REQUIRE(cluster.submit(owner, "urgent", 2, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 4; }));
+    cluster.addWorker("w2", 8000);
+    cluster.advance(seconds(1));
+    cluster.workers.setDisconnected("w0", true);
+    cluster.workers.setDisconnected("w1", true);
+    const auto reply = cluster.call(owner, CallVerb::Cancel, "/urgent/" + jobName(1));
+    REQUIRE(cluster.waitFor([&] { return reply->has_value(); }, seconds(1)));
+    cluster.kill(owner);
+    cluster.workers.setDisconnected("w0", false);
+    cluster.workers.setDisconnected("w1", false);
+    CHECK(limited.mostRunning(1, 2, seconds(5)) == 4);
+    CHECK(limited.running(2, 2) == 4);
+}
