Deny no queue or key by a configuration that the owner cannot confirm

What callers saw, as reported: a call was refused (404, 401) as an older configuration says, seconds after a newer one was confirmed (CONFIG).

Cause: a call with a known key is refused for a later attempt when the configuration has been unconfirmed for 4.3 s. A call for an unknown queue, or with an unknown key, was denied however old the configuration was: by an owner that the store turns away, or that wakes from a suspension, although its followers are in touch.

Evidence: the test "an owner denies no queue or key by a configuration that it cannot confirm" failed before: 404 and 401 2 s after the change.

--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -60,10 +60,17 @@
     }
     const QueuePolicy* queue = m_configuration->queueOf(call.host, call.path);
     if (queue == nullptr) {
-        reply(failure(ReplyKind::NoSuchQueue, "no queue has this host and path"));
+        if (isConfirmedWithin(m_settings.denialFreshness))
+            reply(failure(ReplyKind::NoSuchQueue, "no queue has this host and path"));
+        else
+            refuseUnconfirmed("", reply);
         return;
     }
     const auto account = accountOf(call, *queue);
+    if (!account && !isConfirmedWithin(m_settings.denialFreshness)) {
+        refuseUnconfirmed(queue->name, reply);
+        return;
+    }
     if (!account) {
         ++m_counters.unauthorized;
         m_log.record("call_unauthorized", { { "queue", queue->name }, { "version", m_configuration->version } });
@@ -72,13 +79,8 @@
     }
     const std::string name = call.path.substr(queue->prefix.size());
     // Submissions are exempt: their commit requires the configuration revision that they were checked against.
-    if (!queue->openToAll && call.verb != CallVerb::Submit
-        && m_runtime.now() - m_confirmedAt > m_settings.keyFreshness) {
-        ++m_counters.refused;
-        m_log.record("call_refused",
-            { { "queue", queue->name }, { "reason", "configuration not confirmed" },
-                { "version", m_configuration->version } });
-        reply(refusal("keys cannot be checked now", 1));
+    if (!queue->openToAll && call.verb != CallVerb::Submit && !isConfirmedWithin(m_settings.keyFreshness)) {
+        refuseUnconfirmed(queue->name, reply);
         return;
     }
     if (call.verb == CallVerb::Read) {
@@ -96,6 +98,17 @@
         cancel(call, JobId(name), std::move(reply));
 }
 
+bool JobService::isConfirmedWithin(Duration limit) const { return m_runtime.now() - m_confirmedAt <= limit; }
+
+void JobService::refuseUnconfirmed(const std::string& queue, const Reply& reply)
+{
+    ++m_counters.refused;
+    m_log.record("call_refused",
+        { { "queue", queue }, { "reason", "configuration not confirmed" }, { "version", m_configuration->version },
+            { "unconfirmed_ms", std::chrono::duration<double, std::milli>(m_runtime.now() - m_confirmedAt).count() } });
+    reply(refusal("the configuration cannot be confirmed now", 1));
+}
+
 void JobService::read(const QueuePolicy& queue, const std::string& name, const Reply& reply)
 {
     ++m_counters.reads;
--- a/src/lycheeledge/jobs/JobService.h
+++ b/src/lycheeledge/jobs/JobService.h
@@ -17,6 +17,9 @@
     /// Calls with a key are refused when the configuration has not been confirmed for this long, because the key may
     /// have been withdrawn meanwhile.
     Duration keyFreshness = std::chrono::milliseconds(4300);
+    /// Calls for an unknown queue, or with an unknown key, are refused for a later attempt instead of denied when the
+    /// configuration has not been confirmed for this long, because the queue or the key may have been added meanwhile.
+    Duration denialFreshness = std::chrono::milliseconds(1700);
     std::uint32_t storeRetryAfterS = 2; ///< Retry-After while the store accepts no commits
 };
 
@@ -80,6 +83,8 @@
     void submit(
         const ClientCall& call, const QueuePolicy& queue, const AccountId& account, const JobId& id, Reply reply);
     void cancel(const ClientCall& call, const JobId& id, Reply reply);
+    bool isConfirmedWithin(Duration limit) const;
+    void refuseUnconfirmed(const std::string& queue, const Reply& reply);
     void read(const QueuePolicy& queue, const std::string& name, const Reply& reply);
     void acceptSubmission(const JobId& id);
     void resolve(const JobId& id, const ClientReply& reply);
--- a/test/jobs/JobServiceTest.cpp
+++ b/test/jobs/JobServiceTest.cpp
@@ -80,6 +80,31 @@
     CHECK(replyOf(cluster, cluster.call("m0", CallVerb::Read, "/urgent/" + jobName(1)))->kind == ReplyKind::Refused);
 }
 
+TEST_CASE("an owner denies no queue or key by a configuration that it cannot confirm", "[service]")
+{
+    // The store turns the owner away while an operator adds a queue and a key, and no member takes over.
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(1, 1000) } };
+    const auto replyTo = [&](const char* queue, const char* key) {
+        return replyOf(cluster, cluster.call("m0", CallVerb::Submit, queue + jobName(1), "x", key))->kind;
+    };
+    CHECK(replyTo("/added/", "key-1") == ReplyKind::NoSuchQueue);
+    CHECK(replyTo("/urgent/", "key-2") == ReplyKind::Unauthorized);
+    cluster.store.setFault(FakeClusterStore::Fault::Silent);
+    auto configuration = simpleConfiguration();
+    configuration.queues[1].prefix = "/added/";
+    configuration.accounts[0].keys.push_back("key-2");
+    cluster.setConfiguration(configuration);
+    cluster.advance(seconds(2)); // changes must be in force 2 s after their confirmation
+    CHECK(replyTo("/added/", "key-1") == ReplyKind::Refused);
+    CHECK(replyTo("/urgent/", "key-2") == ReplyKind::Refused);
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    cluster.advance(seconds(1));
+    CHECK(replyTo("/urgent/", "key-2") == ReplyKind::Accepted);
+}
+
 TEST_CASE("a refused submission never runs", "[service]")
 {
     JobCluster cluster(1);
--- a/test/platform/SettingsTest.cpp
+++ b/test/platform/SettingsTest.cpp
@@ -11,10 +11,11 @@
 
 namespace {
 
-const std::string completeSettings = "node=front-1\nip=10.1.0.17\nzone=north\nlisten.front=10.1.0.17:8183\n"
-                                     "listen.ready=10.1.0.17:8184\ninternalPorts=7420,7435\nplatform.addr=10.2.0.1:80\n"
-                                     "limits.cpuShare=0.25\nbounds.graceS=6\nbounds.revokeMs=5000\nadvice=10.2.0.2:80\n"
-                                     "something.new=1\n";
+const std::string completeSettings
+    = "node=front-1\nip=10.1.0.17\nzone=north\nlisten.front=10.1.0.17:8183\n"
+      "listen.ready=10.1.0.17:8184\ninternalPorts=7420,7435\nplatform.addr=10.2.0.1:80\n"
+      "limits.cpuShare=0.25\nbounds.graceS=6\nbounds.revokeMs=5000\nbounds.configApplyMs=3000\nadvice=10.2.0.2:80\n"
+      "something.new=1\n";
 
 } // namespace
 
@@ -28,6 +29,7 @@
     CHECK(settings->cpuShare == 0.25);
     CHECK(settings->stopGracePeriod == seconds(6));
     CHECK(settings->keyWithdrawalLimit == milliseconds(5000));
+    CHECK(settings->configurationLimit == milliseconds(3000));
     CHECK(settings->admissionAddress == "10.2.0.2:80");
 }
 
