End the ownership once a member finds that the store turns away the owner alone

Cause: the owner asks for a handover after 0.5 to 0.8 s without the store, and a member to which the store answers ends its lease. But the owner went on until another member had claimed and fenced it: it answered reads and known submissions by its configuration for up to 4.3 s, however long the claim took.

Change: that member also returns the owner's request, and the owner ends its ownership at once, unless the store has answered it meanwhile. Its calls go to the next owner. In an outage of the whole store no member answers, so the owner goes on as before.

Test: "an owner that the store turns away serves no calls after a member has found the store to answer" failed before (still the owner, and the state was read by all three members).

--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -148,7 +148,8 @@
 
 // --- Handover ---
 
-// The owner goes on until a member has claimed: known tasks still start meanwhile.
+// The owner goes on until a member confirms that the store answers it: in an outage of the whole store, known tasks
+// still start. From the confirmation on, changes of the configuration may be in force that this owner does not know of.
 void EntryNode::requestHandoverIfNeeded()
 {
     const TimePoint now = m_runtime.now();
@@ -200,6 +201,8 @@
         m_link.setOwner(owner);
 }
 
+void EntryNode::handoverDue(Epoch epoch) { m_link.confirmHandover(epoch); }
+
 double EntryNode::largestCpuShare() const
 {
     double result = std::max(m_cpuShare, m_link.largestCpuShare());
@@ -259,6 +262,8 @@
             completeAdmission(reply->id, reply->grants);
         else
             completeAdmission(reply->id, absl::UnavailableError(reply->error));
+    } else if (const auto* handover = std::get_if<HandoverRequest>(&message)) {
+        m_lease.handoverConfirmed(handover->epoch);
     } else if (const auto* offer = std::get_if<RelayOffer>(&message)) {
         m_relayedWorkers.received(connection, *offer);
     } else if (const auto* batch = std::get_if<WorkerReplyBatch>(&message)) {
--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -82,6 +82,7 @@
     void ownershipGained(Epoch epoch, const std::string& headValue, Revision headRevision) override;
     void ownershipLost(const char* reason) override;
     void ownerChanged(const std::optional<OwnerRecord>& owner) override;
+    void handoverDue(Epoch epoch) override;
     bool ownerIsReachable() const override { return m_link.ownerIsReachable(); }
     double largestCpuShare() const override;
     // OwnerLinkListener
--- a/src/lycheeledge/jobs/MemberMessages.h
+++ b/src/lycheeledge/jobs/MemberMessages.h
@@ -70,7 +70,10 @@
     bool operator==(const Ping&) const = default;
 };
 
-/** @brief Sent by an owner to which the store does not answer: a member to which it answers shall take over. */
+/**
+ * @brief Sent by an owner to which the store does not answer: a member to which it answers shall take over. Such a
+ * member returns the message.
+ */
 struct HandoverRequest {
     Epoch epoch = 0;
 
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -104,13 +104,21 @@
         m_runtime.after(m_settings.handover.memberCheckTime, [this, epoch] {
             checkForHandover(epoch, [this, epoch] {
                 m_handoverEpoch = 0;
-                if (m_runtime.now() - m_handoverRequestedAt < m_settings.handover.requestValidity)
-                    endLeaseOf(*m_owner, "the owner asked for a handover");
+                if (m_runtime.now() - m_handoverRequestedAt >= m_settings.handover.requestValidity)
+                    return;
+                endLeaseOf(*m_owner, "the owner asked for a handover");
+                m_listener->handoverDue(epoch);
             });
         });
     });
 }
 
+void OwnerLease::handoverConfirmed(Epoch epoch)
+{
+    if (m_epoch == epoch && needsHandover())
+        dropOwnership("the store answers other members");
+}
+
 // Calls `done` if the store answers this process and the owner is still the one of this epoch.
 void OwnerLease::checkForHandover(Epoch epoch, const std::function<void()>& done)
 {
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -60,6 +60,8 @@
     virtual void ownershipLost(const char* reason) = 0;
     /** @brief The known owner changed. @param owner another member, or empty if none is known. */
     virtual void ownerChanged(const std::optional<OwnerRecord>& owner) = 0;
+    /** @brief The store answers this process, and the owner of this epoch asked for a handover. */
+    virtual void handoverDue(Epoch epoch) = 0;
     /** @brief Whether messages from the last owner's process still arrive. */
     virtual bool ownerIsReachable() const = 0;
     /** @brief Largest processor share among the members, in cores; 0 if unknown. */
@@ -88,6 +90,9 @@
     /** @brief The owner of this epoch asks for a handover. Ends its lease once the store has answered this process for
      * a while. */
     void handoverRequested(Epoch epoch);
+    /** @brief A member found that the store answers it, so the store turns away this owner alone. Ends the ownership of
+     * this epoch unless the store has answered meanwhile. */
+    void handoverConfirmed(Epoch epoch);
     /** @brief The owner's process has ended: nothing listens at its address. Ends its lease. */
     void ownerProcessEnded();
     /** @brief Confirms the ownership: the store answered a call that this owner sent at this time, in its epoch. */
--- a/src/lycheeledge/jobs/OwnerLink.cpp
+++ b/src/lycheeledge/jobs/OwnerLink.cpp
@@ -109,6 +109,12 @@
     return result;
 }
 
+void OwnerLink::confirmHandover(Epoch epoch)
+{
+    if (m_connection)
+        m_port.send(*m_connection, HandoverRequest { epoch });
+}
+
 void OwnerLink::endCalls()
 {
     m_ended = true;
--- a/src/lycheeledge/jobs/OwnerLink.h
+++ b/src/lycheeledge/jobs/OwnerLink.h
@@ -69,6 +69,8 @@
     void addCall(ClientCall call, TimePoint deadline, Reply reply);
     /** @brief Removes and returns the calls in progress, for this process to handle as the new owner. */
     std::vector<JobService::UnfinishedCall> takeCalls();
+    /** @brief Tells the owner that the store answers this process. Does nothing if no owner is connected. */
+    void confirmHandover(Epoch epoch);
     /** @brief Answers the calls in progress as unknown and refuses new ones, because the process is ending. */
     void endCalls();
     std::size_t callsInProgress() const { return m_calls.size(); }
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -121,6 +121,27 @@
     }
 }
 
+TEST_CASE(
+    "an owner that the store turns away serves no calls after a member has found the store to answer", "[takeover]")
+{
+    // The next owner's claim is delayed. Guards against serving a key that was withdrawn meanwhile.
+    JobCluster cluster(3);
+    addWorkers(cluster, 1);
+    const std::string owner = *cluster.owner();
+    REQUIRE(cluster.submit(owner, "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    REQUIRE(cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
+    cluster.store.setFault(owner, FakeClusterStore::Fault::Refuse);
+    auto configuration = simpleConfiguration();
+    configuration.accounts[0].keys = { "key-2" };
+    cluster.setConfiguration(configuration);
+    REQUIRE(cluster.waitFor([&] { return cluster.log.counts["owner_lease_ending"] > 0; }, seconds(2)));
+    cluster.store.setFault(FakeClusterStore::Fault::Silent);
+    cluster.advance(seconds(1));
+    CHECK_FALSE(cluster.member(owner).node.lease().isOwner());
+    for (const auto& name : cluster.memberNames())
+        CHECK_FALSE(cluster.state(name, "urgent", 1).has_value());
+}
+
 TEST_CASE("an owner whose process was killed is replaced within 0.8 s", "[takeover]")
 {
     // Its lease lasts up to 1.5 s longer, but its address refuses connections.
