Give up tasks that crash the workers that start them

Cause: a task whose worker crashed starts again elsewhere at once, without any count, as runs that are lost are no failed attempts.

Change: a crash is counted against the runs that had just started on that worker, 0.25 s on its own clock; of these, against those under which the most workers have crashed. At the second such crash the job fails, as the platform allows. Tasks with one crash start on one worker each, apart from other suspects, so that the next crash tells the cause from tasks that only ran beside it. Tasks that end by themselves also fail after five crashes at any time, for those that crash their worker late. Drained workers and those in maintenance do not count. The counts are stored with the progress of the job; a record without counts keeps its form.

--- /dev/null
+++ b/src/lycheeledge/jobs/CrashSuspects.cpp
@@ -0,0 +1,54 @@
+// Runs that may be the cause if their worker crashes.
+
+#include "CrashSuspects.h"
+
+#include <algorithm>
+
+namespace lycheeledge::jobs {
+
+void CrashSuspects::add(const RunKey& run, bool repeated)
+{
+    const auto it = m_suspects.find(run.task);
+    if (it != m_suspects.end())
+        erase(it);
+    m_suspects[run.task] = { .run = run.run, .aliveSinceMs = {}, .repeated = repeated };
+    m_repeated += repeated ? 1 : 0;
+}
+
+void CrashSuspects::erase(Map::iterator it)
+{
+    m_repeated -= it->second.repeated ? 1 : 0;
+    m_suspects.erase(it);
+}
+
+void CrashSuspects::clear(const RunKey& run)
+{
+    const auto it = m_suspects.find(run.task);
+    if (it != m_suspects.end() && it->second.run <= run.run)
+        erase(it);
+}
+
+void CrashSuspects::alive(const RunKey& run, std::int64_t clockMs)
+{
+    const auto it = m_suspects.find(run.task);
+    if (it == m_suspects.end() || it->second.run != run.run)
+        return;
+    Suspect& suspect = it->second;
+    if (!suspect.aliveSinceMs)
+        suspect.aliveSinceMs = clockMs;
+    else if (std::chrono::milliseconds(clockMs - *suspect.aliveSinceMs) >= m_aliveFor)
+        erase(it);
+}
+
+std::vector<RunKey> CrashSuspects::take()
+{
+    std::vector<RunKey> result;
+    for (const auto& [task, suspect] : m_suspects)
+        result.push_back({ task, suspect.run });
+    m_suspects.clear();
+    m_repeated = 0;
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+} // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -54,7 +54,8 @@
         .queue = submission.queue,
         .endedUnixMs = endedUnixMs,
         .nextOccurrence = nextOccurrence,
-        .open = {} };
+        .open = {},
+        .crashCounts = {} };
     if (isFinal(state))
         return record;
     for (const auto& [n, occurrence] : open) {
@@ -68,6 +69,9 @@
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                 const Task& task = step.tasks[i];
                 const bool done = task.phase == TaskPhase::Done;
+                if (!done && task.crashes + task.interruptions > 0)
+                    record.crashCounts.push_back(
+                        { n, static_cast<std::uint32_t>(entry.steps.size() - 1), i, task.crashes, task.interruptions });
                 if (done || !task.failedRuns.empty() || !task.checkpoint.empty())
                     progress.tasks.push_back({ i, done, task.failedRuns, done ? std::string() : task.checkpoint });
             }
@@ -112,6 +116,12 @@
             }
         }
     }
+    for (const auto& count : record.crashCounts) {
+        if (Task* task = find(TaskKey { id, count.occurrence, count.step, count.index })) {
+            task->crashes = count.crashes;
+            task->interruptions = count.interruptions;
+        }
+    }
     everStarted = state != JobState::Queued;
 }
 
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -26,6 +26,8 @@
     TaskPhase phase = TaskPhase::Waiting;
     RunNumber run = 0; ///< number of the latest run; 0 before the first start
     std::vector<RunNumber> failedRuns; ///< failed runs that count as attempts
+    std::uint32_t crashes = 0; ///< workers that crashed soon after they had started the task
+    std::uint32_t interruptions = 0; ///< workers that crashed while they ran the task, however long
     WorkerId worker; ///< set exactly while Starting, Running or Stopping, when resources are reserved on it
     TimePoint since; ///< when the phase began
     TimePoint confirmedAt; ///< when the worker confirmed the start or stop order; zero before that
--- a/src/lycheeledge/jobs/JobRecord.h
+++ b/src/lycheeledge/jobs/JobRecord.h
@@ -54,6 +54,17 @@
     bool operator==(const OccurrenceProgress&) const = default;
 };
 
+/** @brief Crashes of workers under a task that is not done. */
+struct CrashCount {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    std::uint32_t crashes = 0; ///< soon after the start of the task
+    std::uint32_t interruptions = 0; ///< at any time
+
+    bool operator==(const CrashCount&) const = default;
+};
+
 /** @brief Progress of a job. Each commit replaces the whole record. */
 struct ProgressRecord {
     JobState state = JobState::Queued;
@@ -63,6 +74,7 @@
     std::uint32_t nextOccurrence = 0; ///< occurrences with lower numbers have been released
     /// Occurrences that are released and not yet done; empty if the state is final.
     std::vector<OccurrenceProgress> open;
+    std::vector<CrashCount> crashCounts; ///< of tasks under which a worker crashed; omitted in the encoding if empty
 
     bool operator==(const ProgressRecord&) const = default;
 };
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -51,6 +51,12 @@
     /// How long unregistered workers are still used: registrations lost in a store outage are restored within 2 s.
     Duration unregisteredGracePeriod = std::chrono::seconds(3);
     Duration failureBackoff = std::chrono::milliseconds(150); ///< delay before a failed task is retried
+    /// Number of workers that crash soon after they have started a task at which its job fails: as many as the platform
+    /// asks a task to be tried on.
+    std::uint32_t crashLimit = 2;
+    /// The same for crashes at any time, for tasks that end by themselves. The platform allows two starts after the
+    /// third crash.
+    std::uint32_t interruptionLimit = 5;
     /// The latency objective allows for one admission call that names 30 workers.
     std::size_t maxWorkersPerAdmissionCall = 30;
     std::size_t maxWorkersPerTicketRenewal = 10; ///< workers named when tickets are renewed
@@ -187,6 +193,8 @@
     void scheduleStep(Job& job, const StepKey& key);
     std::size_t placeTasks(
         Job& job, const StepKey& key, const QueuePolicy& queue, const std::vector<std::uint32_t>& due);
+    /** @brief Selects workers that no task has just started on under which another worker crashed. */
+    std::vector<PlacementCandidate> apartFromSuspects(std::vector<PlacementCandidate> candidates) const;
     bool mayStart(const Job& job);
     bool isPlaceable(const Worker& worker) const;
     /** @brief Workers of the queue's pool on which a task of the step may run now. */
@@ -252,10 +260,22 @@
     void detectMissingRuns(Worker& worker, const absl::flat_hash_set<RunKey>& listed, TimePoint sentAt);
     void controlPace(Worker& worker, const PollReport& report);
 
+    // Crashes of workers (JobSchedulerCrashes.cpp)
+    /**
+     * @brief Counts the end of a worker's incarnation against the tasks that it ran.
+     * @param confirmed the incarnation has ended; otherwise it may only be out of reach.
+     * @return jobs that shall fail once the worker's runs are known to have ended.
+     */
+    std::vector<JobId> recordCrash(Worker& worker, bool confirmed);
+    /** @brief Tasks that may have crashed the worker. Clears its suspects. */
+    std::vector<TaskKey> likeliestCauses(Worker& worker);
+    void failCrashingJobs(const std::vector<JobId>& jobs);
+
     // Workers (JobSchedulerWorkers.cpp)
     void forgetStrayRuns(Worker& worker);
     void markRunsLost(const Worker& worker, const char* reason);
-    void removeLostWorker(const WorkerId& id, const char* reason);
+    /** @param incarnationEnded whether its incarnation has certainly ended. */
+    void removeLostWorker(const WorkerId& id, const char* reason, bool incarnationEnded);
     void expireWorkers();
     void connect(Worker& worker);
     void storeWorkerSet();
--- /dev/null
+++ b/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
@@ -0,0 +1,72 @@
+// Scheduler of the owner: tasks that crash the workers that start them.
+//
+// When a worker crashes, all tasks that it ran start again elsewhere. If one of them was the cause, it crashes worker
+// after worker, so its job fails after a few of them.
+
+#include "JobScheduler.h"
+
+#include <set>
+#include <utility>
+
+namespace lycheeledge::jobs {
+
+std::vector<JobId> JobScheduler::recordCrash(Worker& worker, bool confirmed)
+{
+    const auto causes = likeliestCauses(worker);
+    if (worker.record.draining || worker.inMaintenance)
+        return {};
+    if (!causes.empty() || !worker.runs.empty())
+        m_log.record("worker_crashed",
+            { { "worker", worker.record.id.value() }, { "confirmed", confirmed }, { "runs", worker.runs.size() },
+                { "suspects", causes.size() } });
+    std::set<JobId> changed;
+    std::set<JobId> crashing;
+    for (const auto& key : causes) {
+        changed.insert(key.job);
+        if (++find(key.job)->find(key)->crashes >= m_settings.crashLimit)
+            crashing.insert(key.job);
+    }
+    for (const auto& [key, run] : worker.runs) {
+        Job* job = find(key.job);
+        Task* task = job != nullptr && !isFinal(job->state) ? job->find(key) : nullptr;
+        if (!confirmed || task == nullptr || job->spec().steps[key.step].longRunning)
+            continue;
+        changed.insert(key.job);
+        if (++task->interruptions >= m_settings.interruptionLimit)
+            crashing.insert(key.job);
+    }
+    for (const auto& id : changed)
+        markChanged(*find(id));
+    return { crashing.begin(), crashing.end() };
+}
+
+// Of the tasks that had just been started, those under which the most workers have crashed already.
+std::vector<TaskKey> JobScheduler::likeliestCauses(Worker& worker)
+{
+    std::vector<TaskKey> result;
+    std::uint32_t most = 0;
+    for (const auto& run : worker.crashSuspects.take()) {
+        Job* job = find(run.task.job);
+        const Task* task = job != nullptr && !isFinal(job->state) ? job->find(run.task) : nullptr;
+        if (task == nullptr || task->phase == TaskPhase::Done || task->crashes < most)
+            continue;
+        if (task->crashes > most)
+            result.clear();
+        most = task->crashes;
+        result.push_back(run.task);
+    }
+    return result;
+}
+
+void JobScheduler::failCrashingJobs(const std::vector<JobId>& jobs)
+{
+    for (const auto& id : jobs) {
+        Job* job = find(id);
+        if (job == nullptr || isFinal(job->state))
+            continue;
+        finish(*job, JobState::Failed, "a task crashes the workers that start it");
+        markChanged(*job);
+    }
+}
+
+} // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -289,14 +289,23 @@
     candidate.capacity = worker.record.capacity;
     candidate.hasLatencySensitiveTasks = worker.latencySensitiveRuns > 0;
     candidate.hasIdleCpuTasks = worker.idleCpuRuns > 0;
-    candidate.deprioritized
-        = m_quarantine.isOnProbation(id) || (queue.isUrgent() && m_quarantine.hasRecentFailure(id, m_runtime.now()));
+    candidate.deprioritized = m_quarantine.isOnProbation(id) || worker.crashSuspects.hasRepeated()
+        || (queue.isUrgent() && m_quarantine.hasRecentFailure(id, m_runtime.now()));
     candidate.slowness = m_speeds.slowness(id, worker.record.kind);
     if (spec.maxTasksPerWorker > 0)
         candidate.tasksOfStep = static_cast<std::uint32_t>(std::count_if(step.tasks.begin(), step.tasks.end(),
             [&id](const Task& task) { return task.isAssigned() && task.worker == id; }));
 }
 
+std::vector<PlacementCandidate> JobScheduler::apartFromSuspects(std::vector<PlacementCandidate> candidates) const
+{
+    std::erase_if(candidates, [this](const PlacementCandidate& it) {
+        const Worker* worker = m_workers.find(it.worker);
+        return worker == nullptr || worker->crashSuspects.hasRepeated();
+    });
+    return candidates;
+}
+
 bool JobScheduler::withinLimit(const Job& job, const StepSpec& spec, std::uint32_t count) const
 {
     const ClientAccount* account = m_configuration->account(job.submission.account);
@@ -350,8 +359,15 @@
     if (due.empty() || (spec.gang && due.size() + step->done < step->tasks.size()))
         return;
     std::size_t placed = 0;
-    if (!queue->admission || hasUsableTicket(*step, reservationOf(spec)))
-        placed = placeTasks(job, key, *queue, due);
+    if (!queue->admission || hasUsableTicket(*step, reservationOf(spec))) {
+        // Tasks under which a worker crashed start on one worker each, which tells the cause from the others.
+        const auto suspects = spec.gang
+            ? due.end()
+            : std::stable_partition(due.begin(), due.end(), [step](auto i) { return step->tasks[i].crashes == 0; });
+        placed = placeTasks(job, key, *queue, { due.begin(), suspects });
+        for (auto it = suspects; it != due.end(); ++it)
+            placed += placeTasks(job, key, *queue, { *it });
+    }
     if (placed < due.size() && queue->admission && withinLimit(job, spec, 1))
         requestAdmission(job, key, *queue->admission);
     refreshReady(key, job, *step);
@@ -368,7 +384,10 @@
     const Step& step = *job.find(key);
     const StepSpec& spec = job.spec().steps[key.step];
     const auto goal = queue.isUrgent() ? PlacementGoal::Spread : PlacementGoal::Pack;
-    Placement placement(spec, queue.admission ? candidatesWithTicket(job, key) : candidates(job, key), goal);
+    auto workers = queue.admission ? candidatesWithTicket(job, key) : candidates(job, key);
+    if (!due.empty() && step.tasks[due.front()].crashes > 0 && !spec.gang)
+        workers = apartFromSuspects(std::move(workers));
+    Placement placement(spec, std::move(workers), goal);
     const auto start = [&](std::uint32_t index, std::size_t place, RunNumber run) {
         const WorkerId worker = placement.candidate(place).worker;
         startTask(job, { key.job, key.occurrence, key.step, index }, *m_workers.find(worker), run);
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -70,7 +70,9 @@
     worker.acknowledgements.reset();
     forgetStrayRuns(worker);
     worker.link->resetForNewIncarnation();
+    const auto crashing = recordCrash(worker, true);
     markRunsLost(worker, "worker restarted");
+    failCrashingJobs(crashing);
     for (auto& [id, job] : m_jobs) {
         for (auto& [n, occurrence] : job->open) {
             for (auto& step : occurrence.steps)
@@ -118,6 +120,7 @@
 void JobScheduler::processEnd(Worker& worker, const EndedTask& end)
 {
     const TaskKey& key = end.run.task;
+    worker.crashSuspects.clear(end.run);
     const auto stray = worker.strayRuns.find(key);
     if (stray != worker.strayRuns.end() && stray->second <= end.run.run) {
         worker.strayRuns.erase(stray);
@@ -184,6 +187,7 @@
     absl::flat_hash_set<RunKey> listed;
     for (const auto& running : report.running) {
         listed.insert(running.run);
+        worker.crashSuspects.alive(running.run, report.clockMs);
         const TaskKey& key = running.run.task;
         Job* job = find(key.job);
         Task* task = job != nullptr ? job->find(key) : nullptr;
@@ -252,6 +256,7 @@
         return;
     }
     assignTask(*job, key, worker, running.run.run, TaskPhase::Running);
+    worker.crashSuspects.add(running.run, task->crashes > 0);
     task->confirmedAt = task->since;
     task->isFullRun = false;
     task->progress.reset();
@@ -279,8 +284,10 @@
         if (task->phase != TaskPhase::Starting && task->confirmedAt + delay < sentAt)
             gone.push_back(key);
     }
-    for (const auto& key : gone)
+    for (const auto& key : gone) {
+        worker.crashSuspects.clear({ key, worker.runs.at(key).run });
         taskLost(key, "run missing from the worker's report");
+    }
     for (auto it = worker.strayRuns.begin(); it != worker.strayRuns.end();) {
         const auto stray = it++;
         if (listed.contains({ stray->first, stray->second }))
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -84,6 +84,7 @@
     task.isFullRun = task.checkpoint.empty();
     task.progress.reset();
     task.progressPercent = 0;
+    worker.crashSuspects.add({ key, run }, task.crashes > 0);
     ++m_counters.starts;
     sendStart(key, run, worker.record.id, 1);
 }
@@ -169,6 +170,8 @@
         return;
     const TimePoint now = m_runtime.now();
     if (result.outcome == OrderOutcome::Done) {
+        if (result.clockMs)
+            worker->crashSuspects.alive({ key, run }, *result.clockMs);
         task->phase = TaskPhase::Running;
         task->since = now;
         task->confirmedAt = now;
@@ -227,6 +230,7 @@
         task->notBefore = now + m_settings.failureBackoff;
         break;
     }
+    worker->crashSuspects.clear({ key, run });
     unassignTask(*job, key, *task);
     if (job->find(stepOf(key)) != nullptr && !isFinal(job->state) && job->spec().steps[key.step].gang)
         stopGang(*job, stepOf(key), "start of another gang member was refused");
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -116,7 +116,7 @@
             expired.push_back(id);
     }
     for (const auto& id : expired)
-        removeLostWorker(id, "worker is unreachable and not registered");
+        removeLostWorker(id, "worker is unreachable and not registered", false);
 }
 
 // Called when they have certainly ended.
@@ -136,12 +136,13 @@
         taskLost(task, reason);
 }
 
-void JobScheduler::removeLostWorker(const WorkerId& id, const char* reason)
+void JobScheduler::removeLostWorker(const WorkerId& id, const char* reason, bool incarnationEnded)
 {
     Worker* worker = m_workers.find(id);
     if (worker == nullptr)
         return;
     m_log.record("worker_lost", { { "worker", id.value() }, { "runs", worker->runs.size() }, { "reason", reason } });
+    const auto crashing = recordCrash(*worker, incarnationEnded);
     markRunsLost(*worker, reason);
     forgetStrayRuns(*worker);
     m_uncountedChanged = m_uncountedChanged || !worker->reported;
@@ -151,6 +152,7 @@
     m_quarantine.forget(id);
     m_speeds.forget(id);
     storeWorkerSet();
+    failCrashingJobs(crashing);
     requestPass();
 }
 
@@ -165,7 +167,7 @@
     // Deferred, since the caller may be the worker's own link, which removeLostWorker() destroys.
     m_runtime.post([this, id, session = std::weak_ptr<int>(m_session)] {
         if (!session.expired())
-            removeLostWorker(id, "another worker incarnation answers at its address");
+            removeLostWorker(id, "another worker incarnation answers at its address", true);
     });
 }
 
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -1,6 +1,7 @@
 // The owner's view of the workers: their runs, reserved resources and eligibility for tasks.
 #pragma once
 
+#include "CrashSuspects.h"
 #include "EndAcknowledgements.h"
 #include "FailureQuarantine.h"
 #include "WorkerLink.h"
@@ -35,6 +36,7 @@
     absl::flat_hash_map<TaskKey, PlacedRun> runs;
     /// Reported runs that belong to no task. They are being stopped, and stay listed until they have ended.
     absl::flat_hash_map<TaskKey, RunNumber> strayRuns;
+    CrashSuspects crashSuspects; ///< of this incarnation
     bool inMaintenance = false; ///< draining for planned maintenance of its VM, or down because of it
     bool registered = false; ///< present in the platform's worker list when it was last read
     TimePoint unregisteredSince; ///< time since which it is not registered
@@ -58,6 +60,11 @@
         const auto it = m_workers.find(id);
         return it == m_workers.end() ? nullptr : &it->second;
     }
+    const Worker* find(const WorkerId& id) const
+    {
+        const auto it = m_workers.find(id);
+        return it == m_workers.end() ? nullptr : &it->second;
+    }
     Worker& add(const WorkerId& id) { return m_workers[id]; }
     void erase(const WorkerId& id) { m_workers.erase(id); }
     void clear() { m_workers.clear(); }
--- a/src/lycheeledge/protocol/JobSerialization.h
+++ b/src/lycheeledge/protocol/JobSerialization.h
@@ -45,9 +45,20 @@
     archive(value.occurrence, value.steps);
 }
 
+template <typename Archive> void serialize(Archive& archive, CrashCount& value)
+{
+    archive(value.occurrence, value.step, value.index, value.crashes, value.interruptions);
+}
+
+// Records of jobs under which no worker crashed keep the form that earlier builds read and write.
 template <typename Archive> void serialize(Archive& archive, ProgressRecord& value)
 {
     archive(value.state, value.account, value.queue, value.endedUnixMs, value.nextOccurrence, value.open);
+    bool hasCrashCounts = !value.crashCounts.empty();
+    if constexpr (Archive::is_loading::value)
+        hasCrashCounts = !archive.atEnd();
+    if (hasCrashCounts)
+        archive(value.crashCounts);
 }
 
 template <typename Archive> void serialize(Archive& archive, KnownWorker& value) { archive(value.id, value.address); }
--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -59,6 +59,11 @@
     std::function<std::optional<jobs::OrderOutcome>(const jobs::RunKey&)> refuses
         = [](const jobs::RunKey&) { return std::nullopt; };
     std::function<bool(const std::string& worker)> losesPollResponses = [](const std::string&) { return false; };
+    /// Tasks that crash their worker `crashDelay` after they start. It is back, without its runs, after
+    /// `crashDowntime`.
+    std::function<bool(const jobs::TaskKey&)> crashesWorker = [](const jobs::TaskKey&) { return false; };
+    Duration crashDelay = std::chrono::milliseconds(10);
+    Duration crashDowntime = std::chrono::seconds(3);
     Duration lateOrderDelay = std::chrono::seconds(4); ///< delay of OrderFault::Late
     Duration stopTime = std::chrono::milliseconds(150); ///< from a stop order until the run ends
 
@@ -97,6 +102,16 @@
         worker.disconnected = isDisconnected;
         worker.incarnationStartUnixMs = ++m_lastIncarnationStartUnixMs;
     }
+    /** @brief Restarts a worker that responds to nothing for `crashDowntime`. */
+    void crash(const std::string& id)
+    {
+        endAll(m_workers.at(id), std::nullopt);
+        setDisconnected(id, true);
+        m_runtime.after(crashDowntime, [this, id] {
+            restart(id);
+            setDisconnected(id, false);
+        });
+    }
     /** @brief Processes due ends and lease expirations. The test calls this as it advances the clock. */
     void settle()
     {
@@ -264,6 +279,8 @@
         worker.runs[order.task]
             = { .run = order.run, .startedAt = now, .endsAt = now + duration, .start = m_recordedStarts.size() };
         m_recordedStarts.push_back({ { order.task, order.run }, id, order.checkpoint, m_runtime.now(), {}, {} });
+        if (crashesWorker(order.task))
+            m_runtime.after(crashDelay, [this, id] { crash(id); });
         return orderResult(worker, jobs::OrderOutcome::Done);
     }
 
