Test capacities that shrink and grow under running and stopping tasks

No fault was found: placement uses the capacity in the registry, which is read twice a second, and reservations last until the worker lists the end.

The simulated workers announce another capacity while they run, and check starts against it from then on, or 4.5 s later if it is smaller.

--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -71,6 +71,7 @@
     {
         Worker& worker = m_workers[id];
         worker.capacity = capacity;
+        worker.announced = capacity;
         worker.incarnationStartUnixMs = ++m_lastIncarnationStartUnixMs;
         return record(id, rack);
     }
@@ -83,7 +84,7 @@
         result.rack = rack;
         result.kind = "a";
         result.labels = { "a", rack };
-        result.capacity = m_workers.at(id).capacity;
+        result.capacity = m_workers.at(id).announced;
         result.incarnationStartUnixMs = m_workers.at(id).incarnationStartUnixMs;
         return result;
     }
@@ -95,13 +96,27 @@
     {
         Worker& worker = m_workers.at(id);
         endAll(worker, std::nullopt);
-        const Resources capacity = worker.capacity;
+        const Resources capacity = worker.announced;
         const bool isDisconnected = worker.disconnected;
         worker = Worker {};
         worker.capacity = capacity;
+        worker.announced = capacity;
         worker.disconnected = isDisconnected;
         worker.incarnationStartUnixMs = ++m_lastIncarnationStartUnixMs;
     }
+    /**
+     * @brief Changes the capacity of a worker while it runs. The test registers the new record.
+     * @param countsAfter delay until starts are checked against it.
+     */
+    void setCapacity(const std::string& id, Resources capacity, Duration countsAfter = {})
+    {
+        m_workers.at(id).announced = capacity;
+        m_runtime.after(countsAfter, [this, id, capacity] {
+            Worker& worker = m_workers.at(id);
+            if (worker.announced == capacity)
+                worker.capacity = capacity;
+        });
+    }
     /** @brief Restarts a worker that responds to nothing for `crashDowntime`. */
     void crash(const std::string& id)
     {
@@ -217,7 +232,8 @@
         bool stopping = false;
     };
     struct Worker {
-        Resources capacity;
+        Resources capacity; ///< that starts are checked against
+        Resources announced; ///< that its record contains
         std::int64_t incarnationStartUnixMs = 0;
         bool disconnected = false;
         Epoch epoch = 0;
