Ask for admission again for long-running tasks that ended while others of their step run

Cause: during a backlog at the admission service, overdue steps get a turn ahead of the scheduling order. A step counted as overdue only if none of its tasks ran, so a long-running step that had lost one task waited for the backlog to end.

Change: for a long-running step, each waiting task counts, from the time at which its run ended.

Test: "a long-running task restarts within 6 s although urgent steps wait for admission" failed before.

--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -15,6 +15,16 @@
     return n;
 }
 
+TimePoint Step::waitingSince() const
+{
+    TimePoint result = TimePoint::max();
+    for (const auto& task : tasks) {
+        if (task.phase == TaskPhase::Waiting)
+            result = std::min(result, std::max(releasedAt, task.since));
+    }
+    return result;
+}
+
 Step* Job::find(const StepKey& key)
 {
     const auto it = open.find(key.occurrence);
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -96,6 +96,8 @@
 
     /** @brief Time spent in each phase if the step ends now; nothing if its release or placement time is unknown. */
     std::optional<JobTiming> timing(TimePoint now) const;
+    /** @brief Since when the task that has waited longest waits. There must be one that waits. */
+    TimePoint waitingSince() const;
     /** @brief Number of unavailable tasks, not counting the one at `index`. */
     std::uint32_t unavailableExcept(std::uint32_t index) const;
     bool hasWaiting() const { return done + assigned < tasks.size(); }
--- a/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
@@ -66,7 +66,8 @@
 
 // Answers a backlog of admission calls, for example while one client account sends many times its usual load: calls are
 // made in scheduling order, so without this a step of low priority would wait until the backlog has gone, although
-// there are workers for it. The queues take turns, and within a queue the oldest step comes first.
+// there are workers for it. The queues take turns, and within a queue the oldest step comes first. Long-running tasks
+// have to run all the time, so each of them counts; of other steps, those of which no task runs.
 void JobScheduler::requestOverdueAdmissions()
 {
     const std::size_t limit = m_admission.overdueRelays();
@@ -77,12 +78,14 @@
     for (const auto& key : m_readySteps) {
         Job& job = *m_jobs.at(key.job);
         const Step& step = *job.find(key);
-        if (step.assigned == 0 && !step.admission.requestPending && now - step.releasedAt > m_settings.overdueAfter
-            && now >= step.admission.nextRequestAt)
-            overdue.emplace_back(m_lastOverdueRequest[job.submission.queue], step.releasedAt, key);
+        const bool longRunning = job.spec().steps[key.step].longRunning;
+        const TimePoint since = longRunning ? step.waitingSince() : step.releasedAt;
+        if ((step.assigned == 0 || longRunning) && !step.admission.requestPending
+            && now - since > m_settings.overdueAfter && now >= step.admission.nextRequestAt)
+            overdue.emplace_back(m_lastOverdueRequest[job.submission.queue], since, key);
     }
     std::sort(overdue.begin(), overdue.end());
-    for (const auto& [lastRequest, releasedAt, key] : overdue) {
+    for (const auto& [lastRequest, since, key] : overdue) {
         Job& job = *m_jobs.at(key.job);
         const QueuePolicy* queue = queueOf(job);
         const Step& step = *job.find(key);
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -348,6 +348,7 @@
     --step.assigned;
     task.worker = {};
     task.phase = TaskPhase::Waiting;
+    task.since = m_runtime.now();
     task.confirmedAt = {};
     if (task.doneWhenRunEnds)
         taskDone(job, key, task);
--- a/test/jobs/JobSchedulerTest.cpp
+++ b/test/jobs/JobSchedulerTest.cpp
@@ -491,6 +491,38 @@
     CHECK(cluster.workers.violations().empty());
 }
 
+TEST_CASE("a long-running task restarts within 6 s although urgent steps wait for admission", "[jobs][load]")
+{
+    // Guards against counting its step as served because other tasks of it still run.
+    JobCluster cluster(1);
+    auto configuration = simpleConfiguration();
+    configuration.queues[0].admission
+        = AdmissionPolicy { milliseconds(30), std::chrono::microseconds(400), seconds(2) };
+    configuration.queues[1].admission = AdmissionPolicy { milliseconds(400), milliseconds(6), seconds(2) };
+    cluster.setConfiguration(configuration);
+    cluster.admission.answerTime = milliseconds(60);
+    cluster.workers.runTime
+        = [](const TaskKey& task) { return task.job == JobId(jobName(500)) ? seconds(600) : milliseconds(500); };
+    addWorkers(cluster, 40);
+    auto step = simpleStep(4, 1000);
+    step.longRunning = true;
+    step.maxTasksPerWorker = 2;
+    REQUIRE(cluster.submit("m0", "batch", 500, { .payload = {}, .steps = { step } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 4; }, seconds(5)));
+    cluster.advance(seconds(3)); // the tickets run out
+    for (std::uint64_t n = 1; n <= 300; ++n)
+        REQUIRE(cluster.submit("m0", "urgent", n, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    const auto isRunning = [&] {
+        const auto& starts = cluster.workers.starts();
+        return std::count_if(starts.begin(), starts.end(),
+            [](const auto& it) { return it.run.task.job == JobId(jobName(500)) && !it.endedAt; });
+    };
+    cluster.workers.restart(cluster.workers.starts().front().worker);
+    REQUIRE(isRunning() < 4);
+    CHECK(cluster.waitFor([&] { return isRunning() == 4; }, seconds(6)));
+    CHECK(cluster.workers.violations().empty());
+}
+
 TEST_CASE("steps whose result has expired start in the order of their age", "[jobs][load]")
 {
     const TimePoint now(seconds(100));
