--- a/test/jobs/CrashTest.cpp
+++ b/test/jobs/CrashTest.cpp
@@ -1,6 +1,6 @@
 // Tasks that crash the workers that start them.
 
-#include "support/JobCluster.h"
+#include "support/JobClusterHelpers.h"
 
 #include <catch2/catch.hpp>
 
@@ -16,13 +16,6 @@
 
 JobSpec urgentJob(std::uint32_t tasks) { return { .payload = {}, .steps = { simpleStep(tasks, 1000) } }; }
 
-void addWorkers(JobCluster& cluster, int count)
-{
-    for (int i = 0; i < count; ++i)
-        cluster.addWorker("w" + std::to_string(i), 8000);
-    cluster.advance(seconds(2));
-}
-
 /** @brief The first task of each job up to `lastDeadly` crashes its workers. */
 void makeDeadly(JobCluster& cluster, std::uint64_t lastDeadly)
 {
