--- a/test/jobs/HandoverTest.cpp
+++ b/test/jobs/HandoverTest.cpp
@@ -119,7 +119,8 @@
     cluster.advance(seconds(2));
     CHECK(cluster.owner() == owner);
     CHECK(cluster.member(owner).node.lease().epoch() == 1);
-    CHECK(cluster.submit(cluster.memberNames().front(), "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    CHECK(cluster.submit(
+        cluster.memberNames().front(), "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
 }
 
 TEST_CASE("ownership moves from a small VM to a larger one, and jobs continue", "[takeover]")
