Handle a worker's restart also when the registry tells of it first

In an own test, a worker restarts under the same id behind a cut, and its registry entry is read before it answers: all tasks of the next job run twice (16 starts for 10 tasks), and the end of a task is acknowledged after the task has started again.

Cause: the registry's start time was taken over into the worker's record without ending the runs of the incarnation before. The report that followed had the same start time, so nothing looked like a restart: ends are numbered anew, but those numbers counted as processed and were acknowledged, and crashes were not counted. Starts on the new incarnation were given leases on the clock of the old one.

Why it works: a start time from either source that is neither the known one nor the one before it is a restart. So a registry that lags, a late reply and a VM whose clock was set back do not matter. The link forgets the clock with the incarnation.

--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -247,6 +247,11 @@
     void markChanged(const Job& job, std::function<void()> stored = {});
 
     // Reports (JobSchedulerReports.cpp)
+    /**
+     * @brief Compares the incarnation that the worker or the registry tells of with the known one. The registry may be
+     * ahead of the worker's reports, and clocks are set back, so any start time but the one before is a restart.
+     */
+    void noteIncarnation(Worker& worker, std::int64_t incarnationStartUnixMs);
     void handleWorkerRestart(Worker& worker, std::int64_t incarnationStartUnixMs);
     void processEnds(Worker& worker, const PollReport& report);
     void processEnd(Worker& worker, const EndedTask& end);
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -43,12 +43,9 @@
     Worker* worker = m_workers.find(id);
     if (worker == nullptr)
         return;
-    if (report.incarnationStartUnixMs != 0 && worker->record.incarnationStartUnixMs != 0
-        && report.incarnationStartUnixMs != worker->record.incarnationStartUnixMs
-        && report.incarnationStartUnixMs > worker->record.incarnationStartUnixMs)
-        handleWorkerRestart(*worker, report.incarnationStartUnixMs);
-    else if (report.incarnationStartUnixMs != 0)
-        worker->record.incarnationStartUnixMs = report.incarnationStartUnixMs;
+    if (worker->isEarlierIncarnation(report.incarnationStartUnixMs))
+        return; // sent before the restart
+    noteIncarnation(*worker, report.incarnationStartUnixMs);
     const bool first = !worker->reported;
     worker->reported = true;
     processEnds(*worker, report);
@@ -60,12 +57,23 @@
     }
 }
 
+void JobScheduler::noteIncarnation(Worker& worker, std::int64_t incarnationStartUnixMs)
+{
+    std::int64_t& known = worker.record.incarnationStartUnixMs;
+    if (incarnationStartUnixMs == 0 || incarnationStartUnixMs == known
+        || worker.isEarlierIncarnation(incarnationStartUnixMs))
+        return;
+    if (known != 0)
+        handleWorkerRestart(worker, incarnationStartUnixMs);
+    known = incarnationStartUnixMs;
+}
+
 void JobScheduler::handleWorkerRestart(Worker& worker, std::int64_t incarnationStartUnixMs)
 {
     m_log.record("worker_restarted",
         { { "worker", worker.record.id.value() }, { "born_ms", incarnationStartUnixMs },
             { "runs", worker.runs.size() } });
-    worker.record.incarnationStartUnixMs = incarnationStartUnixMs;
+    worker.earlierIncarnationStartUnixMs = std::exchange(worker.record.incarnationStartUnixMs, incarnationStartUnixMs);
     worker.lastProcessedEnd = 0;
     worker.acknowledgements.reset();
     forgetStrayRuns(worker);
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -42,11 +42,10 @@
         hasNewWorker = hasNewWorker || !m_storedWorkers.contains(record.id);
         const bool drains = record.draining && !known->record.draining;
         const bool moved = record.address != known->record.address;
-        // The registry may lag behind the worker's own reports.
-        const std::int64_t incarnationStartUnixMs
-            = std::max(record.incarnationStartUnixMs, known->record.incarnationStartUnixMs);
+        noteIncarnation(*known, record.incarnationStartUnixMs);
+        const std::int64_t incarnationStartUnixMs = known->record.incarnationStartUnixMs;
         known->record = record;
-        known->record.incarnationStartUnixMs = incarnationStartUnixMs;
+        known->record.incarnationStartUnixMs = incarnationStartUnixMs; // the registry may lag behind reports
         known->registered = true;
         if (moved)
             connect(*known);
--- a/src/lycheeledge/jobs/WorkerLink.cpp
+++ b/src/lycheeledge/jobs/WorkerLink.cpp
@@ -50,6 +50,7 @@
 {
     m_acknowledgedEnd = 0;
     m_lastListedEnd = 0;
+    m_clockMs.reset();
     m_leaseExpiry = m_runtime.now();
 }
 
@@ -117,13 +118,15 @@
         return;
     }
     m_failures = 0;
-    recordClock(result.report.clockMs);
     for (const auto& end : result.report.ended)
         m_lastListedEnd = std::max(m_lastListedEnd, end.sequence);
     const std::weak_ptr<bool> alive = m_alive;
     setReachable(true);
     m_listener.workerReported(m_target.id, result.report, sentAt);
-    if (alive.expired() || m_polling || m_timer)
+    if (alive.expired())
+        return;
+    recordClock(result.report.clockMs);
+    if (m_polling || m_timer)
         return;
     if (m_acknowledgedEnd >= m_lastListedEnd)
         poll();
--- /dev/null
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -0,0 +1,30 @@
+// Workers that restart under the same id while the owner cannot reach them.
+
+#include "support/JobClusterHelpers.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheeledge;
+using namespace lycheeledge::jobs;
+using namespace lycheeledge::test;
+using std::chrono::seconds;
+
+TEST_CASE("no task runs twice on a worker whose restart the registry told before the worker itself", "[jobs][crash]")
+{
+    // The numbering of ends begins anew, so the new ends have numbers that the owner has already acknowledged.
+    JobCluster cluster(1);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(1); };
+    addWorkers(cluster, 1);
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(6, 1000) } }));
+    REQUIRE(cluster.waitForState(1, "batch", JobState::Completed, seconds(5)));
+    cluster.advance(seconds(1));
+    cluster.workers.setDisconnected("w0", true);
+    cluster.workers.restart("w0");
+    cluster.registerWorker(cluster.workers.record("w0"));
+    cluster.advance(seconds(2));
+    cluster.workers.setDisconnected("w0", false);
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    CHECK(cluster.waitForState(2, "batch", JobState::Completed, seconds(10)));
+    CHECK(cluster.workers.starts().size() == 10);
+    CHECK(cluster.workers.violations().empty());
+}
