Charge accounts for the runs of ended jobs by their sizes, also across a takeover

In own tests, an account with a limit of 4 tasks had 7 running after a takeover: the new owner started tasks beside those of a job that was cancelled just before. And an account was held back as a whole, for as long as any worker was silent, because of one cancelled job that ran on none of them.

Cause: the spec of a job is dropped once its end is stored, so the next owner guessed the sizes of its runs from the room of their workers. That is too low where a worker's capacity has shrunk below what it runs, and for tasks on idle CPU, which no capacity bounds; and it is the whole capacity of all silent workers otherwise.

Why it works: the stored progress of a job that failed or was cancelled says what its runs could use at that time. Both bounds follow from it, on whichever workers the runs are; capacity bounds only what reserves it.

Records of jobs that end without runs keep their form; an earlier build cannot read the others.

--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -7,6 +7,24 @@
 
 namespace lycheeledge::jobs {
 
+namespace {
+
+    template <typename Predicate> RunUsage usageOfTasks(const Job& job, Predicate predicate)
+    {
+        RunUsage result;
+        for (const auto& [n, occurrence] : job.open) {
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const auto& tasks = occurrence.steps[i].tasks;
+                const StepSpec& spec = job.spec().steps[i];
+                const auto count = std::count_if(tasks.begin(), tasks.end(), predicate);
+                result += { .reserved = reservationOf(spec) * count, .charged = spec.request * count };
+            }
+        }
+        return result;
+    }
+
+} // namespace
+
 std::uint32_t Step::unavailableExcept(std::uint32_t index) const
 {
     std::uint32_t n = 0;
@@ -57,6 +75,16 @@
     return JobTiming { .admission = granted - releasedAt, .placement = placedAt - granted, .running = now - placedAt };
 }
 
+RunUsage Job::assignedUsage() const
+{
+    return usageOfTasks(*this, [](const Task& task) { return task.isAssigned(); });
+}
+
+RunUsage Job::waitingUsage() const
+{
+    return usageOfTasks(*this, [](const Task& task) { return task.phase == TaskPhase::Waiting; });
+}
+
 ProgressRecord Job::progress() const
 {
     ProgressRecord record { .state = state,
@@ -65,7 +93,8 @@
         .endedUnixMs = endedUnixMs,
         .nextOccurrence = nextOccurrence,
         .open = {},
-        .crashCounts = {} };
+        .crashCounts = {},
+        .runsAtEnd = runsAtEnd };
     if (isFinal(state))
         return record;
     for (const auto& [n, occurrence] : open) {
@@ -97,6 +126,7 @@
     storedState = record.state;
     nextOccurrence = record.nextOccurrence;
     endedUnixMs = record.endedUnixMs;
+    runsAtEnd = record.runsAtEnd;
     open.clear();
     for (const auto& entry : record.open) {
         Occurrence& occurrence = openOccurrence(entry.occurrence, now);
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -121,11 +121,17 @@
     std::uint32_t nextOccurrence = 0;
     std::map<std::uint32_t, Occurrence> open;
     std::int64_t endedUnixMs = 0;
+    RunUsage runsAtEnd; ///< of the runs that could exist when the job failed or was cancelled
     JobTiming timing;
-    /// After a takeover, unlocated tasks of the job may run on workers that have not reported yet.
+    /// After a takeover, unlocated tasks of the job may run on workers that have not reported yet. So may tasks of a
+    /// job that had ended before.
     bool mayHaveUnlocatedRuns = false;
 
     const JobSpec& spec() const { return submission.spec; }
+    /** @brief Of all tasks that are assigned to a worker. */
+    RunUsage assignedUsage() const;
+    /** @brief Of all tasks that wait, as if each had a run. */
+    RunUsage waitingUsage() const;
     Task* find(const TaskKey& key);
     Step* find(const StepKey& key);
     /** @brief Adds an occurrence, with all of its tasks waiting. */
--- a/src/lycheeledge/jobs/JobRecord.h
+++ b/src/lycheeledge/jobs/JobRecord.h
@@ -65,6 +65,21 @@
     bool operator==(const CrashCount&) const = default;
 };
 
+/** @brief Resources of a set of runs. */
+struct RunUsage {
+    Resources reserved; ///< on their workers
+    Resources charged; ///< counted against the upper limit of the client account
+
+    bool operator==(const RunUsage&) const = default;
+
+    RunUsage& operator+=(const RunUsage& other)
+    {
+        reserved += other.reserved;
+        charged += other.charged;
+        return *this;
+    }
+};
+
 /** @brief Progress of a job. Each commit replaces the whole record. */
 struct ProgressRecord {
     JobState state = JobState::Queued;
@@ -75,6 +90,8 @@
     /// Occurrences that are released and not yet done; empty if the state is final.
     std::vector<OccurrenceProgress> open;
     std::vector<CrashCount> crashCounts; ///< of tasks under which a worker crashed; omitted in the encoding if empty
+    /// Of the runs that could exist when the job failed or was cancelled; omitted in the encoding if zero.
+    RunUsage runsAtEnd;
 
     bool operator==(const ProgressRecord&) const = default;
 };
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -104,6 +104,7 @@
         }
         job->restore(*progress, m_runtime.now());
     }
+    job->mayHaveUnlocatedRuns = true;
     if (isFinal(job->state)) {
         m_finishedJobs.emplace(job->endedUnixMs, id);
         m_jobs[id] = std::move(job);
@@ -113,7 +114,6 @@
         m_log.record("job_without_submission", { { "job", id.value() } });
         return;
     }
-    job->mayHaveUnlocatedRuns = true;
     const Duration age
         = std::chrono::milliseconds(std::max<std::int64_t>(0, m_host.unixMs() - job->submission.acceptedUnixMs));
     Job& stored = *(m_jobs[id] = std::move(job));
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -451,6 +451,11 @@
 {
     job.state = state;
     job.endedUnixMs = m_host.unixMs();
+    if (state != JobState::Completed) {
+        job.runsAtEnd = job.assignedUsage();
+        if (!mayStart(job))
+            job.runsAtEnd += job.waitingUsage();
+    }
     m_finishedJobs.emplace(job.endedUnixMs, job.id);
     m_scheduledJobs.erase(job.id);
     for (const auto& [n, occurrence] : job.open) {
--- a/src/lycheeledge/jobs/JobSpec.cpp
+++ b/src/lycheeledge/jobs/JobSpec.cpp
@@ -6,6 +6,14 @@
 
 namespace lycheeledge::jobs {
 
+Resources reservationOf(const StepSpec& step)
+{
+    Resources result = step.request;
+    if (step.usesIdleCpu)
+        result.milliCpu = 0;
+    return result;
+}
+
 bool isLongRunning(const JobSpec& spec)
 {
     return std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) { return step.longRunning; });
--- a/src/lycheeledge/jobs/JobSpec.h
+++ b/src/lycheeledge/jobs/JobSpec.h
@@ -103,6 +103,9 @@
     std::uint32_t occurrenceCount() const { return isScheduled() ? repetitions : 1; }
 };
 
+/** @brief Resources that a task reserves on its worker. A task that uses idle CPU reserves no CPU. */
+Resources reservationOf(const StepSpec& step);
+
 /** @brief Whether any step runs until the job is cancelled. */
 bool isLongRunning(const JobSpec& spec);
 
--- a/src/lycheeledge/jobs/Placement.cpp
+++ b/src/lycheeledge/jobs/Placement.cpp
@@ -21,14 +21,6 @@
 
 } // namespace
 
-Resources reservationOf(const StepSpec& step)
-{
-    Resources result = step.request;
-    if (step.usesIdleCpu)
-        result.milliCpu = 0;
-    return result;
-}
-
 Placement::Placement(const StepSpec& step, std::vector<PlacementCandidate> candidates, PlacementGoal goal)
     : m_step(step)
     , m_candidates(std::move(candidates))
--- a/src/lycheeledge/jobs/Placement.h
+++ b/src/lycheeledge/jobs/Placement.h
@@ -65,7 +65,4 @@
     Resources m_reservation;
 };
 
-/** @brief Resources that a task reserves on its worker. A task that uses idle CPU reserves no CPU. */
-Resources reservationOf(const StepSpec& step);
-
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/UncountedUsage.cpp
+++ b/src/lycheeledge/jobs/UncountedUsage.cpp
@@ -25,21 +25,16 @@
             std::max(a.connections, b.connections) };
     }
 
-    bool mayHaveRunsAfterEnd(const Job& job, std::int64_t nowUnixMs)
-    {
-        return (job.state == JobState::Cancelled || job.state == JobState::Failed)
-            && nowUnixMs - job.endedUnixMs < recentEndMs;
-    }
-
 } // namespace
 
 UncountedUsage::UncountedUsage(const Jobs& jobs, const WorkerTable& workers, std::int64_t nowUnixMs)
 {
     Resources largest;
     std::size_t unregistered = 0;
+    absl::flat_hash_set<JobId> endedJobs;
     for (const auto& [id, worker] : workers.all()) {
         largest = highest(largest, worker.record.capacity);
-        addStrayRuns(jobs, worker);
+        addStrayRuns(jobs, worker, endedJobs);
         if (!worker.mayHaveEarlierRuns || worker.reported)
             continue;
         ++m_silentWorkers;
@@ -52,11 +47,12 @@
         addUnlocatedTasks(jobs, nowUnixMs);
 }
 
-// A stray run of a job that has ended is as large as the room beside the worker's other runs, at most.
-void UncountedUsage::addStrayRuns(const Jobs& jobs, const Worker& worker)
+// The sizes of the tasks of a job that has ended are not stored any more. All its runs together are as large as those
+// that it had at its end; a run that it was not known to have then, as the room beside the worker's other runs.
+void UncountedUsage::addStrayRuns(const Jobs& jobs, const Worker& worker, absl::flat_hash_set<JobId>& endedJobs)
 {
     const Resources room = highest(worker.free(), {});
-    absl::flat_hash_set<AccountId> accountsOfEndedJobs;
+    absl::flat_hash_set<AccountId> accountsOfUnknownRuns;
     bool isUnattributed = false;
     for (const auto& [task, run] : worker.strayRuns) {
         const auto it = jobs.find(task.job);
@@ -67,10 +63,12 @@
         const Job& job = *it->second;
         if (task.step < job.spec().steps.size())
             m_strayRuns[job.submission.account] += job.spec().steps[task.step].request;
-        else
-            accountsOfEndedJobs.insert(job.submission.account);
+        else if (job.runsAtEnd == RunUsage {})
+            accountsOfUnknownRuns.insert(job.submission.account);
+        else if (endedJobs.insert(job.id).second)
+            m_strayRuns[job.submission.account] += job.runsAtEnd.charged;
     }
-    for (const auto& account : accountsOfEndedJobs)
+    for (const auto& account : accountsOfUnknownRuns)
         m_strayRuns[account] += room;
     if (isUnattributed)
         m_unattributed += room;
@@ -79,20 +77,12 @@
 void UncountedUsage::addUnlocatedTasks(const Jobs& jobs, std::int64_t nowUnixMs)
 {
     for (const auto& [id, job] : jobs) {
-        const AccountId& account = job->submission.account;
-        if (mayHaveRunsAfterEnd(*job, nowUnixMs))
-            m_accountsWithUnknownTasks.insert(account);
-        if (isFinal(job->state) || !job->mayHaveUnlocatedRuns)
+        if (!job->mayHaveUnlocatedRuns)
             continue;
-        Tasks& tasks = m_tasks[account];
-        for (const auto& [n, occurrence] : job->open) {
-            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-                const StepSpec& spec = job->spec().steps[i];
-                const auto waiting = std::count_if(occurrence.steps[i].tasks.begin(), occurrence.steps[i].tasks.end(),
-                    [](const Task& task) { return task.phase == TaskPhase::Waiting; });
-                (spec.usesIdleCpu ? tasks.onIdleCpu : tasks.withReservation) += spec.request * waiting;
-            }
-        }
+        if (!isFinal(job->state))
+            m_unlocated[job->submission.account] += job->waitingUsage();
+        else if (nowUnixMs - job->endedUnixMs < recentEndMs)
+            m_unlocated[job->submission.account] += job->runsAtEnd;
     }
 }
 
@@ -102,11 +92,12 @@
     const Resources reported = m_unattributed + (stray == m_strayRuns.end() ? Resources {} : stray->second);
     if (m_silentWorkers == 0)
         return reported;
-    const auto it = m_tasks.find(account);
-    const Tasks tasks = it == m_tasks.end() ? Tasks {} : it->second;
-    if (m_accountsWithUnknownTasks.contains(account))
-        return reported + m_silentCapacity + tasks.onIdleCpu;
-    return reported + lowest(tasks.withReservation, m_silentCapacity) + tasks.onIdleCpu;
+    const auto it = m_unlocated.find(account);
+    if (it == m_unlocated.end())
+        return reported;
+    // Only what is reserved on a worker is bounded by its capacity.
+    const auto& [reserved, charged] = it->second;
+    return reported + lowest(reserved, m_silentCapacity) + (charged - reserved);
 }
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/UncountedUsage.h
+++ b/src/lycheeledge/jobs/UncountedUsage.h
@@ -36,20 +36,12 @@
 private:
     using Jobs = std::map<JobId, std::unique_ptr<Job>>;
 
-    /** @brief Declared sizes of an account's tasks that may have an unknown run. */
-    struct Tasks {
-        Resources withReservation;
-        Resources onIdleCpu; ///< of these tasks, only the memory is reserved on a worker
-    };
-
-    void addStrayRuns(const Jobs& jobs, const Worker& worker);
+    void addStrayRuns(const Jobs& jobs, const Worker& worker, absl::flat_hash_set<JobId>& endedJobs);
     void addUnlocatedTasks(const Jobs& jobs, std::int64_t nowUnixMs);
 
     std::size_t m_silentWorkers = 0;
     Resources m_silentCapacity; ///< of all silent workers together
-    absl::flat_hash_map<AccountId, Tasks> m_tasks;
-    /// Accounts of jobs that failed or were cancelled recently. The sizes of their tasks are not stored any more.
-    absl::flat_hash_set<AccountId> m_accountsWithUnknownTasks;
+    absl::flat_hash_map<AccountId, RunUsage> m_unlocated; ///< of tasks that may have a run on a silent worker
     absl::flat_hash_map<AccountId, Resources> m_strayRuns; ///< reported runs that belong to no task
     Resources m_unattributed; ///< the same, of jobs that are not known any more; may be any account's
 };
--- a/src/lycheeledge/protocol/JobSerialization.h
+++ b/src/lycheeledge/protocol/JobSerialization.h
@@ -50,15 +50,26 @@
     archive(value.occurrence, value.step, value.index, value.crashes, value.interruptions);
 }
 
-// Records of jobs under which no worker crashed keep the form that earlier builds read and write.
+template <typename Archive> void serialize(Archive& archive, RunUsage& value)
+{
+    archive(value.reserved, value.charged);
+}
+
+// Records of jobs under which no worker crashed, and that ended without runs, keep the form that earlier builds read
+// and write.
 template <typename Archive> void serialize(Archive& archive, ProgressRecord& value)
 {
     archive(value.state, value.account, value.queue, value.endedUnixMs, value.nextOccurrence, value.open);
-    bool hasCrashCounts = !value.crashCounts.empty();
+    bool hasRunsAtEnd = value.runsAtEnd != RunUsage {};
+    bool hasCrashCounts = hasRunsAtEnd || !value.crashCounts.empty();
     if constexpr (Archive::is_loading::value)
         hasCrashCounts = !archive.atEnd();
     if (hasCrashCounts)
         archive(value.crashCounts);
+    if constexpr (Archive::is_loading::value)
+        hasRunsAtEnd = !archive.atEnd();
+    if (hasRunsAtEnd)
+        archive(value.runsAtEnd);
 }
 
 template <typename Archive> void serialize(Archive& archive, KnownWorker& value) { archive(value.id, value.address); }
--- a/test/jobs/UnlocatedRunsTest.cpp
+++ b/test/jobs/UnlocatedRunsTest.cpp
@@ -51,6 +51,14 @@
         return *cluster.owner();
     }
 
+    /** @brief Announces a capacity of half a core for a worker, less than any task. Its runs go on. */
+    void shrink(const std::string& worker)
+    {
+        cluster.workers.setCapacity(worker, capacityOf(500));
+        cluster.registerWorker(cluster.workers.record(worker));
+        cluster.advance(seconds(1));
+    }
+
     /** @brief Number of running tasks of jobs from `first` to `last`. */
     std::size_t running(std::uint64_t first, std::uint64_t last) const
     {
@@ -148,3 +156,70 @@
     CHECK(limited.mostRunning(1, 2, seconds(5)) == 4);
     CHECK(limited.running(2, 2) == 4);
 }
+
+TEST_CASE(
+    "an account's limit covers runs of a cancelled job on workers that have shrunk below them", "[takeover][capacity]")
+{
+    LimitedCluster limited(2);
+    JobCluster& cluster = limited.cluster;
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(20); };
+    cluster.workers.stopTime = seconds(3);
+    const std::string owner = *cluster.owner();
+    REQUIRE(cluster.submit(owner, "urgent", 1, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    REQUIRE(cluster.submit(owner, "urgent", 2, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 4; }));
+    cluster.addWorker("w2", 8000);
+    cluster.advance(seconds(1));
+    limited.shrink("w0");
+    limited.shrink("w1");
+    cluster.workers.setDisconnected("w0", true);
+    cluster.workers.setDisconnected("w1", true);
+    const auto reply = cluster.call(owner, CallVerb::Cancel, "/urgent/" + jobName(1));
+    REQUIRE(cluster.waitFor([&] { return reply->has_value(); }, seconds(1)));
+    cluster.kill(owner);
+    cluster.workers.setDisconnected("w0", false);
+    cluster.workers.setDisconnected("w1", false);
+    CHECK(limited.mostRunning(1, 2, seconds(8)) == 4);
+    CHECK(limited.running(2, 2) == 4);
+}
+
+TEST_CASE("a cancelled job holds back its account by no more than it ran", "[takeover]")
+{
+    // One of its tasks ran on a worker that stays silent; the others of the account go on.
+    LimitedCluster limited(3);
+    JobCluster& cluster = limited.cluster;
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(20); };
+    const std::string owner = *cluster.owner();
+    REQUIRE(cluster.submit(owner, "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 1; }));
+    const auto reply = cluster.call(owner, CallVerb::Cancel, "/urgent/" + jobName(1));
+    REQUIRE(cluster.waitFor([&] { return reply->has_value(); }, seconds(1)));
+    cluster.advance(seconds(1));
+    const auto next = limited.replaceOwner([](const std::string& worker) { return worker != "w0"; });
+    REQUIRE(cluster.submit(next, "urgent", 2, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    CHECK(cluster.waitFor([&] { return limited.running(2, 2) == 3; }, milliseconds(500)));
+    CHECK(limited.mostRunning(1, 2, seconds(3)) == 3);
+}
+
+TEST_CASE("an account's limit covers the idle CPU that a cancelled job uses on silent workers", "[takeover]")
+{
+    // Tasks on idle CPU reserve none, so the capacity of a worker does not bound what they use.
+    LimitedCluster limited(2);
+    JobCluster& cluster = limited.cluster;
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(20); };
+    cluster.workers.stopTime = seconds(20);
+    const std::string owner = *cluster.owner();
+    auto step = simpleStep(4, 1000);
+    step.usesIdleCpu = true;
+    REQUIRE(cluster.submit(owner, "urgent", 1, { .payload = {}, .steps = { step } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 4; }));
+    limited.shrink("w0");
+    limited.shrink("w1");
+    cluster.addWorker("w2", 8000);
+    cluster.advance(seconds(1));
+    const auto reply = cluster.call(owner, CallVerb::Cancel, "/urgent/" + jobName(1));
+    REQUIRE(cluster.waitFor([&] { return reply->has_value(); }, seconds(1)));
+    const auto next = limited.replaceOwner([](const std::string& worker) { return worker == "w2"; });
+    REQUIRE(cluster.submit(next, "urgent", 2, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    CHECK(limited.mostRunning(1, 2, seconds(3)) == 4);
+}
