Take only a changed registry entry for news of a worker's restart

What callers would have seen: after two restarts of a worker within the lag of its registry entry, or with an entry that is never renewed, each read of the registry ended the worker's runs, and its tasks ran twice.

Cause: only the incarnation before the known one was recognized as earlier, not those before it.

Why it works: an entry that has not changed since the last read tells nothing new; one that changes names the incarnation that wrote it.

Measured: the new test in WorkerRestartTest fails on the code before (the job never completes, its tasks are ended twice a second) and passes.

--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -31,6 +31,7 @@
         if (known == nullptr) {
             Worker& worker = m_workers.add(record.id);
             worker.record = record;
+            worker.registeredIncarnationStartUnixMs = record.incarnationStartUnixMs;
             worker.registered = true;
             connect(worker);
             hasNewWorker = hasNewWorker || !m_storedWorkers.contains(record.id);
@@ -42,10 +43,13 @@
         hasNewWorker = hasNewWorker || !m_storedWorkers.contains(record.id);
         const bool drains = record.draining && !known->record.draining;
         const bool moved = record.address != known->record.address;
-        noteIncarnation(*known, record.incarnationStartUnixMs);
+        // An unchanged entry of the registry may be older than the worker's reports.
+        if (std::exchange(known->registeredIncarnationStartUnixMs, record.incarnationStartUnixMs)
+            != record.incarnationStartUnixMs)
+            noteIncarnation(*known, record.incarnationStartUnixMs);
         const std::int64_t incarnationStartUnixMs = known->record.incarnationStartUnixMs;
         known->record = record;
-        known->record.incarnationStartUnixMs = incarnationStartUnixMs; // the registry may lag behind reports
+        known->record.incarnationStartUnixMs = incarnationStartUnixMs;
         known->registered = true;
         if (moved)
             connect(*known);
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -42,6 +42,7 @@
     TimePoint unregisteredSince; ///< time since which it is not registered
     bool reported = false; ///< has sent a report in the current epoch
     bool mayHaveEarlierRuns = false; ///< earlier owners may have sent it orders
+    std::int64_t registeredIncarnationStartUnixMs = 0; ///< as last read from the registry
     /// Start of the incarnation before this one, of which the registry or a late reply may still tell; 0 if none.
     std::int64_t earlierIncarnationStartUnixMs = 0;
     std::uint64_t lastProcessedEnd = 0; ///< highest sequence number of a processed end, in this incarnation
--- a/test/jobs/WorkerRestartTest.cpp
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -28,3 +28,18 @@
     CHECK(cluster.workers.starts().size() == 10);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("a registry entry from before two restarts of its worker ends no runs", "[jobs][crash]")
+{
+    JobCluster cluster(1);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(4); };
+    addWorkers(cluster, 2);
+    for (int i = 0; i < 2; ++i) {
+        cluster.workers.restart("w0");
+        cluster.advance(seconds(2));
+    }
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(12, 1000) } }));
+    CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(10)));
+    CHECK(cluster.workers.starts().size() == 12);
+    CHECK(cluster.workers.violations().empty());
+}
