Bound unknown runs by the largest capacity that a silent worker has announced

In an own test an account with a limit of 4 tasks had 5 running: one of its workers shrank below what it ran, the owner died, and the next one, which that worker did not answer, bounded the unknown runs by the smaller capacity.

Cause: runs outlive the capacity under which they were placed, but only the announced capacity was known.

Why it works: the largest capacity that a worker has announced to any owner is stored beside the set of workers, in a record of its own, so that earlier builds still read the set. It also bounds stray runs whose sizes are not known. Both records are read side by side, so that a takeover takes no longer.

--- a/src/lycheeledge/jobs/GroupCommitQueue.cpp
+++ b/src/lycheeledge/jobs/GroupCommitQueue.cpp
@@ -156,9 +156,10 @@
         batch.writesWorkers = true;
         batch.workersStored = std::exchange(m_workersStored, {});
         transaction.puts.push_back({ m_keys.workers, m_codec.encode(*m_workers), std::nullopt });
+        transaction.puts.push_back({ m_keys.workerCapacities, m_codec.encodeCapacities(*m_workers), std::nullopt });
         m_workers.reset();
     }
-    std::size_t n = reservedEntries;
+    std::size_t n = reservedEntries + (batch.writesWorkers ? 1 : 0); // the capacities of the worker set
     while (!m_dirty.empty() && n + maxEntriesPerJob <= m_settings.maxEntries
         && sizeOf(transaction) < m_settings.maxBatchBytes) {
         const JobId job = std::move(m_dirty.front());
--- a/src/lycheeledge/jobs/GroupCommitQueue.h
+++ b/src/lycheeledge/jobs/GroupCommitQueue.h
@@ -34,6 +34,7 @@
     std::string submissionPrefix = "lycheeledge/submission/";
     std::string progressPrefix = "lycheeledge/progress/";
     std::string workers = "lycheeledge/workers";
+    std::string workerCapacities = "lycheeledge/worker-capacities";
 };
 
 /**
--- a/src/lycheeledge/jobs/JobRecord.h
+++ b/src/lycheeledge/jobs/JobRecord.h
@@ -100,6 +100,7 @@
 struct KnownWorker {
     WorkerId id;
     std::string address;
+    Resources largestCapacity; ///< that it has announced; stored in a record of its own; zero if unknown
 
     bool operator==(const KnownWorker&) const = default;
 };
@@ -118,10 +119,14 @@
 
     virtual std::string encode(const SubmissionRecord& record) const = 0;
     virtual std::string encode(const ProgressRecord& record) const = 0;
+    /** @brief Without the capacities: earlier builds read and write this form. */
     virtual std::string encode(const WorkerSetRecord& record) const = 0;
+    virtual std::string encodeCapacities(const WorkerSetRecord& record) const = 0;
     virtual absl::StatusOr<SubmissionRecord> decodeSubmission(std::string_view buf) const = 0;
     virtual absl::StatusOr<ProgressRecord> decodeProgress(std::string_view buf) const = 0;
     virtual absl::StatusOr<WorkerSetRecord> decodeWorkerSet(std::string_view buf) const = 0;
+    /** @brief Sets the capacities of the workers in `record` that `buf` names, and leaves the others. */
+    virtual absl::Status decodeCapacities(std::string_view buf, WorkerSetRecord& record) const = 0;
 };
 
 } // namespace lycheeledge::jobs
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -138,6 +138,7 @@
         m_pools.invalidate();
         worker.record.id = known.id;
         worker.record.address = known.address;
+        worker.largestCapacity = known.largestCapacity;
         worker.mayHaveEarlierRuns = true;
         worker.unregisteredSince = m_runtime.now();
         connect(worker);
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -24,23 +24,24 @@
         return;
     m_pools.invalidate();
     absl::flat_hash_set<WorkerId> listed;
-    bool hasNewWorker = false;
+    bool mustStore = false;
     for (const auto& record : records) {
         listed.insert(record.id);
         Worker* known = m_workers.find(record.id);
         if (known == nullptr) {
             Worker& worker = m_workers.add(record.id);
             worker.record = record;
+            worker.largestCapacity = record.capacity;
             worker.registeredIncarnationStartUnixMs = record.incarnationStartUnixMs;
             worker.registered = true;
             connect(worker);
-            hasNewWorker = hasNewWorker || !m_storedWorkers.contains(record.id);
+            mustStore = mustStore || !m_storedWorkers.contains(record.id);
             m_log.record("worker_joined",
                 { { "worker", record.id.value() }, { "address", record.address },
                     { "milli_cpu", record.capacity.milliCpu }, { "labels", absl::StrJoin(record.labels, ",") } });
             continue;
         }
-        hasNewWorker = hasNewWorker || !m_storedWorkers.contains(record.id);
+        mustStore = mustStore || !m_storedWorkers.contains(record.id);
         const bool drains = record.draining && !known->record.draining;
         const bool moved = record.address != known->record.address;
         // An unchanged entry of the registry may be older than the worker's reports.
@@ -50,6 +51,9 @@
         const std::int64_t incarnationStartUnixMs = known->record.incarnationStartUnixMs;
         known->record = record;
         known->record.incarnationStartUnixMs = incarnationStartUnixMs;
+        const Resources largest = highest(known->largestCapacity, record.capacity);
+        mustStore = mustStore || largest != known->largestCapacity;
+        known->largestCapacity = largest;
         known->registered = true;
         if (moved)
             connect(*known);
@@ -67,7 +71,7 @@
             m_log.record("worker_unregistered", { { "worker", id.value() }, { "runs", worker.runs.size() } });
         }
     }
-    if (hasNewWorker)
+    if (mustStore)
         storeWorkerSet();
     requestPass();
 }
@@ -97,7 +101,7 @@
     for (const auto& [id, worker] : m_workers.all()) {
         if (hasLeft(worker))
             continue;
-        record.workers.push_back({ id, worker.record.address });
+        record.workers.push_back({ id, worker.record.address, worker.largestCapacity });
         ids.push_back(id);
     }
     m_ledger.setWorkers(std::move(record), [this, ids, session = std::weak_ptr<int>(m_session)] {
--- a/src/lycheeledge/jobs/OwnerSession.cpp
+++ b/src/lycheeledge/jobs/OwnerSession.cpp
@@ -40,7 +40,7 @@
     m_ledger.open(headValue, headRevision);
     m_scheduler.begin(epoch);
     m_maintenance.begin(epoch);
-    m_missingReads = 5;
+    m_missingReads = 6;
     const auto complete = [this] {
         --m_missingReads;
         finishRecoveryIfComplete();
@@ -49,7 +49,8 @@
     readPages(m_ledger.keys().submissionPrefix, m_submissions, complete);
     readPages(m_ledger.keys().progressPrefix, m_progress, complete);
     readPages(m_records.workerPrefix(), m_registry, complete);
-    readWorkerSet();
+    readRecord(m_ledger.keys().workers, m_workerSet, complete);
+    readRecord(m_ledger.keys().workerCapacities, m_workerCapacities, complete);
 }
 
 std::vector<JobService::UnfinishedCall> OwnerSession::end()
@@ -64,7 +65,8 @@
     m_submissions.clear();
     m_progress.clear();
     m_registry.clear();
-    m_workerSet = {};
+    m_workerSet.clear();
+    m_workerCapacities.clear();
     m_watchingOperator = false;
     return unfinished;
 }
@@ -196,28 +198,40 @@
         });
 }
 
-void OwnerSession::readWorkerSet()
+// Leaves `into` empty if the record does not exist.
+void OwnerSession::readRecord(const std::string& key, std::string& into, std::function<void()> done)
 {
-    m_store.get(m_ledger.keys().workers, m_settings.callTimeout,
-        [this, session = SessionToken(m_sessionToken)](const absl::StatusOr<StoreValue>& value) {
+    m_store.get(key, m_settings.callTimeout,
+        [this, key, &into, done = std::move(done), session = SessionToken(m_sessionToken)](
+            const absl::StatusOr<StoreValue>& value) {
             if (session.expired())
                 return;
             if (!value.ok()) {
-                retryLater([this] { readWorkerSet(); });
+                retryLater([this, key, &into, done] { readRecord(key, into, done); });
                 return;
             }
-            if (value->entry) {
-                const auto set = m_codec.decodeWorkerSet(value->entry->value);
-                if (set.ok())
-                    m_workerSet = *set;
-                else
-                    m_log.record("worker_set_unreadable", { { "error", set.status().message() } });
-            }
-            --m_missingReads;
-            finishRecoveryIfComplete();
+            if (value->entry)
+                into = value->entry->value;
+            done();
         });
 }
 
+WorkerSetRecord OwnerSession::decodeWorkerSet()
+{
+    if (m_workerSet.empty())
+        return {};
+    auto set = m_codec.decodeWorkerSet(m_workerSet);
+    if (!set.ok()) {
+        m_log.record("worker_set_unreadable", { { "error", set.status().message() } });
+        return {};
+    }
+    if (m_workerCapacities.empty())
+        return *std::move(set);
+    if (const auto status = m_codec.decodeCapacities(m_workerCapacities, *set); !status.ok())
+        m_log.record("worker_capacities_unreadable", { { "error", status.message() } });
+    return *std::move(set);
+}
+
 void OwnerSession::finishRecoveryIfComplete()
 {
     if (m_missingReads == 0 && !m_activated)
@@ -252,7 +266,7 @@
     }
     for (auto& [id, submission] : submissions)
         m_scheduler.recover(JobId(id), std::move(submission), std::nullopt);
-    m_scheduler.recoverWorkers(m_workerSet);
+    m_scheduler.recoverWorkers(decodeWorkerSet());
     m_scheduler.setWorkers(decodeRegistry(m_registry));
     m_submissions.clear();
     m_progress.clear();
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -85,7 +85,8 @@
     void applyWave(const StoreEntry& entry);
     void readPages(const std::string& prefix, std::vector<StoreEntry>& into, std::function<void()> done,
         const std::string& after = {});
-    void readWorkerSet();
+    void readRecord(const std::string& key, std::string& into, std::function<void()> done);
+    WorkerSetRecord decodeWorkerSet();
     void readRegistry();
     void scheduleRegistryRead();
     void finishRecovery();
@@ -115,7 +116,8 @@
     std::vector<StoreEntry> m_submissions;
     std::vector<StoreEntry> m_progress;
     std::vector<StoreEntry> m_registry;
-    WorkerSetRecord m_workerSet;
+    std::string m_workerSet;
+    std::string m_workerCapacities;
     std::vector<StoreEntry> m_waves;
     bool m_watchingOperator = false;
     absl::flat_hash_set<std::string> m_loggedUnreadable; ///< registry keys already logged as unreadable
--- a/src/lycheeledge/jobs/UncountedUsage.cpp
+++ b/src/lycheeledge/jobs/UncountedUsage.cpp
@@ -2,8 +2,6 @@
 
 #include "UncountedUsage.h"
 
-#include <algorithm>
-
 namespace lycheeledge::jobs {
 
 namespace {
@@ -11,38 +9,23 @@
     // Longer than any run can survive its owner, by more than the clocks of VMs differ.
     constexpr std::int64_t recentEndMs = 30000;
 
-    Resources lowest(const Resources& a, const Resources& b)
-    {
-        return { std::min(a.milliCpu, b.milliCpu), std::min(a.memoryMb, b.memoryMb),
-            std::min(a.accelerators, b.accelerators), std::min(a.slots, b.slots),
-            std::min(a.connections, b.connections) };
-    }
-
-    Resources highest(const Resources& a, const Resources& b)
-    {
-        return { std::max(a.milliCpu, b.milliCpu), std::max(a.memoryMb, b.memoryMb),
-            std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots),
-            std::max(a.connections, b.connections) };
-    }
-
 } // namespace
 
 UncountedUsage::UncountedUsage(const Jobs& jobs, const WorkerTable& workers, std::int64_t nowUnixMs)
 {
     Resources largest;
-    std::size_t unregistered = 0;
+    std::size_t ofUnknownCapacity = 0;
     absl::flat_hash_set<JobId> endedJobs;
     for (const auto& [id, worker] : workers.all()) {
-        largest = highest(largest, worker.record.capacity);
+        largest = highest(largest, worker.largestCapacity);
         addStrayRuns(jobs, worker, endedJobs);
         if (!worker.mayHaveEarlierRuns || worker.reported)
             continue;
         ++m_silentWorkers;
-        m_silentCapacity += worker.record.capacity;
-        unregistered += worker.record.capacity.isZero() ? 1 : 0;
+        m_silentCapacity += worker.largestCapacity;
+        ofUnknownCapacity += worker.largestCapacity.isZero() ? 1 : 0;
     }
-    // The stored set of workers has no capacities, so one that left the registry counts as large as any.
-    m_silentCapacity += largest * static_cast<std::int64_t>(unregistered);
+    m_silentCapacity += largest * static_cast<std::int64_t>(ofUnknownCapacity);
     if (m_silentWorkers > 0)
         addUnlocatedTasks(jobs, nowUnixMs);
 }
@@ -51,7 +34,7 @@
 // that it had at its end; a run that it was not known to have then, as the room beside the worker's other runs.
 void UncountedUsage::addStrayRuns(const Jobs& jobs, const Worker& worker, absl::flat_hash_set<JobId>& endedJobs)
 {
-    const Resources room = highest(worker.free(), {});
+    const Resources room = highest(worker.largestCapacity - worker.reserved, {});
     absl::flat_hash_set<AccountId> accountsOfUnknownRuns;
     bool isUnattributed = false;
     for (const auto& [task, run] : worker.strayRuns) {
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -30,6 +30,7 @@
 struct Worker {
     WorkerRecord record;
     std::unique_ptr<WorkerLink> link;
+    Resources largestCapacity; ///< that it has announced, to any owner; its runs need no more, though it may shrink
     Resources reserved; ///< sum of the reservations in `runs`
     std::uint32_t latencySensitiveRuns = 0; ///< number of `runs` with a latency target
     std::uint32_t idleCpuRuns = 0; ///< number of `runs` that use idle CPU
--- a/src/lycheeledge/protocol/CerealRecordCodec.h
+++ b/src/lycheeledge/protocol/CerealRecordCodec.h
@@ -16,9 +16,11 @@
     std::string encode(const jobs::SubmissionRecord& record) const override;
     std::string encode(const jobs::ProgressRecord& record) const override;
     std::string encode(const jobs::WorkerSetRecord& record) const override;
+    std::string encodeCapacities(const jobs::WorkerSetRecord& record) const override;
     absl::StatusOr<jobs::SubmissionRecord> decodeSubmission(std::string_view buf) const override;
     absl::StatusOr<jobs::ProgressRecord> decodeProgress(std::string_view buf) const override;
     absl::StatusOr<jobs::WorkerSetRecord> decodeWorkerSet(std::string_view buf) const override;
+    absl::Status decodeCapacities(std::string_view buf, jobs::WorkerSetRecord& record) const override;
 };
 
 std::string encodeMemberMessage(const jobs::MemberMessage& message);
--- a/src/lycheeledge/protocol/JobSerialization.h
+++ b/src/lycheeledge/protocol/JobSerialization.h
@@ -72,6 +72,7 @@
         archive(value.runsAtEnd);
 }
 
+// The capacities are in a record of their own.
 template <typename Archive> void serialize(Archive& archive, KnownWorker& value) { archive(value.id, value.address); }
 
 template <typename Archive> void serialize(Archive& archive, WorkerSetRecord& value) { archive(value.workers); }
--- a/src/lycheeledge/state/Resources.cpp
+++ b/src/lycheeledge/state/Resources.cpp
@@ -39,4 +39,16 @@
         ratio(accelerators, total.accelerators), ratio(slots, total.slots), ratio(connections, total.connections) });
 }
 
+Resources lowest(const Resources& a, const Resources& b)
+{
+    return { std::min(a.milliCpu, b.milliCpu), std::min(a.memoryMb, b.memoryMb),
+        std::min(a.accelerators, b.accelerators), std::min(a.slots, b.slots), std::min(a.connections, b.connections) };
+}
+
+Resources highest(const Resources& a, const Resources& b)
+{
+    return { std::max(a.milliCpu, b.milliCpu), std::max(a.memoryMb, b.memoryMb),
+        std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots), std::max(a.connections, b.connections) };
+}
+
 } // namespace lycheeledge
--- a/src/lycheeledge/state/Resources.h
+++ b/src/lycheeledge/state/Resources.h
@@ -35,4 +35,9 @@
     double dominantShare(const Resources& total) const;
 };
 
+/** @brief Element-wise minimum. */
+Resources lowest(const Resources& a, const Resources& b);
+/** @brief Element-wise maximum. */
+Resources highest(const Resources& a, const Resources& b);
+
 } // namespace lycheeledge
--- a/test/jobs/UnlocatedRunsTest.cpp
+++ b/test/jobs/UnlocatedRunsTest.cpp
@@ -157,6 +157,25 @@
     CHECK(limited.running(2, 2) == 4);
 }
 
+TEST_CASE("an account's limit covers runs on a silent worker that has shrunk below them", "[takeover][capacity]")
+{
+    LimitedCluster limited(3);
+    JobCluster& cluster = limited.cluster;
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(20); };
+    auto step = simpleStep(4, 1000);
+    step.maxTasksPerWorker = 2;
+    REQUIRE(cluster.submit(*cluster.owner(), "urgent", 1, { .payload = {}, .steps = { step } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 4; }));
+    std::string silent;
+    for (const auto* name : { "w0", "w1", "w2" })
+        silent = cluster.workers.runsOn(name) == 2 ? name : silent;
+    limited.shrink(silent);
+    const auto owner = limited.replaceOwner([&](const std::string& worker) { return worker != silent; });
+    REQUIRE(cluster.submit(owner, "urgent", 2, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    CHECK(limited.mostRunning(1, 2, seconds(6)) == 4);
+    CHECK(cluster.workers.violations().empty());
+}
+
 TEST_CASE(
     "an account's limit covers runs of a cancelled job on workers that have shrunk below them", "[takeover][capacity]")
 {
--- a/test/protocol/StoredFormTest.cpp
+++ b/test/protocol/StoredFormTest.cpp
@@ -107,7 +107,7 @@
         "010107000000000000006163636f756e74050000000000000071756575650b000000000000000c00000001000000000000000300"
         "000002000000000000000100000000000000050000000000000000010000000000000002000000000200000000000000e9030000"
         "00000000eb030000000000000a00000000000000636865636b706f696e740000000000000000010000000000000000");
-    const jobs::WorkerSetRecord workers { { { jobs::WorkerId("i-1"), "10.0.0.1:8" } } };
+    const jobs::WorkerSetRecord workers { { { jobs::WorkerId("i-1"), "10.0.0.1:8", {} } } };
     checkForm(
         workers, codec.encode(workers), [&codec](const std::string& buf) { return codec.decodeWorkerSet(buf); },
         "0101000000000000000300000000000000692d310a0000000000000031302e302e302e313a38");
@@ -135,6 +135,20 @@
     CHECK(*decoded == progress);
 }
 
+TEST_CASE(
+    "the capacities of known workers are read as they were written, and those of others stay unknown", "[stored-form]")
+{
+    const CerealRecordCodec codec;
+    jobs::WorkerSetRecord workers { { { jobs::WorkerId("i-1"), "10.0.0.1:8", sampleResources() } } };
+    const std::string buf = codec.encodeCapacities(workers);
+    workers.workers[0].largestCapacity = {};
+    workers.workers.push_back({ jobs::WorkerId("i-2"), "10.0.0.2:8", {} });
+    REQUIRE(codec.decodeCapacities(buf, workers).ok());
+    CHECK(workers.workers[0].largestCapacity == sampleResources());
+    CHECK(workers.workers[1].largestCapacity.isZero());
+    CHECK_FALSE(codec.decodeCapacities("malformed", workers).ok());
+}
+
 TEST_CASE("Job states keep their encoded numbers", "[stored-form]")
 {
     CHECK(static_cast<int>(jobs::JobState::Queued) == 0);
