Count a crash only against tasks that are known to have run on the worker

Cause: an order without a response counted as a run. In all logged cases the counted run was ordered of a worker that had just crashed under another task: no response, and then no connection. A worker answers a start before the task can crash it, so a deadly run is seen unless its response is lost; then the crash still counts as one of five at any time.

Why it works: only runs whose start was confirmed, or that a report listed, are likely causes. Orders without a response still keep other suspects from the worker.

--- a/src/lycheeledge/jobs/CrashSuspects.cpp
+++ b/src/lycheeledge/jobs/CrashSuspects.cpp
@@ -43,8 +43,10 @@
 std::vector<RunKey> CrashSuspects::take()
 {
     std::vector<RunKey> result;
-    for (const auto& [task, suspect] : m_suspects)
-        result.push_back({ task, suspect.run });
+    for (const auto& [task, suspect] : m_suspects) {
+        if (suspect.aliveSinceMs)
+            result.push_back({ task, suspect.run });
+    }
     m_suspects.clear();
     m_repeated = 0;
     std::sort(result.begin(), result.end());
--- a/src/lycheeledge/jobs/CrashSuspects.h
+++ b/src/lycheeledge/jobs/CrashSuspects.h
@@ -34,7 +34,10 @@
     void alive(const RunKey& run, std::int64_t clockMs);
     bool hasRepeated() const { return m_repeated > 0; }
     bool isEmpty() const { return m_suspects.empty(); }
-    /** @brief Removes and returns all runs: the incarnation has ended. */
+    /**
+     * @brief Removes all runs, because the incarnation has ended.
+     * @return those that are known to have existed there. An order without a response may never have arrived.
+     */
     std::vector<RunKey> take();
 
 private:
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -195,16 +195,16 @@
     absl::flat_hash_set<RunKey> listed;
     for (const auto& running : report.running) {
         listed.insert(running.run);
-        worker.crashSuspects.alive(running.run, report.clockMs);
         const TaskKey& key = running.run.task;
         Job* job = find(key.job);
         Task* task = job != nullptr ? job->find(key) : nullptr;
         const bool current
             = task != nullptr && task->isAssigned() && task->run == running.run.run && task->worker == worker.record.id;
-        if (!current) {
+        if (!current)
             adopt(worker, running);
+        worker.crashSuspects.alive(running.run, report.clockMs);
+        if (!current)
             continue;
-        }
         if (task->phase == TaskPhase::Starting) {
             task->phase = TaskPhase::Running;
             task->confirmedAt = sentAt;
--- a/test/jobs/CrashTest.cpp
+++ b/test/jobs/CrashTest.cpp
@@ -101,6 +101,23 @@
     }
 }
 
+TEST_CASE("a job does not fail because workers crashed that its start orders never reached", "[crash]")
+{
+    JobCluster cluster(1);
+    // Each of the first two runs is ordered twice, and its worker crashes after the first order.
+    int orders = 0;
+    cluster.workers.startFault = [&](const std::string& worker) {
+        if (orders == 4)
+            return FakeJobWorkers::OrderFault::None;
+        if (orders++ % 2 == 0)
+            cluster.runtime.after(milliseconds(1), [&cluster, worker] { cluster.workers.crash(worker); });
+        return FakeJobWorkers::OrderFault::Lost;
+    };
+    addWorkers(cluster, 6);
+    REQUIRE(cluster.submit("m0", "urgent", 1, urgentJob(1)));
+    CHECK(cluster.waitForState(1, "urgent", JobState::Completed, seconds(20)));
+}
+
 TEST_CASE("a task that crashes its workers late is started no more than five times", "[crash]")
 {
     JobCluster cluster(1);
