Let tasks avoid suspects of a crash by preference again

Cause: after many crashes most waiting tasks are suspects, and each one kept a worker from all others until it was cleared.

--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -57,8 +57,6 @@
     /// The same for crashes at any time, for tasks that end by themselves. The platform allows two starts after the
     /// third crash.
     std::uint32_t interruptionLimit = 5;
-    /// How long a task under which a worker crashed waits for a worker on which no other task has just started.
-    Duration crashIsolationLimit = std::chrono::seconds(1);
     /// The latency objective allows for one admission call that names 30 workers.
     std::size_t maxWorkersPerAdmissionCall = 30;
     std::size_t maxWorkersPerTicketRenewal = 10; ///< workers named when tickets are renewed
@@ -195,12 +193,8 @@
     void scheduleStep(Job& job, const StepKey& key);
     std::size_t placeTasks(
         Job& job, const StepKey& key, const QueuePolicy& queue, const std::vector<std::uint32_t>& due);
-    /**
-     * @brief Selects workers for a task under which a worker crashed: those on which no task has just started, so that
-     * the next crash has one cause. A task that has waited for such a worker too long may go to any.
-     */
-    std::vector<PlacementCandidate> apartFromSuspects(
-        std::vector<PlacementCandidate> candidates, const Task& suspect) const;
+    /** @brief Selects workers that no task has just started on under which another worker crashed. */
+    std::vector<PlacementCandidate> apartFromSuspects(std::vector<PlacementCandidate> candidates) const;
     bool mayStart(const Job& job);
     bool isPlaceable(const Worker& worker) const;
     /** @brief Workers of the queue's pool on which a task of the step may run now. */
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -219,8 +219,6 @@
         return false;
     if (!worker.strayRuns.empty()) // they use an unknown amount of resources
         return false;
-    if (worker.crashSuspects.hasRepeated()) // it may crash in the next moments
-        return false;
     return m_storedWorkers.contains(worker.record.id) && now >= worker.backoffUntil
         && !m_quarantine.isQuarantined(worker.record.id, now);
 }
@@ -291,22 +289,19 @@
     candidate.capacity = worker.record.capacity;
     candidate.hasLatencySensitiveTasks = worker.latencySensitiveRuns > 0;
     candidate.hasIdleCpuTasks = worker.idleCpuRuns > 0;
-    candidate.deprioritized
-        = m_quarantine.isOnProbation(id) || (queue.isUrgent() && m_quarantine.hasRecentFailure(id, m_runtime.now()));
+    candidate.deprioritized = m_quarantine.isOnProbation(id) || worker.crashSuspects.hasRepeated()
+        || (queue.isUrgent() && m_quarantine.hasRecentFailure(id, m_runtime.now()));
     candidate.slowness = m_speeds.slowness(id, worker.record.kind);
     if (spec.maxTasksPerWorker > 0)
         candidate.tasksOfStep = static_cast<std::uint32_t>(std::count_if(step.tasks.begin(), step.tasks.end(),
             [&id](const Task& task) { return task.isAssigned() && task.worker == id; }));
 }
 
-std::vector<PlacementCandidate> JobScheduler::apartFromSuspects(
-    std::vector<PlacementCandidate> candidates, const Task& suspect) const
+std::vector<PlacementCandidate> JobScheduler::apartFromSuspects(std::vector<PlacementCandidate> candidates) const
 {
-    if (m_runtime.now() - suspect.since > m_settings.crashIsolationLimit)
-        return candidates;
     std::erase_if(candidates, [this](const PlacementCandidate& it) {
         const Worker* worker = m_workers.find(it.worker);
-        return worker == nullptr || !worker->crashSuspects.isEmpty();
+        return worker == nullptr || worker->crashSuspects.hasRepeated();
     });
     return candidates;
 }
@@ -391,7 +386,7 @@
     const auto goal = queue.isUrgent() ? PlacementGoal::Spread : PlacementGoal::Pack;
     auto workers = queue.admission ? candidatesWithTicket(job, key) : candidates(job, key);
     if (!due.empty() && step.tasks[due.front()].crashes > 0 && !spec.gang)
-        workers = apartFromSuspects(std::move(workers), step.tasks[due.front()]);
+        workers = apartFromSuspects(std::move(workers));
     Placement placement(spec, std::move(workers), goal);
     const auto start = [&](std::uint32_t index, std::size_t place, RunNumber run) {
         const WorkerId worker = placement.candidate(place).worker;
