Do not take a request for unsent that a lost connection had carried to the server

Cause: a start order is sent on a kept connection, the worker reads and executes it, and the connection is reset before the response. curl then opens a new connection before it tries to rewind the body. If that fails, because the path is cut or the process has ended, the call ends with "could not connect", which counted as not sent. So the owner took the run for nonexistent and started the task elsewhere at once, without a stop and without waiting for the lease. The same verdict let a commit to the store count as certainly not executed, and lycheeledged and lycheectl say of a call that it had not run.

Evidence: the new test: the server has read the request, and the client reports it as not sent; failed in 3 of 3 runs before.

Why it works: a request of which curl has sent a byte, or has read a byte of the body, is never reported as not sent, whatever error the attempt to reconnect ends with.

Measured: test_transport "[http]" passed in 20 of 20 runs.

--- a/src/lycheeledge/transport/HttpClient.cpp
+++ b/src/lycheeledge/transport/HttpClient.cpp
@@ -112,8 +112,14 @@
     }
 
     /** @brief Whether the request cannot have reached the server. */
-    bool isNotSent(CURLcode code, CURL* easy)
+    bool isNotSent(CURLcode code, CURL* easy, const Transfer& transfer)
     {
+        long sent = 0;
+        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+        // If a reused connection is lost after the request was sent on it, curl opens a new one before it tries to
+        // rewind the body. The error of that attempt says nothing about the request.
+        if (sent > 0 || transfer.bodySent > 0)
+            return false;
         switch (code) {
         case CURLE_COULDNT_RESOLVE_HOST:
         case CURLE_COULDNT_CONNECT:
@@ -125,12 +131,10 @@
         default:
             break;
         }
-        long sent = 0;
         curl_off_t pretransfer = 0;
-        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
         curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
         // Covers timeouts while the connection is being established.
-        return code != CURLE_OK && sent == 0 && pretransfer == 0;
+        return code != CURLE_OK && pretransfer == 0;
     }
 
     absl::Status checkComplete(const Transfer& transfer)
@@ -310,7 +314,7 @@
             long status = 0;
             curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
             transfer.response.status = static_cast<int>(status);
-            const bool notSent = isNotSent(code, easy);
+            const bool notSent = isNotSent(code, easy, transfer);
             curl_multi_remove_handle(reactor->multi(), easy);
             completeTransfer(easy, transfer, toStatus(code, transfer), notSent);
             curl_easy_reset(easy);
--- a/test/support/RawServer.h
+++ b/test/support/RawServer.h
@@ -21,9 +21,12 @@
     /**
      * @param responses to the successive requests of each connection. The connection is closed after the last response;
      * a request whose response is empty is not answered, and the connection is closed.
+     * @param endsWithUnanswered whether the server ends as a killed process does when it has read a request whose
+     * response is empty: it resets the connection, and refuses new ones.
      */
-    explicit RawServer(std::vector<std::string> responses)
+    explicit RawServer(std::vector<std::string> responses, bool endsWithUnanswered = false)
         : m_responses(std::move(responses))
+        , m_endsWithUnanswered(endsWithUnanswered)
         , m_listener(socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address {};
@@ -69,6 +72,12 @@
             if (!readRequest(connection, input))
                 return;
             ++m_requests;
+            if (response.empty() && m_endsWithUnanswered) {
+                shutdown(m_listener, SHUT_RDWR);
+                const linger reset { 1, 0 };
+                setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+                return;
+            }
             if (response.empty())
                 break;
             send(connection, response.data(), response.size(), MSG_NOSIGNAL);
@@ -109,6 +118,7 @@
     }
 
     std::vector<std::string> m_responses;
+    bool m_endsWithUnanswered;
     int m_listener;
     std::uint16_t m_port = 0;
     std::atomic<int> m_requests { 0 };
--- a/test/transport/HttpTest.cpp
+++ b/test/transport/HttpTest.cpp
@@ -277,6 +277,17 @@
     CHECK(server.requests() == 2);
 }
 
+TEST_CASE("A request that was read on a kept connection is not reported as not sent if reconnecting fails", "[http]")
+{
+    RawServer server({ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "" }, true);
+    HttpClient client;
+    CHECK(call(client, makeRequest(server.url() + "/", "first")).status.ok());
+    const HttpResult result = call(client, makeRequest(server.url() + "/", "second"));
+    CHECK_FALSE(result.status.ok());
+    CHECK_FALSE(result.notSent);
+    CHECK(server.requests() == 2);
+}
+
 TEST_CASE("Calls in progress end with CANCELLED when the client is destroyed", "[http]")
 {
     std::vector<HttpServer::Respond> waiting;
