Acknowledge ends only to a worker that has answered the last poll

Cause: a worker restarts under the same id while a poll waits for the earlier incarnation on a silent connection. Starts reach the new incarnation meanwhile. Once the poll has timed out, the next one acknowledges ends by the numbers of the earlier incarnation; the new ones have the same numbers and are forgotten unseen. Their runs are missing from the report, so their tasks start again.

The simulated workers now have a clock of their own that begins anew with each incarnation, leave polls of an earlier incarnation without response, shorten long leases, cut long lists of ends, and can execute polls late.

Why it works: after a poll without response, the next one only reads: it carries no lease, as before, and no acknowledgement. Unacknowledged ends are listed again, so nothing is lost by that.

--- a/src/lycheeledge/jobs/WorkerLink.cpp
+++ b/src/lycheeledge/jobs/WorkerLink.cpp
@@ -91,10 +91,13 @@
         schedulePoll(m_settings.retryPause);
         return;
     }
-    PollRequest request { .epoch = m_epoch, .acknowledged = m_acknowledgedEnd, .leaseUntilMs = {} };
-    // The lease of an unresponsive worker is not extended, so that its tasks can start elsewhere once it has expired.
-    if (m_failures == 0)
+    PollRequest request { .epoch = m_epoch, .acknowledged = 0, .leaseUntilMs = {} };
+    // An unresponsive worker is only read. Its lease is not extended, so that its tasks can start elsewhere once it has
+    // expired; and it may have restarted, in which case its new ends have the numbers of the acknowledged ones.
+    if (m_failures == 0) {
+        request.acknowledged = m_acknowledgedEnd;
         request.leaseUntilMs = extendLeaseForOrder();
+    }
     // A worker with unacknowledged ends responds immediately, so polls that wait would become a busy loop.
     if (m_reachable && m_failures == 0 && m_acknowledgedEnd >= m_lastListedEnd)
         request.wait = m_settings.pollWait;
--- a/test/jobs/WorkerRestartTest.cpp
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -7,8 +7,22 @@
 using namespace lycheeledge;
 using namespace lycheeledge::jobs;
 using namespace lycheeledge::test;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+/** @brief Completes a job on worker w0, so that ends of its incarnation are acknowledged. */
+void completeJobOn(JobCluster& cluster, std::uint64_t job)
+{
+    cluster.workers.runTime = [](const TaskKey&) { return milliseconds(300); };
+    REQUIRE(cluster.submit("m0", "batch", job, { .payload = {}, .steps = { simpleStep(6, 1000) } }));
+    REQUIRE(cluster.waitForState(job, "batch", JobState::Completed, seconds(5)));
+    cluster.advance(seconds(1));
+}
+
+} // namespace
+
 TEST_CASE("no task runs twice on a worker whose restart the registry told before the worker itself", "[jobs][crash]")
 {
     // The numbering of ends begins anew, so the new ends have numbers that the owner has already acknowledged.
@@ -43,3 +57,16 @@
     CHECK(cluster.workers.starts().size() == 12);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("no end is acknowledged unseen after a restart that left a poll without response", "[jobs][crash]")
+{
+    // Starts reach the new incarnation while the poll still waits for the earlier one.
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    completeJobOn(cluster, 1);
+    cluster.workers.restart("w0");
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    CHECK(cluster.waitForState(2, "batch", JobState::Completed, seconds(10)));
+    CHECK(cluster.workers.starts().size() == 10);
+    CHECK(cluster.workers.violations().empty());
+}
--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -1,5 +1,5 @@
-// Simulated workers on a manually advanced clock: fencing, leases, runs, reports of ended runs, and orders that are
-// lost or executed late.
+// Simulated workers on a manually advanced clock: fencing, leases, runs, reports of ended runs, restarts under the same
+// id, and orders and polls that are lost or executed late.
 #pragma once
 
 #include "ManualRuntime.h"
@@ -21,6 +21,7 @@
 struct RecordedStart {
     jobs::RunKey run;
     std::string worker;
+    std::int64_t incarnationStartUnixMs = 0; ///< of the worker
     std::string checkpoint;
     TimePoint at;
     std::optional<TimePoint> endedAt;
@@ -59,6 +60,13 @@
     std::function<std::optional<jobs::OrderOutcome>(const jobs::RunKey&)> refuses
         = [](const jobs::RunKey&) { return std::nullopt; };
     std::function<bool(const std::string& worker)> losesPollResponses = [](const std::string&) { return false; };
+    /// Fault of polls: a late one has its effects `lateOrderDelay` later, whatever incarnation then answers the id.
+    std::function<OrderFault(const std::string& worker)> pollFault
+        = [](const std::string&) { return OrderFault::None; };
+    Duration maxLease = std::chrono::seconds(10); ///< leases that end later are shortened to this
+    std::size_t maxListedEnds = 500; ///< in one report; the oldest come first
+    /// Failed runs of a task after which it must not start again; 0: any number.
+    std::size_t maxAttempts = 0;
     /// Tasks that crash their worker `crashDelay` after they start. It is back, without its runs, after
     /// `crashDowntime`.
     std::function<bool(const jobs::TaskKey&)> crashesWorker = [](const jobs::TaskKey&) { return false; };
@@ -73,6 +81,7 @@
         worker.capacities = { capacity };
         worker.announced = capacity;
         worker.incarnationStartUnixMs = ++m_lastIncarnationStartUnixMs;
+        worker.clockZero = m_runtime.now();
         return record(id, rack);
     }
     jobs::WorkerRecord record(const std::string& id, const std::string& rack = "r1") const
@@ -91,7 +100,10 @@
 
     /** @brief Disconnects or reconnects a worker. Its runs continue meanwhile. */
     void setDisconnected(const std::string& id, bool isDisconnected) { m_workers.at(id).disconnected = isDisconnected; }
-    /** @brief Restarts a worker under the same id: all its runs end, and its state is lost. */
+    /**
+     * @brief Restarts a worker under the same id: all its runs end, and its state is lost. Its clock begins anew. Polls
+     * that wait for an end get no response.
+     */
     void restart(const std::string& id)
     {
         Worker& worker = m_workers.at(id);
@@ -103,6 +115,7 @@
         worker.announced = capacity;
         worker.disconnected = isDisconnected;
         worker.incarnationStartUnixMs = ++m_lastIncarnationStartUnixMs;
+        worker.clockZero = m_runtime.now();
     }
     /**
      * @brief Changes the capacity of a worker while it runs. The test registers the new record.
@@ -215,13 +228,23 @@
         std::function<void(jobs::PollResult)> done) override
     {
         const std::string id = to.id.value();
-        if (m_workers.at(id).disconnected || losesPollResponses(id)) {
-            m_runtime.after(request.wait + timeout, [done] { done({}); });
+        const OrderFault fault = pollFault(id);
+        const auto noResponse
+            = [this, done, request, timeout] { m_runtime.after(request.wait + timeout, [done] { done({}); }); };
+        if (m_workers.at(id).disconnected || losesPollResponses(id) || fault == OrderFault::Lost) {
+            noResponse();
             return;
         }
-        m_runtime.after(m_latency / 2, [this, id, request, done] {
+        if (fault == OrderFault::Late || fault == OrderFault::AnswerLost) {
+            m_runtime.after(fault == OrderFault::Late ? lateOrderDelay : m_latency / 2,
+                [this, id, request] { applyRequest(id, request); });
+            noResponse();
+            return;
+        }
+        m_runtime.after(m_latency / 2, [this, id, request, timeout, done] {
             applyRequest(id, request);
-            pollForEnds(id, request, m_runtime.now() + request.wait, done);
+            pollForEnds(id, m_workers.at(id).incarnationStartUnixMs, request, m_runtime.now() + request.wait,
+                m_runtime.now() + request.wait + timeout, done);
         });
     }
 
@@ -237,6 +260,7 @@
         std::vector<Resources> capacities; ///< starts may rely on any of them
         Resources announced; ///< that its record contains
         std::int64_t incarnationStartUnixMs = 0;
+        TimePoint clockZero; ///< time at which its clock showed 0
         bool disconnected = false;
         Epoch epoch = 0;
         TimePoint leaseEnd;
@@ -246,13 +270,21 @@
         std::uint64_t sequence = 0;
     };
 
-    std::int64_t clockMs() const
+    std::int64_t clockMs(const Worker& worker) const
     {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.now().time_since_epoch()).count();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.now() - worker.clockZero).count();
+    }
+    void extendLease(Worker& worker, std::int64_t untilMs) const
+    {
+        const TimePoint until
+            = std::min(worker.clockZero + std::chrono::milliseconds(untilMs), m_runtime.now() + maxLease);
+        worker.leaseEnd = std::max(worker.leaseEnd, until);
     }
-    TimePoint fromClockMs(std::int64_t ms) const { return TimePoint(std::chrono::milliseconds(ms)); }
 
-    jobs::OrderResult orderResult(const Worker&, jobs::OrderOutcome outcome) const { return { outcome, clockMs() }; }
+    jobs::OrderResult orderResult(const Worker& worker, jobs::OrderOutcome outcome) const
+    {
+        return { outcome, clockMs(worker) };
+    }
 
     void send(const std::string& id, OrderFault fault, Duration timeout, std::function<jobs::OrderResult()> execute,
         std::function<void(jobs::OrderResult)> done)
@@ -280,10 +312,9 @@
         worker.epoch = order.epoch;
         if (const auto outcome = refuses({ order.task, order.run }))
             return orderResult(worker, *outcome);
-        const TimePoint lease = fromClockMs(order.leaseUntilMs);
-        if (lease <= m_runtime.now())
+        if (order.leaseUntilMs <= clockMs(worker))
             return orderResult(worker, jobs::OrderOutcome::Late);
-        worker.leaseEnd = std::max(worker.leaseEnd, lease);
+        extendLease(worker, order.leaseUntilMs);
         const auto it = worker.runs.find(order.task);
         if (it != worker.runs.end() && it->second.run == order.run)
             return orderResult(worker, jobs::OrderOutcome::Done);
@@ -296,7 +327,13 @@
         const TimePoint now = m_runtime.now();
         worker.runs[order.task]
             = { .run = order.run, .startedAt = now, .endsAt = now + duration, .start = m_recordedStarts.size() };
-        m_recordedStarts.push_back({ { order.task, order.run }, id, order.checkpoint, m_runtime.now(), {}, {} });
+        m_recordedStarts.push_back({ .run = { order.task, order.run },
+            .worker = id,
+            .incarnationStartUnixMs = worker.incarnationStartUnixMs,
+            .checkpoint = order.checkpoint,
+            .at = now,
+            .endedAt = {},
+            .end = {} });
         if (crashesWorker(order.task))
             m_runtime.after(crashDelay, [this, id] { crash(id); });
         return orderResult(worker, jobs::OrderOutcome::Done);
@@ -304,15 +341,19 @@
 
     void checkStart(const std::string& id, const Worker& worker, const jobs::StartOrder& order)
     {
+        std::size_t failures = 0;
         for (const auto& earlier : m_recordedStarts) {
             if (earlier.run.task != order.task)
                 continue;
+            failures += earlier.end == jobs::EndKind::Failed && earlier.acknowledged ? 1 : 0;
             if (!earlier.endedAt)
                 m_violations.push_back("a task runs on " + earlier.worker + " and " + id + " at the same time");
             else if (earlier.end == jobs::EndKind::Done && earlier.acknowledged)
                 m_violations.push_back(
                     "a task starts on " + id + " after its completion on " + earlier.worker + " was acknowledged");
         }
+        if (maxAttempts > 0 && failures >= maxAttempts)
+            m_violations.push_back("a task starts on " + id + " after its last attempt had failed");
         Resources used = sizeOf(order.task);
         for (const auto& [task, run] : worker.runs)
             used += sizeOf(task);
@@ -331,55 +372,86 @@
             return;
         worker.epoch = request.epoch;
         if (request.leaseUntilMs)
-            worker.leaseEnd = std::max(worker.leaseEnd, fromClockMs(*request.leaseUntilMs));
-        std::erase_if(worker.ended, [this, &id, &request](const auto& it) {
+            extendLease(worker, *request.leaseUntilMs);
+        std::erase_if(worker.ended, [this, &id, &worker, &request](const auto& it) {
             if (it.sequence > request.acknowledged)
                 return false;
-            acknowledge(id, it);
+            acknowledge(id, worker, it);
             return true;
         });
     }
 
-    // A task whose run completed while the worker was unreachable may be started again, but then the earlier end must
-    // not count.
-    void acknowledge(const std::string& id, const jobs::EndedTask& end)
+    // A task whose run ended while the worker was unreachable may be started again, but then the earlier end must not
+    // count.
+    void acknowledge(const std::string& id, const Worker& worker, const jobs::EndedTask& end)
     {
-        for (std::size_t i = 0; i < m_recordedStarts.size(); ++i) {
-            if (m_recordedStarts[i].run != end.run || m_recordedStarts[i].worker != id
-                || m_recordedStarts[i].leaseExpired)
+        for (auto& start : m_recordedStarts) {
+            if (start.run != end.run || start.worker != id
+                || start.incarnationStartUnixMs != worker.incarnationStartUnixMs || start.leaseExpired)
                 continue;
-            m_recordedStarts[i].acknowledged = true;
-            if (end.kind != jobs::EndKind::Done)
-                continue;
-            for (const auto& later : m_recordedStarts) {
-                if (later.run.task == end.run.task && later.at > *m_recordedStarts[i].endedAt)
-                    m_violations.push_back("the completion of a task on " + id
-                        + " was acknowledged after the task had been started again");
-            }
+            start.acknowledged = true;
+            if (end.kind == jobs::EndKind::Done)
+                checkAcknowledgedCompletion(start);
+            if (end.kind == jobs::EndKind::Failed && maxAttempts > 0)
+                checkAcknowledgedFailures(end.run.task);
+        }
+    }
+
+    void checkAcknowledgedCompletion(const RecordedStart& completed)
+    {
+        for (const auto& later : m_recordedStarts) {
+            if (later.run.task == completed.run.task && later.at > *completed.endedAt)
+                m_violations.push_back("the completion of a task on " + completed.worker
+                    + " was acknowledged after the task had been started again");
         }
     }
 
-    void pollForEnds(const std::string& id, const jobs::PollRequest& request, TimePoint until,
-        const std::function<void(jobs::PollResult)>& done)
+    void checkAcknowledgedFailures(const jobs::TaskKey& task)
+    {
+        std::vector<TimePoint> failures;
+        for (const auto& start : m_recordedStarts) {
+            if (start.run.task == task && start.end == jobs::EndKind::Failed && start.acknowledged)
+                failures.push_back(*start.endedAt);
+        }
+        if (failures.size() < maxAttempts)
+            return;
+        std::sort(failures.begin(), failures.end());
+        const TimePoint last = failures[maxAttempts - 1];
+        if (std::any_of(m_recordedStarts.begin(), m_recordedStarts.end(),
+                [&task, last](const auto& it) { return it.run.task == task && it.at > last; }))
+            m_violations.push_back(
+                "the last failed attempt of a task was acknowledged after it had been started again");
+    }
+
+    void pollForEnds(const std::string& id, std::int64_t incarnationStartUnixMs, const jobs::PollRequest& request,
+        TimePoint until, TimePoint timeout, const std::function<void(jobs::PollResult)>& done)
     {
         constexpr Duration step = std::chrono::milliseconds(5);
         Worker& worker = m_workers.at(id);
+        if (worker.incarnationStartUnixMs != incarnationStartUnixMs) {
+            m_runtime.after(timeout - m_runtime.now(), [done] { done({}); });
+            return;
+        }
         settle(id, worker);
         const bool fenced = request.epoch < worker.epoch;
         const bool hasNewEnds = std::any_of(worker.ended.begin(), worker.ended.end(),
             [&request](const auto& it) { return it.sequence > request.acknowledged; });
         if (!fenced && !hasNewEnds && m_runtime.now() < until) {
-            m_runtime.after(step, [this, id, request, until, done] { pollForEnds(id, request, until, done); });
+            m_runtime.after(step, [this, id, incarnationStartUnixMs, request, until, timeout, done] {
+                pollForEnds(id, incarnationStartUnixMs, request, until, timeout, done);
+            });
             return;
         }
         jobs::PollResult result { fenced ? jobs::OrderOutcome::Fenced : jobs::OrderOutcome::Done, {} };
-        result.report.clockMs = clockMs();
+        result.report.clockMs = clockMs(worker);
         result.report.incarnationStartUnixMs = worker.incarnationStartUnixMs;
         for (const auto& [task, run] : worker.runs)
             result.report.running.push_back(
                 { { task, run.run }, "checkpoint-" + std::to_string(run.run), progressOf(run), usageOf(task) });
-        for (const auto& ended : worker.ended)
-            result.report.ended.push_back(ended);
+        for (const auto& ended : worker.ended) {
+            if (result.report.ended.size() < maxListedEnds)
+                result.report.ended.push_back(ended);
+        }
         if (worker.disconnected || losesPollResponses(id)) // the response is lost
             m_runtime.after(std::chrono::milliseconds(400), [done] { done({}); });
         else
@@ -406,7 +478,9 @@
             return;
         endAll(worker, jobs::EndKind::LeaseExpired);
         for (auto& start : m_recordedStarts)
-            start.leaseExpired = start.leaseExpired || (start.worker == id && start.endedAt && !start.acknowledged);
+            start.leaseExpired = start.leaseExpired
+                || (start.worker == id && start.incarnationStartUnixMs == worker.incarnationStartUnixMs && start.endedAt
+                    && !start.acknowledged);
     }
 
     void endAll(Worker& worker, std::optional<jobs::EndKind> kind)
