Take no run for lost while the worker's list of ends is cut

What callers would see: tasks that start again after they were done (TWICE), and uncounted failures (BUDGET).

Cause: a worker lists at most 500 unacknowledged ends at a time. While the store gives no answer, nothing is acknowledged; with short tasks the list grows beyond that, and the ends behind it are in neither list of the report. Such runs were declared lost at once, and their tasks started again.

Why it works: a missing run proves an end only if the report lists all ends. A cut list tells nothing of the others, which the next reports list once the first ends are acknowledged.

Measured: 1,200 starts with the change.

--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -216,7 +216,9 @@
         if (task->phase == TaskPhase::Running)
             checkProgress(*job, key, *task, running, report.clockMs);
     }
-    detectMissingRuns(worker, listed, sentAt);
+    // A run that is missing from the running ones is listed as ended, unless the list of ends is cut.
+    if (report.ended.size() < maxListedEnds)
+        detectMissingRuns(worker, listed, sentAt);
 }
 
 void JobScheduler::checkProgress(
--- a/src/lycheeledge/jobs/WorkerPort.h
+++ b/src/lycheeledge/jobs/WorkerPort.h
@@ -3,6 +3,7 @@
 
 #include "JobSpec.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -118,6 +119,9 @@
     bool operator==(const EndedTask&) const = default;
 };
 
+/// A report lists at most this many ends, oldest first (limit of the platform).
+inline constexpr std::size_t maxListedEnds = 500;
+
 /** @brief Report of a worker on its runs. */
 struct PollReport {
     std::int64_t clockMs = 0;
--- a/test/jobs/WorkerRestartTest.cpp
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -70,3 +70,19 @@
     CHECK(cluster.workers.starts().size() == 10);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("a run whose end is behind a full list of ends is not taken for lost", "[jobs]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 2);
+    cluster.workers.maxListedEnds = maxListedEnds;
+    cluster.workers.runTime = [](const TaskKey& task) { return task.step == 0 ? milliseconds(10) : seconds(2); };
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(1200, 100) } }));
+    cluster.store.setFault(FakeClusterStore::Fault::Silent); // so no end is acknowledged
+    cluster.advance(seconds(4));
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(15)));
+    CHECK(cluster.workers.starts().size() == 1200);
+    CHECK(cluster.workers.violations().empty());
+}
