Fence orders to the earlier incarnation of a worker that restarted under its id

Cause: orders name a worker by its id, so those to an earlier incarnation are carried out by the next one. (1) A restart of which the registry told ended all runs at once, also those that had started on the new incarnation meanwhile. (2) So it did with runs whose start order had got no response, which the new incarnation may still carry out. (3) A lease on the clock of the earlier incarnation extends that of the next one to the longest that it accepts, 10 s, while the owner counted 5 s; so did a late response with that clock. (4) A late 421 ended the incarnation that had followed.

Evidence: three new tests, on: 20 starts for 18 tasks; a start carried out late beside its replacement; completions acknowledged after the tasks had started again elsewhere.

Why it works: each claim takes 100 fencing tokens. The owner uses a higher one for a worker from the moment it learns of its restart, so the new incarnation refuses all orders to the earlier one once it has answered. Its next report decides which runs it has; only those that the earlier incarnation had listed, without an unanswered start, are taken for ended before. Responses to orders with an outdated token count for nothing. Until the first answer the longest lease is assumed.

--- a/src/lycheeledge/jobs/CrashSuspects.cpp
+++ b/src/lycheeledge/jobs/CrashSuspects.cpp
@@ -40,15 +40,18 @@
         erase(it);
 }
 
-std::vector<RunKey> CrashSuspects::take()
+std::vector<RunKey> CrashSuspects::take(const absl::flat_hash_set<RunKey>& survivors)
 {
     std::vector<RunKey> result;
-    for (const auto& [task, suspect] : m_suspects) {
-        if (suspect.aliveSinceMs)
-            result.push_back({ task, suspect.run });
+    for (auto it = m_suspects.begin(); it != m_suspects.end();) {
+        const auto suspect = it++;
+        const RunKey run { suspect->first, suspect->second.run };
+        if (survivors.contains(run))
+            continue;
+        if (suspect->second.aliveSinceMs)
+            result.push_back(run);
+        erase(suspect);
     }
-    m_suspects.clear();
-    m_repeated = 0;
     std::sort(result.begin(), result.end());
     return result;
 }
--- a/src/lycheeledge/jobs/CrashSuspects.h
+++ b/src/lycheeledge/jobs/CrashSuspects.h
@@ -7,6 +7,7 @@
 #include "JobSpec.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
 #include <optional>
@@ -34,10 +35,10 @@
     void alive(const RunKey& run, std::int64_t clockMs);
     bool hasRepeated() const { return m_repeated > 0; }
     /**
-     * @brief Removes all runs, because the incarnation has ended.
+     * @brief Removes all runs except the survivors, because the incarnation has ended.
      * @return those that are known to have existed there. An order without a response may never have arrived.
      */
-    std::vector<RunKey> take();
+    std::vector<RunKey> take(const absl::flat_hash_set<RunKey>& survivors = {});
 
 private:
     struct Suspect {
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -75,6 +75,7 @@
     m_lastOverdueRequest.clear();
     m_workers.clear();
     m_pools.invalidate();
+    m_fencingTokens.clear();
     m_storedWorkers.clear();
     m_workerSetWriting = false;
     m_workerSetChanged = false;
@@ -139,6 +140,7 @@
         worker.record.id = known.id;
         worker.record.address = known.address;
         worker.largestCapacity = known.largestCapacity;
+        worker.fencingToken = newFencingToken(known.id);
         worker.mayHaveEarlierRuns = true;
         worker.unregisteredSince = m_runtime.now();
         connect(worker);
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -179,6 +179,8 @@
     void workerReported(const WorkerId& id, const PollReport& report, TimePoint sentAt) override;
     void workerReachabilityChanged(const WorkerId& id, bool reachable) override;
     void workerIncarnationEnded(const WorkerId& id) override;
+    /** @brief The same, as told by the response to an order with this fencing token. */
+    void incarnationEnded(const WorkerId& id, Epoch fencingToken);
     void workerFenced(const WorkerId& id) override;
 
     // Passes (JobSchedulerPasses.cpp)
@@ -229,12 +231,15 @@
     void assignTask(Job& job, const TaskKey& key, Worker& worker, RunNumber run, TaskPhase phase);
     void markStarted(Job& job);
     void sendStart(const TaskKey& key, RunNumber run, const WorkerId& worker, int attempt);
-    void handleStartReply(
-        const TaskKey& key, RunNumber run, const WorkerId& worker, int attempt, const OrderResult& result);
+    /** @param fencingToken of the order. */
+    void handleStartReply(const TaskKey& key, RunNumber run, const WorkerId& worker, Epoch fencingToken, int attempt,
+        const OrderResult& result);
     void stopTask(Job& job, const TaskKey& key, const char* reason);
     void sendStop(const TaskKey& key, RunNumber run, const WorkerId& worker);
     void retryStop(const TaskKey& key, RunNumber run, const WorkerId& worker);
-    void handleStopReply(const TaskKey& key, RunNumber run, const WorkerId& worker, const OrderResult& result);
+    /** @param fencingToken of the order. */
+    void handleStopReply(
+        const TaskKey& key, RunNumber run, const WorkerId& worker, Epoch fencingToken, const OrderResult& result);
     void stopStrayRun(Worker& worker, const RunKey& run);
     void stopAll(Job& job, const char* reason);
     void stopGang(Job& job, const StepKey& key, const char* reason);
@@ -250,9 +255,15 @@
     /**
      * @brief Compares the incarnation that the worker or the registry tells of with the known one. The registry may be
      * ahead of the worker's reports, and clocks are set back, so any start time but the one before is a restart.
+     * @return whether it is a restart.
      */
-    void noteIncarnation(Worker& worker, std::int64_t incarnationStartUnixMs);
+    bool noteIncarnation(Worker& worker, std::int64_t incarnationStartUnixMs);
     void handleWorkerRestart(Worker& worker, std::int64_t incarnationStartUnixMs);
+    /** @brief Ends the runs that a restarted worker no longer has. The report answers its new fencing token. */
+    void settleRestart(Worker& worker, const PollReport& report);
+    void endListedRuns(Worker& worker);
+    /** @brief Ends the runs of an earlier incarnation, and counts them as crashed with it. */
+    void endRunsExcept(Worker& worker, const absl::flat_hash_set<RunKey>& survivors);
     void processEnds(Worker& worker, const PollReport& report);
     void processEnd(Worker& worker, const EndedTask& end);
     void processRunning(Worker& worker, const PollReport& report, TimePoint sentAt);
@@ -269,11 +280,12 @@
     /**
      * @brief Counts the end of a worker's incarnation against the tasks that it ran.
      * @param confirmed the incarnation has ended; otherwise it may only be out of reach.
+     * @param survivors runs of the next incarnation.
      * @return jobs that shall fail once the worker's runs are known to have ended.
      */
-    std::vector<JobId> recordCrash(Worker& worker, bool confirmed);
-    /** @brief Tasks that may have crashed the worker. Clears its suspects. */
-    std::vector<TaskKey> likeliestCauses(Worker& worker);
+    std::vector<JobId> recordCrash(Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors = {});
+    /** @brief Tasks that may have crashed the worker. Removes them from its suspects. */
+    std::vector<TaskKey> likeliestCauses(Worker& worker, const absl::flat_hash_set<RunKey>& survivors);
     void failCrashingJobs(const std::vector<JobId>& jobs);
 
     // Workers (JobSchedulerWorkers.cpp)
@@ -282,6 +294,8 @@
     /** @param incarnationEnded whether its incarnation has certainly ended. */
     void removeLostWorker(const WorkerId& id, const char* reason, bool incarnationEnded);
     void expireWorkers();
+    /** @brief Token for the orders to an incarnation of a worker: higher than those of its earlier incarnations. */
+    Epoch newFencingToken(const WorkerId& id);
     void connect(Worker& worker);
     void storeWorkerSet();
     /** @brief Whether a worker is gone from the registry, does not respond, and runs nothing. It may come back. */
@@ -312,6 +326,7 @@
     std::size_t m_overdueRequests = 0; ///< pending admission requests made ahead of the scheduling order
     std::map<std::string, TimePoint> m_lastOverdueRequest; ///< by queue; the queues take turns
     WorkerTable m_workers;
+    absl::flat_hash_map<WorkerId, Epoch> m_fencingTokens; ///< last one of each worker, also of removed ones
     absl::flat_hash_set<WorkerId> m_storedWorkers; ///< workers in the stored set; only these receive orders
     bool m_workerSetWriting = false; ///< a write of the stored set is in progress
     bool m_workerSetChanged = false; ///< workers came or left since that write began
--- a/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
@@ -10,10 +10,11 @@
 
 namespace lycheeledge::jobs {
 
-std::vector<JobId> JobScheduler::recordCrash(Worker& worker, bool confirmed)
+std::vector<JobId> JobScheduler::recordCrash(
+    Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors)
 {
-    const auto causes = likeliestCauses(worker);
-    if (worker.record.draining || worker.inMaintenance)
+    const auto causes = likeliestCauses(worker, survivors);
+    if (worker.record.draining || worker.inMaintenance || worker.restartWasPlanned)
         return {};
     if (!causes.empty() || !worker.runs.empty())
         m_log.record("worker_crashed",
@@ -29,7 +30,8 @@
     for (const auto& [key, run] : worker.runs) {
         Job* job = find(key.job);
         Task* task = job != nullptr && !isFinal(job->state) ? job->find(key) : nullptr;
-        if (!confirmed || task == nullptr || job->spec().steps[key.step].longRunning)
+        if (!confirmed || task == nullptr || job->spec().steps[key.step].longRunning
+            || survivors.contains({ key, run.run }))
             continue;
         changed.insert(key.job);
         if (++task->interruptions >= m_settings.interruptionLimit)
@@ -41,11 +43,11 @@
 }
 
 // Of the tasks that had just been started, those under which the most workers have crashed already.
-std::vector<TaskKey> JobScheduler::likeliestCauses(Worker& worker)
+std::vector<TaskKey> JobScheduler::likeliestCauses(Worker& worker, const absl::flat_hash_set<RunKey>& survivors)
 {
     std::vector<TaskKey> result;
     std::uint32_t most = 0;
-    for (const auto& run : worker.crashSuspects.take()) {
+    for (const auto& run : worker.crashSuspects.take(survivors)) {
         Job* job = find(run.task.job);
         const Task* task = job != nullptr && !isFinal(job->state) ? job->find(run.task) : nullptr;
         if (task == nullptr || task->phase == TaskPhase::Done || task->crashes < most)
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -212,7 +212,7 @@
 bool JobScheduler::isPlaceable(const Worker& worker) const
 {
     const TimePoint now = m_runtime.now();
-    if (worker.record.draining || worker.inMaintenance || !worker.reported || !worker.link
+    if (worker.record.draining || worker.inMaintenance || !worker.reported || worker.awaitsReport || !worker.link
         || !worker.link->isReachable() || worker.link->isSuspect())
         return false;
     if (!worker.registered && now - worker.unregisteredSince > m_settings.unregisteredGracePeriod)
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -45,9 +45,13 @@
         return;
     if (worker->isEarlierIncarnation(report.incarnationStartUnixMs))
         return; // sent before the restart
-    noteIncarnation(*worker, report.incarnationStartUnixMs);
+    // Orders to the earlier incarnation may still arrive after this report, but not after the next one.
+    if (noteIncarnation(*worker, report.incarnationStartUnixMs))
+        return;
     const bool first = !worker->reported;
     worker->reported = true;
+    if (worker->awaitsReport)
+        settleRestart(*worker, report);
     processEnds(*worker, report);
     processRunning(*worker, report, sentAt);
     controlPace(*worker, report);
@@ -57,15 +61,17 @@
     }
 }
 
-void JobScheduler::noteIncarnation(Worker& worker, std::int64_t incarnationStartUnixMs)
+bool JobScheduler::noteIncarnation(Worker& worker, std::int64_t incarnationStartUnixMs)
 {
     std::int64_t& known = worker.record.incarnationStartUnixMs;
     if (incarnationStartUnixMs == 0 || incarnationStartUnixMs == known
         || worker.isEarlierIncarnation(incarnationStartUnixMs))
-        return;
-    if (known != 0)
+        return false;
+    const bool restarted = known != 0;
+    if (restarted)
         handleWorkerRestart(worker, incarnationStartUnixMs);
     known = incarnationStartUnixMs;
+    return restarted;
 }
 
 void JobScheduler::handleWorkerRestart(Worker& worker, std::int64_t incarnationStartUnixMs)
@@ -77,10 +83,10 @@
     worker.lastProcessedEnd = 0;
     worker.acknowledgements.reset();
     forgetStrayRuns(worker);
-    worker.link->resetForNewIncarnation();
-    const auto crashing = recordCrash(worker, true);
-    markRunsLost(worker, "worker restarted");
-    failCrashingJobs(crashing);
+    worker.fencingToken = newFencingToken(worker.record.id);
+    worker.awaitsReport = true;
+    worker.link->resetForNewIncarnation(worker.fencingToken);
+    worker.restartWasPlanned = worker.record.draining || worker.inMaintenance;
     for (auto& [id, job] : m_jobs) {
         for (auto& [n, occurrence] : job->open) {
             for (auto& step : occurrence.steps)
@@ -89,6 +95,52 @@
     }
 }
 
+void JobScheduler::settleRestart(Worker& worker, const PollReport& report)
+{
+    if (report.ended.size() >= maxListedEnds)
+        return; // further runs may have ended
+    absl::flat_hash_set<RunKey> survivors;
+    for (const auto& running : report.running)
+        survivors.insert(running.run);
+    for (const auto& end : report.ended)
+        survivors.insert(end.run);
+    endRunsExcept(worker, survivors);
+    worker.awaitsReport = false;
+    worker.restartWasPlanned = false;
+    (void)worker.crashSuspects.take(); // their times are of the earlier incarnation's clock
+    for (auto& [key, run] : worker.runs) {
+        run.startUnanswered = false;
+        Job* job = find(key.job);
+        const Task* task = job != nullptr ? job->find(key) : nullptr;
+        if (task != nullptr)
+            worker.crashSuspects.add({ key, run.run }, task->crashes > 0);
+    }
+}
+
+// A run that the earlier incarnation has listed is not waited for, as the new one may be out of reach for long.
+void JobScheduler::endListedRuns(Worker& worker)
+{
+    absl::flat_hash_set<RunKey> undecided;
+    for (auto& [key, run] : worker.runs) {
+        if (!std::exchange(run.listed, false) || run.startUnanswered)
+            undecided.insert({ key, run.run });
+    }
+    endRunsExcept(worker, undecided);
+}
+
+void JobScheduler::endRunsExcept(Worker& worker, const absl::flat_hash_set<RunKey>& survivors)
+{
+    const auto crashing = recordCrash(worker, true, survivors);
+    std::vector<TaskKey> ended;
+    for (const auto& [key, run] : worker.runs) {
+        if (!survivors.contains({ key, run.run }))
+            ended.push_back(key);
+    }
+    for (const auto& key : ended)
+        taskLost(key, "worker restarted");
+    failCrashingJobs(crashing);
+}
+
 void JobScheduler::processEnds(Worker& worker, const PollReport& report)
 {
     std::uint64_t last = worker.lastProcessedEnd;
@@ -203,6 +255,8 @@
         if (!current)
             adopt(worker, running);
         worker.crashSuspects.alive(running.run, report.clockMs);
+        if (const auto run = worker.runs.find(key); run != worker.runs.end() && run->second.run == running.run.run)
+            run->second.listed = true;
         if (!current)
             continue;
         if (task->phase == TaskPhase::Starting) {
@@ -334,7 +388,7 @@
             continue;
         task->pacePercent = pace;
         m_log.record("task_paced", { { "task", describe(key) }, { "percent", pace }, { "load", worker.latencyRatio } });
-        m_port.pace(worker.link->target(), { key, task->run, pace, m_epoch }, m_settings.stopTimeout,
+        m_port.pace(worker.link->target(), { key, task->run, pace, worker.fencingToken }, m_settings.stopTimeout,
             [this, key = key, run = task->run, pace, session = std::weak_ptr<int>(m_session)](
                 const OrderResult& result) {
                 if (session.expired() || result.outcome == OrderOutcome::Done)
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -124,14 +124,17 @@
     Worker* worker = m_workers.find(workerId);
     if (job == nullptr || worker == nullptr)
         return; // the worker was removed, and its runs were counted as lost
+    if (worker->awaitsReport)
+        return; // its next report tells whether the run exists
     const Step& step = *job->find(stepOf(key));
+    const Epoch fencingToken = worker->fencingToken;
     const auto lease = worker->link->extendLeaseForOrder();
     if (!lease || !m_host.maySendOrders()) {
         // An unsent first attempt means that no run exists; after a second one, a run of the first may exist.
         if (attempt > 1)
             stopTask(*job, key, "no response to start order");
         else
-            handleStartReply(key, run, workerId, attempt, { OrderOutcome::NotSent, {} });
+            handleStartReply(key, run, workerId, fencingToken, attempt, { OrderOutcome::NotSent, {} });
         return;
     }
     const Task& task = step.tasks[key.index];
@@ -140,23 +143,27 @@
         .payload = job->spec().payload,
         .checkpoint = task.checkpoint,
         .ticket = {},
-        .epoch = m_epoch,
+        .epoch = fencingToken,
         .leaseUntilMs = *lease };
     const auto ticket = step.admission.tickets.find(workerId);
     if (ticket != step.admission.tickets.end())
         order.ticket = ticket->second.text;
     const Duration timeout = attempt == 1 ? m_settings.startRepeatDelay : m_settings.startTimeout;
     m_port.start(worker->link->target(), order, timeout,
-        [this, key, run, workerId, attempt, session = std::weak_ptr<int>(m_session)](const OrderResult& result) {
+        [this, key, run, workerId, fencingToken, attempt, session = std::weak_ptr<int>(m_session)](
+            const OrderResult& result) {
             if (!session.expired())
-                handleStartReply(key, run, workerId, attempt, result);
+                handleStartReply(key, run, workerId, fencingToken, attempt, result);
         });
 }
 
-void JobScheduler::handleStartReply(
-    const TaskKey& key, RunNumber run, const WorkerId& workerId, int attempt, const OrderResult& result)
+void JobScheduler::handleStartReply(const TaskKey& key, RunNumber run, const WorkerId& workerId, Epoch fencingToken,
+    int attempt, const OrderResult& result)
 {
     Worker* worker = m_workers.find(workerId);
+    // The report of a restarted worker tells what has become of the runs that were started before.
+    if (worker != nullptr && worker->fencingToken != fencingToken)
+        return;
     if (worker != nullptr && worker->link)
         worker->link->recordClock(result.clockMs);
     Job* job = find(key.job);
@@ -200,11 +207,12 @@
     switch (result.outcome) {
     case OrderOutcome::Unknown:
         ++m_counters.startsWithoutResponse;
+        worker->runs.at(key).startUnanswered = true;
         worker->link->pollNow();
         sendStart(key, run, workerId, attempt + 1);
         return;
     case OrderOutcome::OtherIncarnation:
-        workerIncarnationEnded(workerId);
+        incarnationEnded(workerId, fencingToken);
         return;
     case OrderOutcome::NotSent:
         worker->link->pollNow();
@@ -258,25 +266,27 @@
     Worker* worker = m_workers.find(workerId);
     if (worker == nullptr || !worker->link)
         return;
-    m_port.stop(worker->link->target(), { key, run, m_epoch }, m_settings.stopTimeout,
-        [this, key, run, workerId, session = std::weak_ptr<int>(m_session)](const OrderResult& result) {
+    m_port.stop(worker->link->target(), { key, run, worker->fencingToken }, m_settings.stopTimeout,
+        [this, key, run, workerId, fencingToken = worker->fencingToken, session = std::weak_ptr<int>(m_session)](
+            const OrderResult& result) {
             if (!session.expired())
-                handleStopReply(key, run, workerId, result);
+                handleStopReply(key, run, workerId, fencingToken, result);
         });
 }
 
 void JobScheduler::handleStopReply(
-    const TaskKey& key, RunNumber run, const WorkerId& workerId, const OrderResult& result)
+    const TaskKey& key, RunNumber run, const WorkerId& workerId, Epoch fencingToken, const OrderResult& result)
 {
-    if (result.outcome == OrderOutcome::Fenced) {
+    Worker* worker = m_workers.find(workerId);
+    const bool outdated = worker != nullptr && worker->fencingToken != fencingToken;
+    if (result.outcome == OrderOutcome::Fenced && !outdated) {
         m_host.fenced();
         return;
     }
-    if (result.outcome == OrderOutcome::OtherIncarnation) {
-        workerIncarnationEnded(workerId);
+    if (result.outcome == OrderOutcome::OtherIncarnation && !outdated) {
+        incarnationEnded(workerId, fencingToken);
         return;
     }
-    Worker* worker = m_workers.find(workerId);
     Job* job = find(key.job);
     Task* task = job != nullptr ? job->find(key) : nullptr;
     const bool current
@@ -284,7 +294,7 @@
     const bool stray = worker != nullptr && worker->strayRuns.contains(key);
     if (!current && !stray)
         return;
-    if (result.outcome == OrderOutcome::Done) {
+    if (result.outcome == OrderOutcome::Done && !outdated) {
         if (current)
             task->confirmedAt = m_runtime.now();
         return; // resources are released once a report contains the end or no longer lists the run
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -33,6 +33,7 @@
             worker.record = record;
             worker.largestCapacity = record.capacity;
             worker.registeredIncarnationStartUnixMs = record.incarnationStartUnixMs;
+            worker.fencingToken = newFencingToken(record.id);
             worker.registered = true;
             connect(worker);
             mustStore = mustStore || !m_storedWorkers.contains(record.id);
@@ -47,7 +48,8 @@
         // An unchanged entry of the registry may be older than the worker's reports.
         if (std::exchange(known->registeredIncarnationStartUnixMs, record.incarnationStartUnixMs)
             != record.incarnationStartUnixMs)
-            noteIncarnation(*known, record.incarnationStartUnixMs);
+            if (noteIncarnation(*known, record.incarnationStartUnixMs))
+                endListedRuns(*known);
         const std::int64_t incarnationStartUnixMs = known->record.incarnationStartUnixMs;
         known->record = record;
         known->record.incarnationStartUnixMs = incarnationStartUnixMs;
@@ -56,9 +58,8 @@
         known->largestCapacity = largest;
         known->registered = true;
         if (moved)
-            connect(*known);
-        else if (known->link)
-            known->link->setDataCentre(record.dataCentre);
+            known->link->setAddress(record.address);
+        known->link->setDataCentre(record.dataCentre);
         if (drains) {
             m_log.record("worker_draining", { { "worker", record.id.value() }, { "runs", known->runs.size() } });
             evacuate(*known);
@@ -76,11 +77,19 @@
     requestPass();
 }
 
+Epoch JobScheduler::newFencingToken(const WorkerId& id)
+{
+    const auto [it, added] = m_fencingTokens.try_emplace(id, m_epoch);
+    if (!added)
+        it->second = std::min(it->second + 1, m_epoch + fencingTokensPerClaim - 1);
+    return it->second;
+}
+
 void JobScheduler::connect(Worker& worker)
 {
     worker.link = std::make_unique<WorkerLink>(
         m_runtime, m_port, static_cast<WorkerLinkListener&>(*this),
-        WorkerTarget { worker.record.id, worker.record.address, worker.record.dataCentre }, m_epoch,
+        WorkerTarget { worker.record.id, worker.record.address, worker.record.dataCentre }, worker.fencingToken,
         [this] { return m_host.maySendOrders(); }, m_settings.link);
     worker.link->begin();
 }
@@ -198,10 +207,19 @@
 }
 
 void JobScheduler::workerIncarnationEnded(const WorkerId& id)
+{
+    if (const Worker* worker = m_workers.find(id))
+        incarnationEnded(id, worker->fencingToken);
+}
+
+void JobScheduler::incarnationEnded(const WorkerId& id, Epoch fencingToken)
 {
     // Deferred, since the caller may be the worker's own link, which removeLostWorker() destroys.
-    m_runtime.post([this, id, session = std::weak_ptr<int>(m_session)] {
-        if (!session.expired())
+    m_runtime.post([this, id, fencingToken, session = std::weak_ptr<int>(m_session)] {
+        if (session.expired())
+            return;
+        const Worker* worker = m_workers.find(id);
+        if (worker != nullptr && worker->fencingToken == fencingToken)
             removeLostWorker(id, "another worker incarnation answers at its address", true);
     });
 }
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -19,9 +19,9 @@
     /// as a takeover, and five takeovers take 8 s.
     constexpr std::size_t maxEarlierOwners = 5;
 
-    /** @brief Number of the last claim, and the members that made the last few claims, latest first. */
+    /** @brief Last fencing token of the last claim, and the members that made the last few claims, latest first. */
     struct EpochRecord {
-        Epoch epoch = 0;
+        Epoch lastToken = 0;
         std::vector<std::string> owners;
     };
 
@@ -31,7 +31,7 @@
         if (!entry)
             return record;
         std::vector<std::string> parts = absl::StrSplit(entry->value, ' ', absl::SkipEmpty());
-        if (parts.empty() || !absl::SimpleAtoi(parts.front(), &record.epoch))
+        if (parts.empty() || !absl::SimpleAtoi(parts.front(), &record.lastToken))
             return {};
         record.owners.assign(parts.begin() + 1, parts.end());
         return record;
@@ -283,7 +283,7 @@
 {
     OwnerRecord record = m_self;
     const EpochRecord last = decodeEpoch(lastEpoch.entry);
-    record.epoch = last.epoch + 1;
+    record.epoch = last.lastToken + 1;
     std::vector<std::string> owners { m_self.member };
     owners.insert(owners.end(), last.owners.begin(), last.owners.end());
     owners.resize(std::min(owners.size(), maxEarlierOwners));
@@ -293,7 +293,8 @@
     transaction.conditions = { { m_settings.ownerKey, 0 },
         { m_settings.epochKey, lastEpoch.entry ? lastEpoch.entry->modRevision : Revision { 0 } } };
     transaction.puts = { { m_settings.ownerKey, encodeOwner(record), lease },
-        { m_settings.epochKey, absl::StrCat(record.epoch, " ", absl::StrJoin(owners, " ")), std::nullopt } };
+        { m_settings.epochKey, absl::StrCat(record.epoch + fencingTokensPerClaim - 1, " ", absl::StrJoin(owners, " ")),
+            std::nullopt } };
     for (std::size_t i = 0; i < ledgerCommitQueues; ++i)
         transaction.puts.push_back({ headRecordKey(i), headValue, std::nullopt });
     const TimePoint sentAt = m_runtime.now();
--- a/src/lycheeledge/jobs/WorkerLink.cpp
+++ b/src/lycheeledge/jobs/WorkerLink.cpp
@@ -20,12 +20,12 @@
 } // namespace
 
 WorkerLink::WorkerLink(Runtime& runtime, WorkerPort& port, WorkerLinkListener& listener, WorkerTarget target,
-    Epoch epoch, std::function<bool()> ordersAllowed, WorkerLinkSettings settings)
+    Epoch fencingToken, std::function<bool()> ordersAllowed, WorkerLinkSettings settings)
     : m_runtime(runtime)
     , m_port(port)
     , m_listener(listener)
     , m_target(std::move(target))
-    , m_epoch(epoch)
+    , m_fencingToken(fencingToken)
     , m_ordersAllowed(std::move(ordersAllowed))
     , m_settings(settings)
 {
@@ -46,12 +46,41 @@
         schedulePoll(Duration::zero());
 }
 
-void WorkerLink::resetForNewIncarnation()
+void WorkerLink::resetForNewIncarnation(Epoch fencingToken)
 {
+    m_fencingToken = fencingToken;
     m_acknowledgedEnd = 0;
     m_lastListedEnd = 0;
     m_clockMs.reset();
-    m_leaseExpiry = m_runtime.now();
+    m_restarted = true;
+    assumeLongestLease();
+    pollAnew();
+}
+
+void WorkerLink::setAddress(const std::string& address)
+{
+    m_target.address = address;
+    m_failures = std::max(m_failures, 1);
+    pollAnew();
+}
+
+// The response to a poll in progress is ignored.
+void WorkerLink::pollAnew()
+{
+    ++m_attempt;
+    m_polling = false;
+    schedulePoll(Duration::zero());
+}
+
+// Orders to an earlier incarnation name a time of its clock, which may be far ahead of the clock of the next one.
+void WorkerLink::assumeLongestLease()
+{
+    m_leaseExpiry = std::max(m_leaseExpiry, m_runtime.now() + longestTime(m_settings.maxLease));
+}
+
+Duration WorkerLink::longestTime(Duration workerTime) const
+{
+    return std::chrono::duration_cast<Duration>(workerTime / (1 - m_settings.clockSlowdown));
 }
 
 std::optional<std::int64_t> WorkerLink::extendLeaseForOrder()
@@ -60,8 +89,7 @@
         return std::nullopt;
     const Duration sinceClock = m_runtime.now() - m_clockAt;
     const Duration length = sinceClock + m_settings.lease;
-    const auto longestLength = std::chrono::duration_cast<Duration>(length / (1 - m_settings.clockSlowdown));
-    m_leaseExpiry = std::max(m_leaseExpiry, m_clockAt + longestLength);
+    m_leaseExpiry = std::max(m_leaseExpiry, m_clockAt + longestTime(length));
     return *m_clockMs + toMilliseconds(length);
 }
 
@@ -91,7 +119,7 @@
         schedulePoll(m_settings.retryPause);
         return;
     }
-    PollRequest request { .epoch = m_epoch, .acknowledged = 0, .leaseUntilMs = {} };
+    PollRequest request { .epoch = m_fencingToken, .acknowledged = 0, .leaseUntilMs = {} };
     // An unresponsive worker is only read. Its lease is not extended, so that its tasks can start elsewhere once it has
     // expired; and it may have restarted, in which case its new ends have the numbers of the acknowledged ones.
     if (m_failures == 0) {
@@ -99,7 +127,7 @@
         request.leaseUntilMs = extendLeaseForOrder();
     }
     // A worker with unacknowledged ends responds immediately, so polls that wait would become a busy loop.
-    if (m_reachable && m_failures == 0 && m_acknowledgedEnd >= m_lastListedEnd)
+    if (m_reachable && m_failures == 0 && m_clockMs && m_acknowledgedEnd >= m_lastListedEnd)
         request.wait = m_settings.pollWait;
     const std::uint64_t attempt = ++m_attempt;
     const TimePoint sentAt = m_runtime.now();
@@ -121,6 +149,8 @@
         return;
     }
     m_failures = 0;
+    if (std::exchange(m_restarted, false))
+        assumeLongestLease();
     for (const auto& end : result.report.ended)
         m_lastListedEnd = std::max(m_lastListedEnd, end.sequence);
     const std::weak_ptr<bool> alive = m_alive;
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -24,6 +24,8 @@
     Duration acknowledgementWait = std::chrono::milliseconds(200);
     /// Fraction by which a worker's clock may run slower than this process's clock, as stated by the platform.
     double clockSlowdown = 0.02;
+    /// Longest lease that a worker accepts (limit of the platform).
+    Duration maxLease = std::chrono::seconds(10);
 };
 
 /** @brief Receives a worker's reports and state changes, on the coordination thread. */
@@ -43,9 +45,12 @@
 /** @brief Polls one worker continuously, with one request in progress at a time. */
 class WorkerLink {
 public:
-    /** @param ordersAllowed returns whether this process may still act as the owner. */
-    WorkerLink(Runtime& runtime, WorkerPort& port, WorkerLinkListener& listener, WorkerTarget target, Epoch epoch,
-        std::function<bool()> ordersAllowed, WorkerLinkSettings settings = {});
+    /**
+     * @param fencingToken of the polls.
+     * @param ordersAllowed returns whether this process may still act as the owner.
+     */
+    WorkerLink(Runtime& runtime, WorkerPort& port, WorkerLinkListener& listener, WorkerTarget target,
+        Epoch fencingToken, std::function<bool()> ordersAllowed, WorkerLinkSettings settings = {});
     ~WorkerLink();
     WorkerLink(const WorkerLink&) = delete;
     WorkerLink& operator=(const WorkerLink&) = delete;
@@ -53,13 +58,16 @@
     void begin();
     /** @brief Acknowledges ends up to this sequence number: they are stored, and the worker may discard them. */
     void acknowledge(std::uint64_t sequence);
-    /** @brief Resets the numbering of ends and the lease after the worker restarted under the same id. */
-    void resetForNewIncarnation();
+    /**
+     * @brief Forgets what is known of the worker after it restarted under the same id, and polls it at once. The
+     * response to a poll in progress is ignored.
+     */
+    void resetForNewIncarnation(Epoch fencingToken);
     /** @brief End of the lease for an order sent now, on the worker's clock; `nullopt` until its clock is known. */
     std::optional<std::int64_t> extendLeaseForOrder();
     /** @brief Time at which all tasks on the worker have certainly ended, unless further orders reach it. */
     TimePoint leaseExpiry() const { return m_leaseExpiry; }
-    /** @brief Records the worker's clock as given in the response to an order. */
+    /** @brief Records the worker's clock as given in the response to an order to its current incarnation. */
     void recordClock(std::optional<std::int64_t> clockMs);
     /** @brief Polls immediately, without waiting for the poll in progress, because an order got no response. */
     void pollNow();
@@ -68,21 +76,26 @@
     /** @brief Whether the last order or poll got no response. */
     bool isSuspect() const { return m_failures > 0; }
     const WorkerTarget& target() const { return m_target; }
+    /** @brief Polls the worker at another address. Until it answers there, it counts as suspect. */
+    void setAddress(const std::string& address);
     /** @brief Applies to the calls from now on. */
     void setDataCentre(const std::string& dataCentre) { m_target.dataCentre = dataCentre; }
 
 private:
     void poll();
+    void pollAnew();
     void handlePollResult(std::uint64_t attempt, TimePoint sentAt, const PollResult& result);
     void handlePollFailure(OrderOutcome outcome);
     void schedulePoll(Duration delay);
     void setReachable(bool reachable);
+    Duration longestTime(Duration workerTime) const;
+    void assumeLongestLease();
 
     Runtime& m_runtime;
     WorkerPort& m_port;
     WorkerLinkListener& m_listener;
     WorkerTarget m_target;
-    Epoch m_epoch;
+    Epoch m_fencingToken;
     std::function<bool()> m_ordersAllowed;
     WorkerLinkSettings m_settings;
     std::uint64_t m_attempt = 0; ///< number of the poll in progress; responses to earlier polls are ignored
@@ -91,6 +104,7 @@
     int m_failures = 0; ///< consecutive polls without a response
     bool m_reachable = false;
     bool m_polling = false;
+    bool m_restarted = false; ///< no response from the current incarnation yet, which replaced an earlier one
     std::optional<Runtime::TimerId> m_timer;
     std::optional<std::int64_t> m_clockMs; ///< the worker's clock at m_clockAt, or slightly earlier
     TimePoint m_clockAt;
--- a/src/lycheeledge/jobs/WorkerPort.h
+++ b/src/lycheeledge/jobs/WorkerPort.h
@@ -12,6 +12,10 @@
 
 namespace lycheeledge::jobs {
 
+/// Each claim of the ownership takes this many fencing tokens. The first one is the epoch; the owner uses the others
+/// for orders to workers that have restarted under the same id.
+inline constexpr Epoch fencingTokensPerClaim = 100;
+
 /** @brief Registry entry of a worker. */
 struct WorkerRecord {
     WorkerId id;
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -23,6 +23,8 @@
     Resources charged; ///< counted against the upper limit of the client account
     bool latencySensitive = false; ///< has a latency target
     bool usesIdleCpu = false;
+    bool listed = false; ///< by a report of the worker's current incarnation
+    bool startUnanswered = false; ///< a start order got no response, so it may still be carried out
 
     bool operator==(const PlacedRun&) const = default;
 };
@@ -38,6 +40,13 @@
     /// Reported runs that belong to no task. They are being stopped, and stay listed until they have ended.
     absl::flat_hash_map<TaskKey, RunNumber> strayRuns;
     CrashSuspects crashSuspects; ///< of this incarnation
+    /// Of the orders to this incarnation. Rises with each restart, so that orders to an earlier incarnation that are
+    /// carried out late are refused.
+    Epoch fencingToken = 0;
+    /// Restarted under the same id, and has not reported under the new fencing token. Until then, its runs may be of
+    /// either incarnation.
+    bool awaitsReport = false;
+    bool restartWasPlanned = false; ///< while awaitsReport: the earlier incarnation had drained
     bool inMaintenance = false; ///< draining for planned maintenance of its VM, or down because of it
     bool registered = false; ///< present in the platform's worker list when it was last read
     TimePoint unregisteredSince; ///< time since which it is not registered
--- a/test/jobs/WorkerRestartTest.cpp
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -9,6 +9,7 @@
 using namespace lycheeledge::test;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using OrderFault = FakeJobWorkers::OrderFault;
 
 namespace {
 
@@ -71,6 +72,69 @@
     CHECK(cluster.workers.violations().empty());
 }
 
+TEST_CASE("a task that runs on a restarted worker does not start elsewhere once the registry tells of the restart",
+    "[jobs][crash]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 2);
+    completeJobOn(cluster, 1);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(4); };
+    cluster.workers.restart("w0");
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(12, 1000) } }));
+    cluster.registerWorker(cluster.workers.record("w0"));
+    CHECK(cluster.waitForState(2, "batch", JobState::Completed, seconds(12)));
+    CHECK(cluster.workers.starts().size() == 18);
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("a start that the next incarnation of a worker carries out late does not run beside its replacement",
+    "[jobs][crash]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    completeJobOn(cluster, 1);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(3); };
+    cluster.workers.startFault = [](const std::string&) { return OrderFault::Late; };
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(8, 1000) } }));
+    cluster.advance(milliseconds(100));
+    cluster.workers.startFault = [](const std::string&) { return OrderFault::None; };
+    cluster.workers.setDisconnected("w0", true);
+    cluster.workers.restart("w0");
+    cluster.registerWorker(cluster.workers.record("w0"));
+    cluster.addWorker("w1", 8000);
+    cluster.advance(seconds(5)); // the late orders arrive
+    cluster.workers.setDisconnected("w0", false);
+    CHECK(cluster.waitForState(2, "batch", JobState::Completed, seconds(20)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("tasks of a restarted worker that is cut off wait for a lease on the clock of its earlier incarnation",
+    "[jobs][crash]")
+{
+    // A poll sent to the earlier incarnation extends the lease of the next one to the longest that it accepts.
+    JobCluster cluster(1);
+    addWorkers(cluster, 2);
+    completeJobOn(cluster, 1);
+    cluster.advance(seconds(10)); // the clock of the earlier incarnation is far ahead
+    cluster.workers.lateOrderDelay = milliseconds(1500);
+    cluster.workers.pollFault
+        = [](const std::string& worker) { return worker == "w0" ? OrderFault::Late : OrderFault::None; };
+    cluster.advance(seconds(1));
+    cluster.workers.restart("w0");
+    cluster.advance(milliseconds(200));
+    cluster.workers.pollFault = [](const std::string&) { return OrderFault::None; };
+    cluster.advance(milliseconds(2100));
+    cluster.workers.runTime = [](const TaskKey&) { return milliseconds(1500); };
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(16, 1000) } }));
+    cluster.advance(milliseconds(300));
+    cluster.workers.setDisconnected("w0", true);
+    cluster.advance(seconds(6));
+    cluster.workers.setDisconnected("w0", false);
+    CHECK(cluster.waitForState(2, "batch", JobState::Completed, seconds(15)));
+    cluster.advance(seconds(2)); // the ends on w0 are acknowledged
+    CHECK(cluster.workers.violations().empty());
+}
+
 TEST_CASE("a run whose end is behind a full list of ends is not taken for lost", "[jobs]")
 {
     JobCluster cluster(1);
