Let a poll that is repeated after its relay was lost only read

What callers would see: a task starts again after its run had ended as done and the end was acknowledged, on fleets above 128 workers.

Cause: when a relay falls silent, its polls are made again on another way with the acknowledgement and the lease of the first attempt. The owner may have learned meanwhile that the worker restarted under the same id. Its ends are then numbered from 1, so the old acknowledgement covers new ends that nobody has read, and its clock shows other times.

Why this works: a poll without acknowledgement and lease changes nothing on the worker, whatever its incarnation.

--- a/src/lycheeledge/jobs/relay/RelayedWorkers.cpp
+++ b/src/lycheeledge/jobs/relay/RelayedWorkers.cpp
@@ -242,8 +242,8 @@
         finish(id, { .id = id, .outcome = OrderOutcome::Unknown, .report = {} });
 }
 
-// Makes the affected polls again. A poll may be carried out twice: the lease that it grants is a point in time on the
-// worker's clock, and acknowledgements are cumulative.
+// Makes the affected polls again, only to read: the worker may have restarted since, and the numbers of its ends and
+// its clock with it.
 void RelayedWorkers::repeatPolls(const std::function<bool(const Pending&)>& affected)
 {
     std::vector<Pending> repeated;
@@ -259,8 +259,11 @@
         it = m_pending.erase(it);
     }
     m_counters.repeatedPolls += repeated.size();
-    for (auto& it : repeated)
-        poll(it.target, std::get<PollRequest>(it.request), it.timeout, std::get<PollDone>(std::move(it.done)));
+    for (auto& it : repeated) {
+        PollRequest request;
+        request.epoch = std::get<PollRequest>(it.request).epoch;
+        poll(it.target, request, it.timeout, std::get<PollDone>(std::move(it.done)));
+    }
 }
 
 void RelayedWorkers::start(const WorkerTarget& to, const StartOrder& order, Duration timeout, OrderDone done)
--- a/test/jobs/relay/RelayedWorkersTest.cpp
+++ b/test/jobs/relay/RelayedWorkersTest.cpp
@@ -53,6 +53,27 @@
     JobCluster cluster;
 };
 
+/** @brief Records polls. Nothing answers them. */
+class SilentWorkers final : public WorkerPort {
+public:
+    std::vector<PollRequest> polls;
+
+    void start(const WorkerTarget&, const StartOrder&, Duration, std::function<void(OrderResult)>) override { }
+    void stop(const WorkerTarget&, const StopOrder&, Duration, std::function<void(OrderResult)>) override { }
+    void pace(const WorkerTarget&, const PaceOrder&, Duration, std::function<void(OrderResult)>) override { }
+    void poll(const WorkerTarget&, const PollRequest& request, Duration, std::function<void(PollResult)>) override
+    {
+        polls.push_back(request);
+    }
+};
+
+class SilentMembers final : public MemberPort {
+public:
+    MemberConnection connect(const std::string&, std::uint16_t) override { return 0; }
+    void send(MemberConnection, const MemberMessage&) override { }
+    void close(MemberConnection) override { }
+};
+
 std::vector<RelayCandidate> threeRelays()
 {
     return { { 1, "a", "dc1", 0.5 }, { 2, "b", "dc1", 0.5 }, { 3, "c", "dc2", 0.5 } };
@@ -113,6 +134,25 @@
     CHECK(alone.cluster.waitForState(1, "urgent", JobState::Completed, seconds(5)));
 }
 
+TEST_CASE("a poll made again after its relay was lost acknowledges no ends and grants no lease", "[relay]")
+{
+    // The worker may have restarted since: its ends are then numbered anew, and its clock shows other times.
+    ManualRuntime runtime(1);
+    SilentWorkers direct;
+    SilentMembers members;
+    RecordingLog log;
+    RelayedWorkers workers(runtime, direct, members, log, { .maxDirectWorkers = 0 });
+    workers.setWorkerCount([] { return std::size_t(1); });
+    workers.addMember(7, "m1", 1);
+    workers.received(7, RelayOffer { "dc1", 0 });
+    const PollRequest request { .epoch = 4, .acknowledged = 57, .leaseUntilMs = 486000, .wait = milliseconds(800) };
+    workers.poll({ WorkerId("w0"), "w0:80", "dc1" }, request, seconds(1), [](const PollResult&) {});
+    REQUIRE(direct.polls.empty());
+    workers.removeMember(7);
+    REQUIRE(direct.polls.size() == 1);
+    CHECK(direct.polls.front() == PollRequest { .epoch = 4, .acknowledged = 0, .leaseUntilMs = {}, .wait = {} });
+}
+
 TEST_CASE("no lease of a healthy worker expires when its relay is killed", "[relay]")
 {
     RelayCluster relays(3, 6);
