Send no orders to a worker that was left out of the stored set

What callers would see: after a takeover, tasks run twice at the same time: the new owner does not wait for a worker that runs some of them.

Cause: storeWorkerSet() leaves out workers that have left, but only the next tick took them off m_storedWorkers. A worker that was found unregistered while the set was written for another reason, and that came back before the tick, got orders although the stored set lacked it, and was not stored again.

Why this works: a worker is taken off m_storedWorkers in the same step in which it is left out, so it gets orders only after it has been stored again.

--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -97,21 +97,20 @@
     m_workerSetWriting = true;
     m_workerSetChanged = false;
     WorkerSetRecord record;
-    std::vector<WorkerId> ids;
     for (const auto& [id, worker] : m_workers.all()) {
         if (hasLeft(worker))
-            continue;
-        record.workers.push_back({ id, worker.record.address, worker.largestCapacity });
-        ids.push_back(id);
+            m_storedWorkers.erase(id);
+        else
+            record.workers.push_back({ id, worker.record.address, worker.largestCapacity });
     }
-    m_ledger.setWorkers(std::move(record), [this, ids, session = std::weak_ptr<int>(m_session)] {
+    m_ledger.setWorkers(record, [this, stored = record.workers, session = std::weak_ptr<int>(m_session)] {
         if (session.expired())
             return;
         m_workerSetWriting = false;
-        for (const auto& id : ids) {
-            const Worker* worker = m_workers.find(id);
+        for (const auto& it : stored) {
+            const Worker* worker = m_workers.find(it.id);
             if (worker != nullptr && !hasLeft(*worker))
-                m_storedWorkers.insert(id);
+                m_storedWorkers.insert(it.id);
         }
         if (m_workerSetChanged)
             storeWorkerSet();
