Store a worker's new address before it receives orders

What callers would see: after a takeover, tasks run twice at the same time.

Cause: the stored set of workers was written when a worker joined or its capacity grew, not when its address changed. A new owner that finds no registry entry of the worker asks at the stored address. If another worker has that address by then, it answers that it is another incarnation, and the owner takes all runs of the first one for ended.

Why this works: a worker that has moved counts as not stored until a set with its present address is stored.

--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -41,9 +41,11 @@
                     { "milli_cpu", record.capacity.milliCpu }, { "labels", absl::StrJoin(record.labels, ",") } });
             continue;
         }
-        mustStore = mustStore || !m_storedWorkers.contains(record.id);
         const bool drains = record.draining && !known->record.draining;
         const bool moved = record.address != known->record.address;
+        if (moved)
+            m_storedWorkers.erase(record.id);
+        mustStore = mustStore || !m_storedWorkers.contains(record.id);
         // An unchanged entry of the registry may be older than the worker's reports.
         if (std::exchange(known->registeredIncarnationStartUnixMs, record.incarnationStartUnixMs)
             != record.incarnationStartUnixMs)
@@ -109,7 +111,7 @@
         m_workerSetWriting = false;
         for (const auto& it : stored) {
             const Worker* worker = m_workers.find(it.id);
-            if (worker != nullptr && !hasLeft(*worker))
+            if (worker != nullptr && !hasLeft(*worker) && worker->record.address == it.address)
                 m_storedWorkers.insert(it.id);
         }
         if (m_workerSetChanged)
--- a/test/jobs/PartitionTest.cpp
+++ b/test/jobs/PartitionTest.cpp
@@ -39,3 +39,21 @@
     cluster.advance(seconds(8));
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("the stored set of workers follows a worker to its new address", "[takeover]")
+{
+    // Guards against a new owner that finds another worker at the earlier address and takes this one for ended.
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    const auto storedAddress = [&cluster] {
+        const auto set = cluster.codec.decodeWorkerSet(cluster.store.entry(LedgerKeys().workers)->value);
+        return set.ok() && !set->workers.empty() ? set->workers.front().address : std::string();
+    };
+    REQUIRE(storedAddress() == "w0:80");
+    cluster.workers.restart("w0");
+    auto moved = cluster.workers.record("w0");
+    moved.address = "w0:81";
+    cluster.registerWorker(moved);
+    cluster.advance(seconds(1));
+    CHECK(storedAddress() == "w0:81");
+}
