Store a task as done when an earlier run has completed it

What callers would see: a task that had ended as done starts again after a takeover.

Cause: if an earlier run of a task ends as done while another run exists, the end is stored and acknowledged, but Job::progress() left out that the task is done: Task::doneWhenRunEnds was not part of it. The next owner took the task for unfinished.

Evidence: the new test failed on the earlier code: the restored task was waiting.

Why this works: the stored progress contains all that an acknowledged end has changed. The remaining run is stopped by the next owner, since its task is done.

--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -107,7 +107,7 @@
                 continue;
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                 const Task& task = step.tasks[i];
-                const bool done = task.phase == TaskPhase::Done;
+                const bool done = task.phase == TaskPhase::Done || task.doneWhenRunEnds;
                 if (!done && task.crashes + task.interruptions > 0)
                     record.crashCounts.push_back(
                         { n, static_cast<std::uint32_t>(entry.steps.size() - 1), i, task.crashes, task.interruptions });
--- /dev/null
+++ b/test/jobs/UnexpectedEndsTest.cpp
@@ -0,0 +1,29 @@
+// Ends that reach an owner unexpectedly: of occurrences not yet due, of earlier runs, of jobs without a queue.
+
+#include "support/JobClusterHelpers.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheeledge;
+using namespace lycheeledge::jobs;
+using namespace lycheeledge::test;
+using std::chrono::seconds;
+
+TEST_CASE("a task whose earlier run completed it is stored as done while another run exists", "[takeover]")
+{
+    // The end of the earlier run is acknowledged. Guards against a further start by the next owner.
+    Job job;
+    job.id = JobId(jobName(1));
+    job.submission.spec = { .payload = {}, .steps = { simpleStep(2, 1000) } };
+    job.state = JobState::Running;
+    Task& task = job.openOccurrence(0, TimePoint(seconds(1))).steps[0].tasks[1];
+    task.phase = TaskPhase::Stopping;
+    task.doneWhenRunEnds = true;
+    Job next;
+    next.id = job.id;
+    next.submission = job.submission;
+    next.restore(job.progress(), TimePoint(seconds(2)));
+    CHECK(next.open.at(0).steps[0].tasks[0].phase == TaskPhase::Waiting);
+    CHECK(next.open.at(0).steps[0].tasks[1].phase == TaskPhase::Done);
+    CHECK(next.open.at(0).steps[0].done == 1);
+}
