Check the limit of attempts before each start

What callers would see: a failed task is repeated once more than its queue allows.

Cause: the limit was checked only when a run failed. If the queue was not part of the configuration at that time, no limit was known, and when a later version brought the queue back, the task started again. The same happened after a version had lowered the limit.

Why this works: a waiting task whose attempts are used up fails its job instead of starting.

--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -243,6 +243,7 @@
     void taskLost(const TaskKey& key, const char* reason);
     void taskDone(Job& job, const TaskKey& key, Task& task);
     void taskFailed(Job& job, const TaskKey& key, Task& task, RunNumber run);
+    bool hasFailed(const Job& job, const StepKey& key, const Task& task) const;
     void finish(Job& job, JobState state, const char* reason);
     void logEnd(const Job& job, const char* reason);
     void markChanged(const Job& job, std::function<void()> stored = {});
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -353,8 +353,14 @@
     std::vector<std::uint32_t> due;
     for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
         const Task& task = step->tasks[i];
-        if (task.phase == TaskPhase::Waiting && task.notBefore <= now)
-            due.push_back(i);
+        if (task.phase != TaskPhase::Waiting || task.notBefore > now)
+            continue;
+        if (hasFailed(job, key, task)) { // while its queue did not exist, or allowed more attempts
+            finish(job, JobState::Failed, "a task reached its maximum number of attempts");
+            markChanged(job);
+            return;
+        }
+        due.push_back(i);
     }
     if (due.empty() || (spec.gang && due.size() + step->done < step->tasks.size()))
         return;
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -422,11 +422,19 @@
     auto& failedRuns = spec.gang ? step.failedGangRuns : task.failedRuns;
     if (std::find(failedRuns.begin(), failedRuns.end(), run) == failedRuns.end())
         failedRuns.push_back(run);
-    const QueuePolicy* queue = queueOf(job);
-    if (queue != nullptr && failedRuns.size() >= queue->maxAttempts)
+    if (hasFailed(job, stepOf(key), task))
         finish(job, JobState::Failed, "a task reached its maximum number of attempts");
 }
 
+bool JobScheduler::hasFailed(const Job& job, const StepKey& key, const Task& task) const
+{
+    const auto& failedRuns = job.spec().steps[key.step].gang
+        ? job.open.at(key.occurrence).steps[key.step].failedGangRuns
+        : task.failedRuns;
+    const QueuePolicy* queue = queueOf(job);
+    return queue != nullptr && !failedRuns.empty() && failedRuns.size() >= queue->maxAttempts;
+}
+
 // The times are those of the last open occurrence. The job was late if after_ms exceeds objective_ms.
 void JobScheduler::logEnd(const Job& job, const char* reason)
 {
--- a/test/jobs/UnexpectedEndsTest.cpp
+++ b/test/jobs/UnexpectedEndsTest.cpp
@@ -51,3 +51,22 @@
     CHECK(next.open.at(0).steps[0].tasks[1].phase == TaskPhase::Done);
     CHECK(next.open.at(0).steps[0].done == 1);
 }
+
+TEST_CASE("a task whose last attempt fails while its queue is gone does not start when the queue is back", "[jobs]")
+{
+    JobCluster cluster(1);
+    cluster.workers.endOf = [](const TaskKey&, const std::string&) { return EndKind::Failed; };
+    addWorkers(cluster, 3);
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.starts().size() == 3; }));
+    auto configuration = simpleConfiguration();
+    configuration.queues.pop_back();
+    configuration.version = 2;
+    cluster.setConfiguration(configuration);
+    cluster.advance(seconds(2));
+    configuration = simpleConfiguration();
+    configuration.version = 3;
+    cluster.setConfiguration(configuration);
+    CHECK(cluster.waitForState(1, "batch", JobState::Failed, seconds(3)));
+    CHECK(cluster.workers.starts().size() == 3);
+}
