Do not confirm the ownership by a watch of other records

What callers would see: an owner that was replaced keeps sending orders beyond the 8 s for which its successor waits.

Cause: each answered watch of the operator's records counted as a confirmation of the ownership. It shows only that the store answers. If the renewals and the watch of the owner record get no answer meanwhile, the owner does not learn that another member has claimed.

Why this works: only renewals of the owner's lease and commits, which require its head records, confirm the ownership. An answered watch still counts as contact with the store for the decision on a handover.

--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -87,7 +87,7 @@
 bool OwnerLease::needsHandover() const
 {
     const TimePoint now = m_runtime.now();
-    const StoreContact contact { .unconfirmed = now - m_confirmedAt,
+    const StoreContact contact { .unconfirmed = now - std::max(m_confirmedAt, m_answeredAt),
         .failedRenewals = m_failedRenewals,
         .pendingRenewal = m_renewalSentAt ? now - *m_renewalSentAt : Duration::zero() };
     return m_epoch && shouldRequestHandover(contact, m_settings.handover);
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -6,6 +6,7 @@
 #include "ClusterStore.h"
 #include "EventLog.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -95,9 +96,11 @@
     void handoverConfirmed(Epoch epoch);
     /** @brief The owner's process has ended: nothing listens at its address. Ends its lease. */
     void ownerProcessEnded();
-    /** @brief Confirms the ownership: the store answered a call that this owner sent at this time, in its epoch. */
+    /** @brief Confirms the ownership: a call sent at this time succeeded that only the owner of this epoch can make. */
     void confirmed(TimePoint sentAt);
     TimePoint confirmedAt() const { return m_confirmedAt; }
+    /** @brief The store answered any call that this process sent at this time. */
+    void storeAnswered(TimePoint sentAt) { m_answeredAt = std::max(m_answeredAt, sentAt); }
 
     bool isOwner() const { return m_epoch.has_value(); }
     Epoch epoch() const { return m_epoch.value_or(0); }
@@ -135,6 +138,7 @@
     std::optional<Epoch> m_epoch; ///< set while this process is the owner
     StoreLeaseId m_lease = 0;
     TimePoint m_confirmedAt;
+    TimePoint m_answeredAt;
     bool m_claiming = false;
     int m_failedRenewals = 0; ///< in a row, as the owner
     std::optional<TimePoint> m_renewalSentAt; ///< of the renewal in progress
--- a/src/lycheeledge/jobs/OwnerSession.cpp
+++ b/src/lycheeledge/jobs/OwnerSession.cpp
@@ -130,7 +130,7 @@
                     applyWave(entry);
             }
             m_service.configurationConfirmed(sentAt);
-            m_lease.confirmed(sentAt);
+            m_lease.storeAnswered(sentAt);
             watchOperator(std::max(after, events->asOf));
         });
 }
--- a/test/jobs/PartitionTest.cpp
+++ b/test/jobs/PartitionTest.cpp
@@ -156,3 +156,18 @@
     cluster.advance(seconds(1));
     CHECK(storedAddress() == "w0:81");
 }
+
+TEST_CASE("a watch that the store answers does not confirm an ownership that has ended", "[takeover]")
+{
+    // Renewals and the watch of the owner record get no answer, so the owner learns of no successor.
+    JobCluster cluster(2);
+    addWorkers(cluster, 1);
+    const std::string owner = *cluster.owner();
+    cluster.member(owner).workers.isCutOff = [](const std::string&) { return true; };
+    cluster.store.answeredWatch = cluster.records.operatorPrefix();
+    cluster.setCutOff(owner, true);
+    REQUIRE(cluster.waitFor([&] { return hasOtherOwner(cluster, owner); }, seconds(5)));
+    CHECK(cluster.member(owner).node.lease().isOwner());
+    cluster.advance(seconds(8));
+    CHECK_FALSE(cluster.member(owner).node.lease().maySendOrders());
+}
--- a/test/support/FakeClusterStore.h
+++ b/test/support/FakeClusterStore.h
@@ -36,6 +36,7 @@
     void setFault(const std::string& member, Fault fault) { m_faults[member] = fault; }
     void setLatency(Duration latency) { m_latency = latency; }
     Duration executionDelay = std::chrono::seconds(3); ///< execution delay of Fault::ExecuteLate
+    std::string answeredWatch; ///< prefix of watches that are answered whatever the fault; empty: none
 
     Revision put(const std::string& key, const std::string& value)
     {
@@ -270,7 +271,8 @@
         const std::string& prefix, Revision after, TimePoint end, Duration timeout, Callback<jobs::StoreEvents> done)
     {
         constexpr Duration pollInterval = std::chrono::milliseconds(5);
-        const Fault fault = m_store.faultFor(m_member);
+        const bool isAnswered = !m_store.answeredWatch.empty() && prefix == m_store.answeredWatch;
+        const Fault fault = isAnswered ? Fault::None : m_store.faultFor(m_member);
         auto& runtime = m_store.m_runtime;
         if (fault == Fault::Refuse) {
             runtime.after(m_store.m_latency, [done] { done(absl::UnavailableError("refused")); });
