Do not restore the owner record after another member has claimed

What callers would see: a replaced owner counts as confirmed again and sends orders, until one of its commits fails.

Cause: an owner whose lease has ended writes its record again if there is none. Another member may have claimed and ended in between. The head records fence the commits of the first owner, but it does not notice before it commits.

Evidence: the new test failed on the earlier code: the owner restored its record in epoch 1 after epoch 2.

Why this works: the record is written only if the epoch record still is the one of the owner's own claim; only claims write it.

--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -323,6 +323,7 @@
 {
     m_lease = lease;
     m_epoch = epoch;
+    m_claimRevision = headRevision;
     m_failedRenewals = 0;
     m_renewalSentAt.reset();
     m_owner = m_self;
@@ -359,8 +360,7 @@
         });
 }
 
-// The head records still name this owner unless another member has claimed; in that case commits to the ledger fail. So
-// the owner record may be written again in the same epoch.
+// Unless another member has claimed since, the owner record may be written again in the same epoch.
 void OwnerLease::reclaim()
 {
     const auto epoch = m_epoch;
@@ -378,7 +378,7 @@
             record.epoch = *epoch;
             record.lease = *lease;
             StoreTransaction transaction;
-            transaction.conditions = { { m_settings.ownerKey, 0 } };
+            transaction.conditions = { { m_settings.ownerKey, 0 }, { m_settings.epochKey, m_claimRevision } };
             transaction.puts = { { m_settings.ownerKey, encodeOwner(record), *lease } };
             m_store.commit(transaction, m_settings.callTimeout,
                 [this, epoch, lease = *lease](const absl::StatusOr<CommitResult>& result) {
@@ -389,9 +389,11 @@
                         retry(&OwnerLease::reclaim);
                         return;
                     }
-                    const auto& current = result->current;
-                    if (!result->applied && !current.empty()) {
-                        const auto holder = decodeOwner(current.front().value);
+                    if (!result->applied) {
+                        const auto& current = result->current;
+                        const auto entry = std::find_if(current.begin(), current.end(),
+                            [this](const StoreEntry& it) { return it.key == m_settings.ownerKey; });
+                        const auto holder = decodeOwner(entry == current.end() ? std::string() : entry->value);
                         if (!holder.ok() || holder->incarnation != m_self.incarnation
                             || holder->member != m_self.member) {
                             dropOwnership("the lease expired and another member claimed the ownership");
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -137,6 +137,7 @@
     std::optional<OwnerRecord> m_owner; ///< as last read
     std::optional<Epoch> m_epoch; ///< set while this process is the owner
     StoreLeaseId m_lease = 0;
+    Revision m_claimRevision = 0; ///< of the epoch record, as written by this owner's claim
     TimePoint m_confirmedAt;
     TimePoint m_answeredAt;
     bool m_claiming = false;
--- a/test/jobs/PartitionTest.cpp
+++ b/test/jobs/PartitionTest.cpp
@@ -109,6 +109,23 @@
     CHECK(cluster.workers.violations().empty());
 }
 
+TEST_CASE("an owner does not restore its record after another member has owned the jobs", "[takeover]")
+{
+    JobCluster cluster(2);
+    addWorkers(cluster, 1);
+    const std::string owner = *cluster.owner();
+    const std::string successor = owner == "m0" ? "m1" : "m0";
+    cluster.member(owner).workers.isCutOff = [](const std::string&) { return true; };
+    cluster.setCutOff(owner, true);
+    REQUIRE(cluster.waitFor([&] { return hasOtherOwner(cluster, owner); }, seconds(5)));
+    cluster.kill(successor);
+    cluster.advance(seconds(2)); // its lease ends
+    cluster.setCutOff(owner, false);
+    REQUIRE(cluster.waitFor([&] { return cluster.member(owner).node.lease().epoch() != 1; }, seconds(1)));
+    CHECK(cluster.log.counts["ownership_reclaimed"] == 0);
+    CHECK(cluster.waitFor([&] { return cluster.owner() == owner; }, seconds(2)));
+}
+
 TEST_CASE("a new owner waits for a worker that came back while the stored set was written without it", "[takeover]")
 {
     JobCluster cluster(0);
