Confirm the ownership only as of the sending of a commit

What callers would see: an owner that was frozen and replaced sends orders for up to 8 s after it has woken up.

Cause: if the response to a commit is lost, a second copy is answered with the head record that the first one wrote. The time at which that answer was read counted as the confirmation, and a freeze may lie between.

Why this works: the answer proves that no other member had claimed when the second copy was sent, not later.

--- a/src/lycheeledge/jobs/GroupCommitQueue.cpp
+++ b/src/lycheeledge/jobs/GroupCommitQueue.cpp
@@ -225,7 +225,7 @@
     if (result->applied)
         handleApplied(sentAt, result->revision);
     else
-        handleConditionFailure(*result);
+        handleConditionFailure(sentAt, *result);
 }
 
 void GroupCommitQueue::handleError(TimePoint sentAt, const absl::Status& status)
@@ -291,12 +291,12 @@
         schedule();
 }
 
-void GroupCommitQueue::handleConditionFailure(const CommitResult& result)
+void GroupCommitQueue::handleConditionFailure(TimePoint sentAt, const CommitResult& result)
 {
     const auto head = std::find_if(result.current.begin(), result.current.end(),
         [this](const StoreEntry& entry) { return entry.key == m_headKey; });
     if (head != result.current.end() && head->value == m_batch->headValue) {
-        handleApplied(m_runtime.now(), head->modRevision); // an earlier copy of this transaction was applied
+        handleApplied(sentAt, head->modRevision); // an earlier copy of this transaction was applied
         return;
     }
     if (head == result.current.end() || head->modRevision != m_headRevision) {
--- a/src/lycheeledge/jobs/GroupCommitQueue.h
+++ b/src/lycheeledge/jobs/GroupCommitQueue.h
@@ -106,7 +106,7 @@
     void send();
     void handleResponse(TimePoint sentAt, const absl::StatusOr<CommitResult>& result);
     void handleApplied(TimePoint sentAt, Revision revision);
-    void handleConditionFailure(const CommitResult& result);
+    void handleConditionFailure(TimePoint sentAt, const CommitResult& result);
     void handleError(TimePoint sentAt, const absl::Status& status);
     void rejectSubmissions();
     void requeue(Batch batch);
--- a/test/jobs/PartitionTest.cpp
+++ b/test/jobs/PartitionTest.cpp
@@ -188,3 +188,26 @@
     cluster.advance(seconds(8));
     CHECK_FALSE(cluster.member(owner).node.lease().maySendOrders());
 }
+
+TEST_CASE("a commit whose outcome is read after a freeze confirms the ownership only as of its sending", "[takeover]")
+{
+    // The response of the first copy is lost, and the process is frozen before it reads that of the second.
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(1, 1000) } };
+    cluster.store.setFault(FakeClusterStore::Fault::LoseAnswers);
+    const std::size_t before = cluster.store.commits;
+    (void)cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(1), "x");
+    REQUIRE(cluster.waitFor([&] { return cluster.store.commits > before; }, seconds(1)));
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    for (int ms = 0; ms < 1000 && cluster.store.commits == before + 1; ++ms)
+        cluster.runtime.advance(milliseconds(1));
+    REQUIRE(cluster.store.commits == before + 2);
+    auto& member = cluster.member("m0");
+    member.runtime.pause();
+    const TimePoint frozenAt = cluster.runtime.now();
+    cluster.advance(seconds(3));
+    member.runtime.resume();
+    REQUIRE(member.node.session().ledger().commits() > 0);
+    CHECK(*member.node.session().ledger().lastCommit() <= frozenAt);
+}
