--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -96,6 +96,8 @@
 
     /** @brief Whether this process still holds ownership and may send orders. */
     virtual bool maySendOrders() const = 0;
+    /** @brief Until this time, no other process has certainly owned the jobs since this one does. */
+    virtual TimePoint ownershipConfirmedAt() const = 0;
     /** @brief Called when a worker has rejected an order because it has accepted a higher epoch. */
     virtual void fenced() = 0;
     /** @brief Milliseconds since 1970. */
@@ -188,7 +190,8 @@
     void requestPass();
     void pass();
     void tick();
-    void releaseDueOccurrences(Job& job);
+    /** @param released number of occurrences that an earlier owner has released, if known. */
+    void releaseDueOccurrences(Job& job, std::uint32_t released = 0);
     void releaseSteps(Job& job);
     void refreshReady(const StepKey& key, const Job& job, const Step& step);
     StepUrgency urgencyOf(const Job& job, const StepKey& key);
@@ -198,6 +201,8 @@
     /** @brief Selects workers that no task has just started on under which another worker crashed. */
     std::vector<PlacementCandidate> apartFromSuspects(std::vector<PlacementCandidate> candidates) const;
     bool mayStart(const Job& job);
+    /** @brief Whether the owner can know how the last run of a waiting task ended. */
+    bool isEndKnown(const Task& task) const { return task.lostAt <= m_host.ownershipConfirmedAt(); }
     bool isPlaceable(const Worker& worker) const;
     /** @brief Workers of the queue's pool on which a task of the step may run now. */
     std::vector<PlacementCandidate> candidates(Job& job, const StepKey& key);
@@ -247,6 +252,7 @@
     void taskLost(const TaskKey& key, const char* reason);
     void taskDone(Job& job, const TaskKey& key, Task& task);
     void taskFailed(Job& job, const TaskKey& key, Task& task, RunNumber run);
+    bool hasFailed(const Job& job, const StepKey& key, const Task& task) const;
     void finish(Job& job, JobState state, const char* reason);
     void logEnd(const Job& job, const char* reason);
     void markChanged(const Job& job, std::function<void()> stored = {});
@@ -266,6 +272,8 @@
     void endRunsExcept(Worker& worker, const absl::flat_hash_set<RunKey>& survivors);
     void processEnds(Worker& worker, const PollReport& report);
     void processEnd(Worker& worker, const EndedTask& end);
+    /** @brief Releases the occurrence of a reported run: by the clock of an earlier owner, it was due. */
+    void releaseReportedOccurrence(const TaskKey& key);
     void processRunning(Worker& worker, const PollReport& report, TimePoint sentAt);
     /**
      * @brief Stops a run that makes too little progress, so that its task restarts on another worker.
@@ -320,6 +328,7 @@
     TimePoint m_beginTime;
     /// Until this time, runs from before the takeover may still exist on workers that have not reported.
     TimePoint m_unlocatedRunsExpiry;
+    TimePoint m_unreportedLossAt; ///< when a worker was last found to have left before it had reported
     std::map<JobId, std::unique_ptr<Job>> m_jobs;
     std::set<StepKey> m_readySteps; ///< released steps with waiting tasks
     std::set<StepKey> m_upcomingSteps; ///< urgent steps whose predecessors' tasks are all running or done
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -75,7 +75,7 @@
     requestPass();
 }
 
-void JobScheduler::releaseDueOccurrences(Job& job)
+void JobScheduler::releaseDueOccurrences(Job& job, std::uint32_t released)
 {
     if (isFinal(job.state))
         return;
@@ -89,7 +89,7 @@
     }
     const std::int64_t nowMs = m_host.unixMs();
     while (job.nextOccurrence < job.spec().occurrenceCount()) {
-        if (job.spec().isScheduled()) {
+        if (job.spec().isScheduled() && job.nextOccurrence >= released) {
             const std::int64_t due = job.spec().firstDueUnixMs + job.nextOccurrence * job.spec().intervalMs;
             if (due > nowMs)
                 break;
@@ -149,12 +149,13 @@
 
 bool JobScheduler::mayStart(const Job& job)
 {
-    if (!job.mayHaveUnlocatedRuns || m_runtime.now() >= m_unlocatedRunsExpiry)
+    const TimePoint confirmedAt = m_host.ownershipConfirmedAt();
+    if (!job.mayHaveUnlocatedRuns || (m_runtime.now() >= m_unlocatedRunsExpiry && confirmedAt >= m_unlocatedRunsExpiry))
         return true;
     if (!m_allWorkersReported)
         m_allWorkersReported = std::all_of(
             m_workers.all().begin(), m_workers.all().end(), [](const auto& it) { return it.second.reported; });
-    return *m_allWorkersReported;
+    return *m_allWorkersReported && confirmedAt >= m_unreportedLossAt;
 }
 
 StepUrgency JobScheduler::urgencyOf(const Job& job, const StepKey& key)
@@ -353,8 +354,14 @@
     std::vector<std::uint32_t> due;
     for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
         const Task& task = step->tasks[i];
-        if (task.phase == TaskPhase::Waiting && task.notBefore <= now)
-            due.push_back(i);
+        if (task.phase != TaskPhase::Waiting || task.notBefore > now || !isEndKnown(task))
+            continue;
+        if (hasFailed(job, key, task)) { // while its queue did not exist, or allowed more attempts
+            finish(job, JobState::Failed, "a task reached its maximum number of attempts");
+            markChanged(job);
+            return;
+        }
+        due.push_back(i);
     }
     if (due.empty() || (spec.gang && due.size() + step->done < step->tasks.size()))
         return;
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -42,9 +42,11 @@
                     { "milli_cpu", record.capacity.milliCpu }, { "labels", absl::StrJoin(record.labels, ",") } });
             continue;
         }
-        mustStore = mustStore || !m_storedWorkers.contains(record.id);
         const bool drains = record.draining && !known->record.draining;
         const bool moved = record.address != known->record.address;
+        if (moved)
+            m_storedWorkers.erase(record.id);
+        mustStore = mustStore || !m_storedWorkers.contains(record.id);
         // An unchanged entry of the registry may be older than the worker's reports.
         if (std::exchange(known->registeredIncarnationStartUnixMs, record.incarnationStartUnixMs)
             != record.incarnationStartUnixMs)
@@ -106,21 +108,20 @@
     m_workerSetWriting = true;
     m_workerSetChanged = false;
     WorkerSetRecord record;
-    std::vector<WorkerId> ids;
     for (const auto& [id, worker] : m_workers.all()) {
         if (hasLeft(worker))
-            continue;
-        record.workers.push_back({ id, worker.record.address, worker.largestCapacity });
-        ids.push_back(id);
+            m_storedWorkers.erase(id);
+        else
+            record.workers.push_back({ id, worker.record.address, worker.largestCapacity });
     }
-    m_ledger.setWorkers(std::move(record), [this, ids, session = std::weak_ptr<int>(m_session)] {
+    m_ledger.setWorkers(record, [this, stored = record.workers, session = std::weak_ptr<int>(m_session)] {
         if (session.expired())
             return;
         m_workerSetWriting = false;
-        for (const auto& id : ids) {
-            const Worker* worker = m_workers.find(id);
-            if (worker != nullptr && !hasLeft(*worker))
-                m_storedWorkers.insert(id);
+        for (const auto& it : stored) {
+            const Worker* worker = m_workers.find(it.id);
+            if (worker != nullptr && !hasLeft(*worker) && worker->record.address == it.address)
+                m_storedWorkers.insert(it.id);
         }
         if (m_workerSetChanged)
             storeWorkerSet();
@@ -145,7 +146,7 @@
         left = (hasLeft(worker) && m_storedWorkers.erase(id) > 0) || left;
         // A worker that has not reported to this owner may still hold a lease from an earlier owner.
         const TimePoint end = worker.reported ? worker.link->leaseExpiry() : m_unlocatedRunsExpiry;
-        if (now < end)
+        if (now < end || (!worker.reported && m_host.ownershipConfirmedAt() < end))
             continue;
         forgetStrayRuns(worker);
         if (!worker.runs.empty() || !worker.reported) {
@@ -189,7 +190,10 @@
     const auto crashing = recordCrash(*worker, incarnationEnded);
     markRunsLost(*worker, reason);
     forgetStrayRuns(*worker);
-    m_uncountedChanged = m_uncountedChanged || !worker->reported;
+    if (!worker->reported) {
+        m_uncountedChanged = true;
+        m_unreportedLossAt = m_runtime.now();
+    }
     m_workers.erase(id);
     m_pools.invalidate();
     m_storedWorkers.erase(id);
