Keep the success of a run that was given up, instead of starting again

What callers saw: repeatable work ran again after a run of it had ended as done and the owner had been told so. A worker is out of reach, its leases end, the owner gives up the run and queues the task; the worker comes back with its memory and reports that the run was done. The worker took the owner's next acknowledgement as receipt, and the task started again.

Cause: taskFinished() knew an end only of the current run, or of a task that no worker had reported yet with a run number at least as high as the highest one seen. Ends of earlier runs were dropped while the task was waiting, in its backoff, or starting and running elsewhere; after a takeover the highest run won over a lower one that was done. The ends of a full report were also applied one by one, each followed by a placement pass, so that a task could start between two ends of one report.

Evidence: SimulatedCell now notes the ends that an owner learns of, and counts a start after such an end as a violation.

Fix: a success counts whichever run it belongs to. A task that waits ends with it. For a task that has started elsewhere the success is kept, and counts if that run fails or is lost. All ends of a report are applied before work is placed. Answers of requests count only with their body.

--- a/src/lycheeledge/coordination/CellScheduler.h
+++ b/src/lycheeledge/coordination/CellScheduler.h
@@ -128,6 +128,14 @@
     void taskNotRun(WorkItem& item, std::uint32_t index, const std::string& message);
     void taskLost(WorkItem& item, std::uint32_t index);
     void taskAborted(WorkItem& item, std::uint32_t index);
+    /// Applies the end of a task that the worker reports, without placing work.
+    void applyEnd(const VmId& worker, const FinishedTask& finished);
+    /// Applies the success of an earlier run than the one that is waiting, starting or running.
+    void applyEarlierSuccess(WorkItem& item, const FinishedTask& finished);
+    /// Ends a task whose current run failed or was lost with the success of an earlier run, if there was one.
+    bool endWithEarlierSuccess(WorkItem& item, std::uint32_t index);
+    /// Removes a task from the tasks that are ready to be placed.
+    void withdraw(WorkItem& item, std::uint32_t index);
     void failTask(WorkItem& item, std::uint32_t index, ErrorKind error, RunState run, std::string message);
     void startCommandCompleted(const TaskId& id, CommandOutcome outcome, const std::string& message);
     bool retry(WorkItem& item, std::uint32_t index);
--- a/src/lycheeledge/coordination/CellSchedulerEnds.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerEnds.cpp
@@ -13,6 +13,12 @@
         return state == TaskState::Journalling || state == TaskState::Starting || state == TaskState::Running;
     }
 
+    /// Reports omit the body of outcomes that an earlier owner acknowledged.
+    bool lacksAnswer(const WorkItem& item, const FinishedTask& finished)
+    {
+        return !item.isJob() && finished.body.size() != finished.bodyLength;
+    }
+
     /// A service task that failed after running this long has its attempt count reset.
     constexpr Duration stableRunTime = std::chrono::minutes(1);
     /// Interval between reviews of the hold and of preemptions.
@@ -148,8 +154,7 @@
         scheduleGangRestartIfEnded(item);
         return finishIfEnded(item);
     }
-    if (finished.body.size() != finished.bodyLength) {
-        // Reports omit the body of outcomes that an earlier owner acknowledged.
+    if (lacksAnswer(item, finished)) {
         ++task.attempts;
         if (!item.spec.repeatable || !retry(item, index))
             failTask(item, index, ErrorKind::Truncated, RunState::Run, "the answer is no longer available");
@@ -162,6 +167,8 @@
 
 void CellScheduler::taskFailed(WorkItem& item, std::uint32_t index, const std::string& message)
 {
+    if (endWithEarlierSuccess(item, index))
+        return;
     TaskRecord& task = item.tasks[index];
     if (item.spec.kind == WorkKind::Service && m_runtime.now() - task.since >= stableRunTime)
         task.attempts = 0;
@@ -176,6 +183,8 @@
         return taskAborted(item, index);
     if (item.restarting)
         return awaitGangRestart(item, index, m_runtime.now());
+    if (endWithEarlierSuccess(item, index))
+        return;
     // Refused starts do not count as attempts of an accepted job, so that it does not fail because of them.
     if (!item.isJob())
         ++item.tasks[index].attempts;
@@ -188,6 +197,8 @@
     item.recordRunState(RunState::Unknown);
     if (item.abortResult)
         return taskAborted(item, index);
+    if (endWithEarlierSuccess(item, index))
+        return;
     if (item.spec.repeatable && item.isGang())
         return awaitGangRestart(item, index, m_runtime.now());
     if (item.spec.repeatable && item.isJob())
@@ -240,6 +251,8 @@
 
 void CellScheduler::requeue(WorkItem& item, std::uint32_t index)
 {
+    if (endWithEarlierSuccess(item, index))
+        return;
     setState(item, index, TaskState::Waiting);
     item.waiting.push_front(index);
     enqueue(item, true);
@@ -277,33 +290,71 @@
 }
 
 void CellScheduler::taskFinished(const VmId& worker, const FinishedTask& finished)
+{
+    applyEnd(worker, finished);
+    schedule();
+}
+
+void CellScheduler::applyEnd(const VmId& worker, const FinishedTask& finished)
 {
     WorkItem* item = find(finished.id.work);
     const auto slot = m_workers.find(worker);
     const bool known = item && finished.id.index < item->tasks.size();
     if (item)
         item->recordRunNumber(finished.id);
-    if (isActiveRun(item, finished.id)) {
-        if (slot == item->tasks[finished.id.index].worker) {
-            const bool preempted = !finished.succeeded && m_preemption.stopRequested(finished.id);
-            releaseTask(*item, finished.id.index);
-            if (!item->abortResult && !item->restarting && !preempted)
-                recordHealth(*item, *slot, finished.succeeded);
-            if (preempted && !item->abortResult)
-                requeue(*item, finished.id.index);
-            else
-                applyFinished(*item, finished);
-        }
-    } else if (known && item->tasks[finished.id.index].state == TaskState::Unresolved
-        && finished.id.run >= item->tasks[finished.id.index].run) {
-        releaseReservationOn(slot, finished.id);
+    if (isActiveRun(item, finished.id) && slot == item->tasks[finished.id.index].worker) {
+        const bool preempted = !finished.succeeded && m_preemption.stopRequested(finished.id);
+        releaseTask(*item, finished.id.index);
+        if (!item->abortResult && !item->restarting && !preempted)
+            recordHealth(*item, *slot, finished.succeeded);
+        if (preempted && !item->abortResult)
+            requeue(*item, finished.id.index);
+        else
+            applyFinished(*item, finished);
+        return;
+    }
+    releaseReservationOn(slot, finished.id);
+    if (known && item->tasks[finished.id.index].state == TaskState::Unresolved
+        && (finished.id.run >= item->tasks[finished.id.index].run
+            || (finished.succeeded && !lacksAnswer(*item, finished))))
         applyReported(*item, finished);
-    } else {
-        releaseReservationOn(slot, finished.id);
-        if (!item && slot && !m_outcomes.find(finished.id.work))
-            m_unclaimed.addFinished(m_runtime.now(), finished, *slot);
+    else if (known && finished.succeeded)
+        applyEarlierSuccess(*item, finished);
+    else if (!item && slot && !m_outcomes.find(finished.id.work))
+        m_unclaimed.addFinished(m_runtime.now(), finished, *slot);
+}
+
+void CellScheduler::applyEarlierSuccess(WorkItem& item, const FinishedTask& finished)
+{
+    const std::uint32_t index = finished.id.index;
+    const TaskState state = item.tasks[index].state;
+    if (item.abortResult || lacksAnswer(item, finished))
+        return;
+    if (hasReservation(state)) {
+        item.earlierSuccesses.emplace(index, finished);
+    } else if (state == TaskState::Waiting || state == TaskState::Delayed || state == TaskState::AwaitingGangRestart) {
+        withdraw(item, index);
+        applyFinished(item, finished);
     }
-    schedule();
+}
+
+bool CellScheduler::endWithEarlierSuccess(WorkItem& item, std::uint32_t index)
+{
+    const auto earlier = item.earlierSuccesses.extract(index);
+    if (earlier.empty())
+        return false;
+    applyFinished(item, earlier.mapped());
+    return true;
+}
+
+void CellScheduler::withdraw(WorkItem& item, std::uint32_t index)
+{
+    if (std::erase(item.waiting, index) == 0)
+        return;
+    if (item.waiting.empty())
+        item.team->queues.remove(item);
+    if (m_hold.holder() == &item)
+        releaseHold(); // it was planned for all waiting tasks
 }
 
 void CellScheduler::releaseReservationOn(std::optional<WorkerIndex> worker, const TaskId& id)
--- a/src/lycheeledge/coordination/CellSchedulerPolicies.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerPolicies.cpp
@@ -107,6 +107,8 @@
 
 void CellScheduler::awaitGangRestart(WorkItem& item, std::uint32_t index, TimePoint due)
 {
+    if (endWithEarlierSuccess(item, index))
+        return;
     setState(item, index, TaskState::AwaitingGangRestart);
     if (!item.restarting) {
         item.restarting = true;
--- a/src/lycheeledge/coordination/CellSchedulerRecovery.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerRecovery.cpp
@@ -7,6 +7,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace lycheeledge {
 
@@ -195,9 +196,10 @@
         if (running.id.index < item.tasks.size())
             attachRunningTask(item, running.id, running.worker);
     }
-    // Only the highest run of each task counts.
-    std::stable_sort(reported->finished.begin(), reported->finished.end(),
-        [](const auto& a, const auto& b) { return a.task.id.run > b.task.id.run; });
+    // Of each task, a run that succeeded counts; if there is none, the highest run.
+    std::stable_sort(reported->finished.begin(), reported->finished.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.task.succeeded, a.task.id.run) > std::tie(b.task.succeeded, b.task.id.run);
+    });
     absl::flat_hash_set<std::uint32_t> seen;
     for (const auto& finished : reported->finished) {
         const std::uint32_t index = finished.task.id.index;
@@ -207,10 +209,12 @@
         if (!open || index >= open->tasks.size() || !seen.insert(index).second)
             continue;
         const TaskState state = open->tasks[index].state;
-        if (state != TaskState::Unresolved && state != TaskState::Waiting)
-            continue;
-        std::erase(open->waiting, index);
-        applyReported(*open, finished.task);
+        if (state == TaskState::Unresolved || state == TaskState::Waiting) {
+            std::erase(open->waiting, index);
+            applyReported(*open, finished.task);
+        } else if (finished.task.succeeded) {
+            applyEarlierSuccess(*open, finished.task);
+        }
     }
     WorkItem* open = find(id);
     if (open && reported->lost && !open->spec.repeatable && !open->isJob() && open->reservedTasks == 0)
@@ -271,7 +275,7 @@
     m_workers.setUsed(slot, report.used);
     setWorkerFlags(slot, true, true);
     for (const FinishedTask& task : report.finished)
-        taskFinished(worker.id, task);
+        applyEnd(worker.id, task);
     if (m_missingWorkers.erase(worker.id) > 0)
         missingWorkersChanged();
     requeueSetAside();
--- a/src/lycheeledge/coordination/WorkItem.h
+++ b/src/lycheeledge/coordination/WorkItem.h
@@ -3,6 +3,7 @@
 
 #include "../state/Outcome.h"
 #include "../state/Work.h"
+#include "../state/Worker.h"
 #include "Placement.h"
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -58,6 +60,8 @@
     std::vector<Done> waiters; ///< callbacks of all submissions with this ID
     std::vector<TaskRecord> tasks;
     std::deque<std::uint32_t> waiting; ///< tasks ready to be placed
+    /// Succeeded ends of earlier runs of tasks that have a reservation, by task. Each counts if the current run fails.
+    std::map<std::uint32_t, FinishedTask> earlierSuccesses;
     std::uint32_t reservedTasks = 0; ///< number of tasks with a reservation
     std::uint32_t succeeded = 0;
     std::uint32_t failed = 0;
--- a/test/coordination/SimulatedCell.cpp
+++ b/test/coordination/SimulatedCell.cpp
@@ -179,6 +179,7 @@
     m_journal.records.push_back(WorkerRemoved { worker.description.id, lostTasks });
     for (auto& [task, done] : std::exchange(worker.unanswered, {}))
         m_runtime.post([done = std::move(done)] { done(CommandOutcome::Unknown, "worker lost"); });
+    forgetUnknownEnds();
     m_scheduler->workerLost(worker.description.id);
 }
 
@@ -207,6 +208,8 @@
     m_runtime.settle();
     for (Worker& worker : m_workers)
         worker.unanswered.clear();
+    m_notedByOwner.clear();
+    forgetUnknownEnds();
     startNewOwner();
     for (Submission& submission : m_submissions) {
         const bool awaitsAnswer = !submission.answered;
@@ -284,6 +287,8 @@
     const Submission& submission = m_submissions[m_byId.at(task.work)];
     if (running(task.work, task.index))
         addViolation(absl::StrCat(workName(task.work), ":", task.index, " runs on two workers"));
+    if (m_notedAsDone.contains({ task.work, task.index }))
+        addViolation(absl::StrCat(workName(task.work), ":", task.index, " started again after its end was noted"));
     ++m_taskRuns;
     if (++m_runs[{ task.work, task.index }] > 1 && !submission.spec.repeatable)
         addViolation(absl::StrCat(workName(task.work), ":", task.index, " is not repeatable and ran twice"));
@@ -307,6 +312,7 @@
     if (!m_scheduler)
         return; // a takeover is in progress
     for (const TaskId& task : std::exchange(worker.undelivered, {})) {
+        noteEnd(worker.finished.at(task));
         m_scheduler->taskFinished(worker.description.id, worker.finished.at(task));
         if (random(4) == 0) // events are delivered at least once
             m_scheduler->taskFinished(worker.description.id, worker.finished.at(task));
@@ -314,13 +320,49 @@
     }
 }
 
-LeaseReport SimulatedCell::report(const Worker& worker) const
+void SimulatedCell::noteEnd(const FinishedTask& task)
+{
+    if (endsTask(task)) {
+        for (auto* noted : { &m_notedAsDone, &m_notedByOwner })
+            noted->insert({ task.id.work, task.id.index });
+    }
+}
+
+bool SimulatedCell::endsTask(const FinishedTask& task) const
+{
+    const WorkSpec& spec = m_submissions[m_byId.at(task.id.work)].spec;
+    return task.succeeded && (spec.kind != WorkKind::Request || task.body.size() == task.bodyLength);
+}
+
+void SimulatedCell::forgetUnknownEnds()
+{
+    std::erase_if(m_notedAsDone, [&](const auto& key) {
+        const bool durable = std::any_of(m_journal.records.begin(), m_journal.records.end(), [&](const auto& record) {
+            const auto* job = std::get_if<JobEnded>(&record);
+            const auto* task = std::get_if<TaskEnded>(&record);
+            return (job && job->result.id == key.first)
+                || (task && task->succeeded && task->id.work == key.first && task->id.index == key.second);
+        });
+        return !durable && !m_notedByOwner.contains(key)
+            && std::none_of(m_workers.begin(), m_workers.end(), [&](const Worker& worker) {
+                   return worker.present
+                       && std::any_of(worker.finished.begin(), worker.finished.end(), [&](const auto& finished) {
+                              const FinishedTask& task = finished.second;
+                              return endsTask(task) && task.id.work == key.first && task.id.index == key.second;
+                          });
+               });
+    });
+}
+
+LeaseReport SimulatedCell::report(const Worker& worker)
 {
     LeaseReport report = SchedulerHarness::report(worker.description);
     for (const auto& [task, size] : worker.running)
         report.running.push_back({ task, size, {} });
-    for (const auto& [id, task] : worker.finished)
+    for (const auto& [id, task] : worker.finished) {
+        noteEnd(task);
         report.finished.push_back(task);
+    }
     return report;
 }
 
--- a/test/coordination/SimulatedCell.h
+++ b/test/coordination/SimulatedCell.h
@@ -73,8 +73,14 @@
     void begin(Worker& worker, const TaskId& task, const Resources& size);
     void end(Worker& worker, const TaskId& task, bool succeeded);
     void deliverOutcomes(Worker& worker);
+    /** @brief Records an end that the current owner learns of. */
+    void noteEnd(const FinishedTask& task);
+    /** @brief Whether the task must not run again. A request whose answer was lost may. */
+    bool endsTask(const FinishedTask& task) const;
+    /** @brief Drops the noted ends that the current owner can learn of from neither the journal nor a worker. */
+    void forgetUnknownEnds();
     void stopWorker(Worker& worker);
-    LeaseReport report(const Worker& worker) const;
+    LeaseReport report(const Worker& worker);
     void startNewOwner();
     void check();
     void countGangStart(const WorkSpec& spec);
@@ -92,6 +98,8 @@
     std::map<WorkId, std::size_t> m_byId;
     std::map<std::pair<WorkId, std::uint32_t>, std::uint32_t> m_runs; ///< number of runs of each task
     std::set<std::pair<WorkId, std::uint32_t>> m_succeeded;
+    std::set<std::pair<WorkId, std::uint32_t>> m_notedAsDone; ///< tasks that must not start again
+    std::set<std::pair<WorkId, std::uint32_t>> m_notedByOwner; ///< those whose end the current owner has learnt of
     std::map<WorkId, std::uint32_t> m_gangStarts; ///< start commands per gang job in the current decision
     std::uint64_t m_taskRuns = 0;
     std::vector<std::string> m_violations;
