Keep the reported end of unclaimed work for its whole retention time

What callers would see: a request marked as not repeatable runs twice. Its task runs for some minutes after a takeover, its entry process died with the owner, and the caller's retry comes more than 10 min after the takeover, but less than 10 min after the end. The owner no longer knows the end and starts the request again.

Cause: UnclaimedTasks removed work 10 min after its first report, when none of its tasks was running at that moment, however recently one had ended or had been lost. Nothing else remembers such an identity: the owner has acknowledged the end and all workers have reported.

Fix: the retention time counts from the last report of a task of the work.

--- a/src/lycheeledge/coordination/UnclaimedTasks.cpp
+++ b/src/lycheeledge/coordination/UnclaimedTasks.cpp
@@ -9,7 +9,9 @@
 UnclaimedWork& UnclaimedTasks::workFor(TimePoint now, const WorkId& id)
 {
     m_byAge.emplace_back(now, id);
-    return m_work[id];
+    UnclaimedWork& work = m_work[id];
+    work.changedAt = now;
+    return work;
 }
 
 void UnclaimedTasks::addRunning(TimePoint now, const TaskId& task, WorkerIndex worker)
@@ -55,10 +57,10 @@
     while (!m_byAge.empty() && m_byAge.front().first + m_retention <= now) {
         const auto it = m_work.find(m_byAge.front().second);
         if (it != m_work.end()) {
-            if (it->second.running.empty())
-                m_work.erase(it);
-            else
+            if (!it->second.running.empty())
                 m_byAge.emplace_back(now, m_byAge.front().second);
+            else if (it->second.changedAt + m_retention <= now)
+                m_work.erase(it);
         }
         m_byAge.pop_front();
     }
--- a/src/lycheeledge/coordination/UnclaimedTasks.h
+++ b/src/lycheeledge/coordination/UnclaimedTasks.h
@@ -27,6 +27,7 @@
     std::vector<Running> running;
     std::vector<Finished> finished;
     bool lost = false; ///< a task of this work was on a worker that was lost
+    TimePoint changedAt; ///< time of the last report of one of its tasks; the retention time starts anew
 };
 
 /** @brief Reported tasks of unknown work, kept until the work is submitted or recovered, or the retention time ends. */
--- /dev/null
+++ b/test/coordination/UnclaimedTasksTest.cpp
@@ -0,0 +1,57 @@
+// Tests of the reported tasks of work that has not been submitted to this owner.
+
+#include "support/SchedulerHarness.h"
+
+#include <lycheeledge/coordination/UnclaimedTasks.h>
+
+#include <catch2/catch.hpp>
+
+using namespace lycheeledge;
+using namespace lycheeledge::test;
+using namespace std::chrono_literals;
+
+TEST_CASE("A request that ended minutes after the takeover does not run again", "[scheduler][unclaimed]")
+{
+    SchedulerHarness cell;
+    const auto worker = SchedulerHarness::worker("w1");
+    WorkSpec spec = SchedulerHarness::spec("r1");
+    spec.attempt = 2;
+    LeaseReport report = SchedulerHarness::report(worker);
+    report.running.push_back({ { spec.id, 0, 1 }, spec.perTask, {} });
+    cell.scheduler->workerAvailable(worker, report);
+    cell.scheduler->activate({});
+    cell.runtime.advance(9min);
+    SECTION("when its end is known")
+    {
+        cell.scheduler->taskFinished(worker.id, { { spec.id, 0, 1 }, true, "", 2, "", "ok" });
+        cell.runtime.advance(9min);
+        cell.submit(spec);
+        REQUIRE(cell.answer(spec));
+        CHECK(cell.answer(spec)->body == "ok");
+    }
+    SECTION("when its worker was lost")
+    {
+        cell.scheduler->workerLost(worker.id);
+        cell.add(SchedulerHarness::worker("w2"));
+        cell.runtime.advance(9min);
+        cell.submit(spec);
+        REQUIRE(cell.answer(spec));
+        CHECK(cell.answer(spec)->run == RunState::Unknown);
+    }
+    CHECK(cell.pool.starts.empty());
+}
+
+TEST_CASE("Work that ended is kept for the retention time and then removed", "[scheduler][unclaimed]")
+{
+    const TimePoint start { 1h };
+    const TaskId task { { TeamId("a"), RequestId("r1") }, 0, 1 };
+    UnclaimedTasks unclaimed(10min);
+    unclaimed.addRunning(start, task, 0);
+    unclaimed.expire(start + 25min);
+    CHECK(unclaimed.contains(task.work)); // it may still be running
+    unclaimed.addFinished(start + 26min, { task, true, "", 0, "", "" }, 0);
+    unclaimed.expire(start + 35min);
+    CHECK(unclaimed.contains(task.work));
+    unclaimed.expire(start + 36min);
+    CHECK_FALSE(unclaimed.contains(task.work));
+}
