Do not replace a done run by a failed one with the same number

What callers would see: a repeatable job whose task is done starts it again after a takeover. Run numbers are not journalled for repeatable work, so that after a takeover a run on a lost worker can have the number of a later run on another worker. If both workers report, the end with that number that was read last counted when the first one came without a body, which is so for every acknowledged end: a failure replaced a success.

Evidence: "A done run is not replaced by a failed run with the same number" failed on the code before when the done run was reported first.

Fix: a success replaces a failure or a success without a body, a failure only a failure.

--- a/src/lycheeledge/coordination/UnclaimedTasks.cpp
+++ b/src/lycheeledge/coordination/UnclaimedTasks.cpp
@@ -31,7 +31,7 @@
         work.finished.begin(), work.finished.end(), [&](const auto& finished) { return finished.task.id == task.id; });
     if (it == work.finished.end())
         work.finished.push_back({ task, worker });
-    else if (it->task.body.empty())
+    else if (task.succeeded ? it->task.body.empty() : !it->task.succeeded)
         it->task = task; // reports omit the body of acknowledged outcomes
 }
 
--- a/test/coordination/UnclaimedTasksTest.cpp
+++ b/test/coordination/UnclaimedTasksTest.cpp
@@ -10,6 +10,28 @@
 using namespace lycheeledge::test;
 using namespace std::chrono_literals;
 
+TEST_CASE("A done run is not replaced by a failed run with the same number", "[scheduler][unclaimed]")
+{
+    SchedulerHarness cell;
+    WorkSpec job = SchedulerHarness::spec("j1", "a", WorkKind::Batch);
+    job.repeatable = true;
+    // The body of the done run is absent, as it was acknowledged.
+    const FinishedTask done { { job.id, 0, 1 }, true, "", 2, "", "" };
+    const FinishedTask failed { { job.id, 0, 1 }, false, "failed", 0, "", "" };
+    const bool doneFirst = GENERATE(true, false);
+    for (const char* id : { "w1", "w2" }) {
+        const auto worker = SchedulerHarness::worker(id);
+        LeaseReport report = SchedulerHarness::report(worker);
+        report.finished.push_back((worker.id == VmId("w1")) == doneFirst ? done : failed);
+        cell.scheduler->workerAvailable(worker, report);
+    }
+    cell.scheduler->recover({ JobSubmitted { job } });
+    cell.scheduler->activate({});
+    cell.runtime.advance(5s);
+    CHECK(cell.pool.starts.empty());
+    CHECK(cell.scheduler->status(job.id)->reason == "succeeded");
+}
+
 TEST_CASE("A request that ended minutes after the takeover does not run again", "[scheduler][unclaimed]")
 {
     SchedulerHarness cell;
