Count the failed runs of batch tasks across takeovers

What callers would see: a repeatable batch task whose runs always fail is started more often than its policy allows (maxAttempts): up to maxAttempts more runs after each change of the owner.

Cause: the number of failed runs was kept in the owner's memory only. A new owner counted one failure at most, that of the last run, and none if its worker had restarted.

Evidence: SimulatedCell now counts the failures that owners learn of by events.

Fix: before a repeatable batch task runs again after a failure, a TaskStarting record with the next run number is journalled; the retry waits until it is durable. The records are the count. Reported failures of lower runs are counted already and are ignored. The record type is an existing one, which owners of the previous version read without effect on such tasks, so that both versions can serve a cell during a replacement.

Not covered: a failure that no owner was there to see is counted when it is reported, but not journalled, since the report does not tell it from a lease that expired meanwhile; gangs, whose stopped tasks are reported as failed; services, whose count starts anew after a minute of running.

--- a/src/lycheeledge/coordination/CellScheduler.h
+++ b/src/lycheeledge/coordination/CellScheduler.h
@@ -139,6 +139,8 @@
     void failTask(WorkItem& item, std::uint32_t index, ErrorKind error, RunState run, std::string message);
     void startCommandCompleted(const TaskId& id, CommandOutcome outcome, const std::string& message);
     bool retry(WorkItem& item, std::uint32_t index);
+    /// Makes a failed run of a batch task durable, so that it counts under the next owner, too.
+    void journalFailure(WorkItem& item, std::uint32_t index);
     void requeue(WorkItem& item, std::uint32_t index);
     void setState(WorkItem& item, std::uint32_t index, TaskState state);
     void releaseTask(WorkItem& item, std::uint32_t index);
--- a/src/lycheeledge/coordination/CellSchedulerEnds.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerEnds.cpp
@@ -4,6 +4,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace lycheeledge {
 
 namespace {
@@ -170,11 +172,15 @@
     if (endWithEarlierSuccess(item, index))
         return;
     TaskRecord& task = item.tasks[index];
+    // A failure that is only reported, after a takeover, may be a lease that expired while the cell had no owner.
+    const bool durable = item.spec.kind == WorkKind::Batch && !item.isGang() && hasReservation(task.state);
     if (item.spec.kind == WorkKind::Service && m_runtime.now() - task.since >= stableRunTime)
         task.attempts = 0;
     ++task.attempts;
     if (!item.spec.repeatable || !retry(item, index))
         failTask(item, index, ErrorKind::TaskFailed, RunState::Run, message.empty() ? "the task failed" : message);
+    else if (durable)
+        journalFailure(item, index);
 }
 
 void CellScheduler::taskNotRun(WorkItem& item, std::uint32_t index, const std::string& message)
@@ -249,6 +255,20 @@
     return true;
 }
 
+void CellScheduler::journalFailure(WorkItem& item, std::uint32_t index)
+{
+    TaskRecord& task = item.tasks[index];
+    ++task.unjournalledFailures;
+    m_journal.append(TaskStarting { { item.spec.id, index, std::max(task.highestRun, task.run) + 1 } },
+        [this, alive = std::weak_ptr(m_alive), id = item.spec.id, index, sequence = item.sequence](
+            const absl::Status& status) {
+            WorkItem* item = alive.expired() ? nullptr : find(id);
+            // After an error, another process owns the cell and decides about the task.
+            if (item && item->sequence == sequence && status.ok())
+                --item->tasks[index].unjournalledFailures;
+        });
+}
+
 void CellScheduler::requeue(WorkItem& item, std::uint32_t index)
 {
     if (endWithEarlierSuccess(item, index))
@@ -338,25 +358,6 @@
     }
 }
 
-bool CellScheduler::endWithEarlierSuccess(WorkItem& item, std::uint32_t index)
-{
-    const auto earlier = item.earlierSuccesses.extract(index);
-    if (earlier.empty())
-        return false;
-    applyFinished(item, earlier.mapped());
-    return true;
-}
-
-void CellScheduler::withdraw(WorkItem& item, std::uint32_t index)
-{
-    if (std::erase(item.waiting, index) == 0)
-        return;
-    if (item.waiting.empty())
-        item.team->queues.remove(item);
-    if (m_hold.holder() == &item)
-        releaseHold(); // it was planned for all waiting tasks
-}
-
 void CellScheduler::releaseReservationOn(std::optional<WorkerIndex> worker, const TaskId& id)
 {
     // After a takeover, a run on a lost worker can have the same ID as a later run on another worker.
@@ -464,6 +465,10 @@
         const TaskRecord& task = item->tasks[id.index];
         if (task.state != TaskState::Delayed)
             continue;
+        if (task.unjournalledFailures > 0) {
+            m_retries.emplace(now + m_settings.tickInterval, id);
+            continue;
+        }
         if (item->isJob() && !item->team->retries.take(now)) {
             m_retries.emplace(now + retryBudgetDelay, id);
             continue;
--- a/src/lycheeledge/coordination/CellSchedulerRecovery.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerRecovery.cpp
@@ -64,6 +64,8 @@
         TaskRecord& task = item->tasks[start->id.index];
         task.run = std::max(task.run, start->id.run);
         task.journalled = true;
+        if (item->spec.repeatable)
+            ++task.attempts;
         item->recordRunState(RunState::Unknown);
     } else if (const auto* end = std::get_if<TaskEnded>(&record)) {
         WorkItem* item = find(end->id.work);
@@ -208,6 +210,8 @@
             open->recordRunNumber(finished.task.id);
         if (!open || index >= open->tasks.size() || !seen.insert(index).second)
             continue;
+        if (!finished.task.succeeded && finished.task.id.run < open->tasks[index].run)
+            continue; // counted by an earlier owner
         const TaskState state = open->tasks[index].state;
         if (state == TaskState::Unresolved || state == TaskState::Waiting) {
             std::erase(open->waiting, index);
@@ -234,6 +238,25 @@
     m_unresolved.emplace(item.sequence, item.spec.id);
 }
 
+bool CellScheduler::endWithEarlierSuccess(WorkItem& item, std::uint32_t index)
+{
+    const auto earlier = item.earlierSuccesses.extract(index);
+    if (earlier.empty())
+        return false;
+    applyFinished(item, earlier.mapped());
+    return true;
+}
+
+void CellScheduler::withdraw(WorkItem& item, std::uint32_t index)
+{
+    if (std::erase(item.waiting, index) == 0)
+        return;
+    if (item.waiting.empty())
+        item.team->queues.remove(item);
+    if (m_hold.holder() == &item)
+        releaseHold(); // it was planned for all waiting tasks
+}
+
 void CellScheduler::attachRunningTask(WorkItem& item, const TaskId& id, WorkerIndex worker)
 {
     item.recordRunNumber(id);
--- a/src/lycheeledge/coordination/JobJournal.h
+++ b/src/lycheeledge/coordination/JobJournal.h
@@ -26,7 +26,12 @@
     bool operator==(const JobCancelled&) const = default;
 };
 
-/** @brief Written before a non-repeatable task is started. */
+/**
+ * @brief Written before a non-repeatable task is started, and before a repeatable batch task runs again after a
+ * failure.
+ *
+ * The records of a repeatable task are the count of its failed runs. `id.run` is the lowest run that is not counted.
+ */
 struct TaskStarting {
     TaskId id;
 
--- a/src/lycheeledge/coordination/WorkItem.h
+++ b/src/lycheeledge/coordination/WorkItem.h
@@ -41,6 +41,7 @@
     std::uint32_t run = 0; ///< run number of the last start; 0 before the first
     std::uint32_t highestRun = 0; ///< highest run number seen; workers do not start a run that they remember
     std::uint32_t attempts = 0; ///< starts that count towards the policy's maxAttempts
+    std::uint32_t unjournalledFailures = 0; ///< failed runs whose record is not durable yet
     WorkerIndex worker = 0; ///< worker of the last start
     TimePoint since; ///< time of the last state change
     std::uint64_t startNumber = 0; ///< key in TeamRecord::preemptibleTasks; 0 if it is not in there
--- a/test/coordination/SimulatedCell.cpp
+++ b/test/coordination/SimulatedCell.cpp
@@ -107,6 +107,8 @@
     if (all.empty())
         return;
     const auto& [worker, task] = all[n % all.size()];
+    if (!succeeded && !m_stopped.contains(task))
+        m_workers[worker].ownFailures.insert(task);
     end(m_workers[worker], task, succeeded);
     check();
 }
@@ -173,6 +175,7 @@
 {
     worker.reachable = false;
     worker.present = false;
+    worker.ownFailures.clear(); // the owner takes these runs for lost
     std::vector<TaskId> lostTasks;
     for (const auto& [task, size] : std::exchange(worker.running, {}))
         lostTasks.push_back(task);
@@ -274,6 +277,7 @@
 {
     if (action != TaskAction::Stop)
         return;
+    m_stopped.insert(task);
     Worker& worker
         = *std::find_if(m_workers.begin(), m_workers.end(), [&](const Worker& w) { return w.description.id == id; });
     if (random(2) == 0 && worker.running.contains(task) && worker.reachable)
@@ -313,6 +317,8 @@
         return; // a takeover is in progress
     for (const TaskId& task : std::exchange(worker.undelivered, {})) {
         noteEnd(worker.finished.at(task));
+        if (worker.ownFailures.erase(task) > 0)
+            countFailure(task);
         m_scheduler->taskFinished(worker.description.id, worker.finished.at(task));
         if (random(4) == 0) // events are delivered at least once
             m_scheduler->taskFinished(worker.description.id, worker.finished.at(task));
@@ -328,6 +334,17 @@
     }
 }
 
+void SimulatedCell::countFailure(const TaskId& task)
+{
+    const WorkSpec& spec = m_submissions[m_byId.at(task.work)].spec;
+    // While a gang is being stopped, the failure of one more of its tasks makes no difference.
+    if (spec.kind != WorkKind::Batch || spec.gang)
+        return;
+    const std::uint32_t n = ++m_failures[{ task.work, task.index }];
+    if (n > m_configuration.policies.at(WorkKind::Batch).maxAttempts)
+        addViolation(absl::StrCat(workName(task.work), ":", task.index, " failed ", n, " times"));
+}
+
 bool SimulatedCell::endsTask(const FinishedTask& task) const
 {
     const WorkSpec& spec = m_submissions[m_byId.at(task.id.work)].spec;
@@ -354,13 +371,14 @@
     });
 }
 
-LeaseReport SimulatedCell::report(const Worker& worker)
+LeaseReport SimulatedCell::report(Worker& worker)
 {
     LeaseReport report = SchedulerHarness::report(worker.description);
     for (const auto& [task, size] : worker.running)
         report.running.push_back({ task, size, {} });
     for (const auto& [id, task] : worker.finished) {
         noteEnd(task);
+        worker.ownFailures.erase(id);
         report.finished.push_back(task);
     }
     return report;
--- a/test/coordination/SimulatedCell.h
+++ b/test/coordination/SimulatedCell.h
@@ -57,6 +57,7 @@
         std::map<TaskId, FinishedTask> finished; ///< retained outcomes
         std::set<TaskId> undelivered; ///< outcomes not yet delivered to the owner
         std::map<TaskId, StartDone> unanswered; ///< start commands without a response
+        std::set<TaskId> ownFailures; ///< runs that failed of themselves, until an owner has learnt of it
     };
     struct Submission {
         WorkSpec spec;
@@ -75,12 +76,14 @@
     void deliverOutcomes(Worker& worker);
     /** @brief Records an end that the current owner learns of. */
     void noteEnd(const FinishedTask& task);
+    /** @brief Counts a failure that the current owner learns of by an event. */
+    void countFailure(const TaskId& task);
     /** @brief Whether the task must not run again. A request whose answer was lost may. */
     bool endsTask(const FinishedTask& task) const;
     /** @brief Drops the noted ends that the current owner can learn of from neither the journal nor a worker. */
     void forgetUnknownEnds();
     void stopWorker(Worker& worker);
-    LeaseReport report(const Worker& worker);
+    LeaseReport report(Worker& worker);
     void startNewOwner();
     void check();
     void countGangStart(const WorkSpec& spec);
@@ -100,6 +103,8 @@
     std::set<std::pair<WorkId, std::uint32_t>> m_succeeded;
     std::set<std::pair<WorkId, std::uint32_t>> m_notedAsDone; ///< tasks that must not start again
     std::set<std::pair<WorkId, std::uint32_t>> m_notedByOwner; ///< those whose end the current owner has learnt of
+    std::map<std::pair<WorkId, std::uint32_t>, std::uint32_t> m_failures; ///< counted failures of each batch task
+    std::set<TaskId> m_stopped; ///< runs for which a stop was ordered
     std::map<WorkId, std::uint32_t> m_gangStarts; ///< start commands per gang job in the current decision
     std::uint64_t m_taskRuns = 0;
     std::vector<std::string> m_violations;
