Wait out the leases of a VM whose id another VM has taken over

What callers would see: a task runs on two VMs at a time. A VM is cut off and keeps running its tasks under their leases; meanwhile another VM starts under the same id at a new address, and the owner reaches it before the leases of the first one have ended.

Cause: a new session was taken as proof that all tasks of the earlier one had ended, whoever answered. That holds for a restart of the same VM, not for another VM with its id.

Evidence: on the code before, "A replaced worker's tasks are lost only after the leases of the earlier VM have expired" found a running task on the earlier VM when the owner declared it lost, in one epoch and across a takeover.

Fix: an accepted lease request under a new session at another address than that of the earlier session counts as a failed renewal while tasks may run there. The requests are shortened and then stop, as for a worker that does not answer, and the new VM joins once the earlier one is lost. Restarts at the same address are noticed as before.

Result: the new test and the suite test_coordination pass.

--- a/src/lycheeledge/coordination/WorkerSession.cpp
+++ b/src/lycheeledge/coordination/WorkerSession.cpp
@@ -26,6 +26,7 @@
     , m_epoch(epoch)
     , m_description(std::move(description))
     , m_session(std::move(journalledSession))
+    , m_sessionAddress(m_description.address)
     , m_mayHaveTasks(!m_session.empty())
 {
 }
@@ -74,7 +75,7 @@
     if (!request)
         return;
     ++m_requestsInFlight;
-    const SentRequest sent { *request, ++m_lastRequest, now };
+    const SentRequest sent { *request, ++m_lastRequest, now, m_description.address };
     m_gateway.lease(
         m_description, *request, [self = weak_from_this(), sent](const absl::StatusOr<LeaseReport>& result) {
             const auto alive = self.lock();
@@ -92,7 +93,7 @@
         return m_host.fenced(id(), result->highestEpoch);
     if (sent.number < m_lastAccepted)
         return; // a later request has already been accepted
-    if (!result.ok())
+    if (!result.ok() || mayBeAnotherVm(sent, *result))
         renewalFailed();
     else if (!result->accepted)
         leaseRefused(sent.request);
@@ -100,6 +101,13 @@
         leaseAccepted(sent, *result);
 }
 
+bool WorkerSession::mayBeAnotherVm(const SentRequest& sent, const LeaseReport& report) const
+{
+    // A new session at a new address does not show that the VM of the earlier session has stopped. Its tasks end with
+    // their leases.
+    return report.accepted && report.session != m_session && m_mayHaveTasks && sent.to != m_sessionAddress;
+}
+
 void WorkerSession::renewalFailed()
 {
     ++m_consecutiveFailures;
@@ -136,6 +144,7 @@
             m_host.restarted(*this);
         }
     }
+    m_sessionAddress = sent.to;
     m_acceptedAt = sent.at;
     m_lastAccepted = sent.number;
     // After a shortened lease, request a full one immediately, unless a request in flight would shorten it again.
--- a/src/lycheeledge/coordination/WorkerSession.h
+++ b/src/lycheeledge/coordination/WorkerSession.h
@@ -103,6 +103,7 @@
         LeaseRequest request;
         std::uint64_t number = 0; ///< sequence number among the lease requests of this object
         TimePoint at;
+        Address to;
     };
     struct PendingAction {
         TaskAction action;
@@ -114,6 +115,7 @@
     void renewAt(TimePoint time);
     std::optional<LeaseRequest> makeRequest() const;
     void leaseResponseReceived(const SentRequest& sent, const absl::StatusOr<LeaseReport>& result);
+    bool mayBeAnotherVm(const SentRequest& sent, const LeaseReport& report) const;
     void renewalFailed();
     void leaseRefused(const LeaseRequest& request);
     void leaseAccepted(const SentRequest& sent, const LeaseReport& report);
@@ -141,6 +143,7 @@
 
     State m_state = State::Connecting;
     std::string m_session;
+    Address m_sessionAddress; ///< address of the worker under `m_session`
     bool m_sessionAccepted = false; ///< the worker accepted this epoch under `m_session`
     bool m_mayHaveTasks = false; ///< tasks of this or the previous owner may run there, or be started later
     TimePoint m_leasesEndBy; ///< upper bound for the expiry of all leases that requests so far may have granted
--- a/test/coordination/WorkerSessionsTest.cpp
+++ b/test/coordination/WorkerSessionsTest.cpp
@@ -9,6 +9,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 
 using namespace lycheeledge;
@@ -359,3 +360,34 @@
     set.finishChange();
     CHECK(set.hasMajority(accepts({ "w1", "w2" })));
 }
+
+TEST_CASE(
+    "A replaced worker's tasks are lost only after the leases of the earlier VM have expired", "[worker-sessions]")
+{
+    Fixture fixture(3);
+    const bool takeover = GENERATE(false, true);
+    fixture.owner().startTask("w1", "a");
+    fixture.clock.advance(milliseconds(10));
+    // The earlier VM keeps running, out of reach, while another one at a new address has its id.
+    const std::unique_ptr<FakeWorker> earlier = std::move(fixture.fleet.workers.at(VmId("w1")));
+    WorkerDescription description = earlier->description();
+    description.address = { "127.0.0.2", 1 };
+    auto replacement = std::make_unique<FakeWorker>(fixture.clock, description);
+    replacement->restart();
+    fixture.fleet.workers.at(VmId("w1")) = std::move(replacement);
+    if (takeover)
+        fixture.addOwner().start();
+    fixture.setDisconnected(fixture.owner(), { "w1" });
+    fixture.clock.advance(milliseconds(1200)); // the list shows the new address
+    fixture.setDisconnected(fixture.owner(), { "w1" }, false);
+    const auto lost = [&] {
+        const Log& log = fixture.owner().log;
+        return std::find(log.begin(), log.end(), "lost w1") != log.end();
+    };
+    for (int n = 0; n < 400 && !lost(); ++n)
+        fixture.clock.advance(milliseconds(100));
+    CHECK(lost());
+    CHECK(earlier->runningCount() == 0);
+    fixture.clock.advance(seconds(3));
+    CHECK(fixture.owner().log.back() == "available w1");
+}
