Test restarts of workers under their ids against late orders and answers

No fault was found here; the tests cover what the guarantees rely on. A start that was sent to an earlier incarnation of a worker and arrives after the new one has joined is refused, because commands carry the session. Late lease and event responses of the earlier incarnation end no task of the new one.

--- a/test/coordination/OwnershipSimulationTest.cpp
+++ b/test/coordination/OwnershipSimulationTest.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <array>
 #include <map>
 #include <memory>
 
@@ -240,3 +241,38 @@
     CHECK(takeovers > 100); // fewer would mean that the faults hardly exercise takeovers
     CHECK(restarts > 100);
 }
+
+TEST_CASE("A task never runs on two workers at once while workers restart under their ids and owners change",
+    "[ownership-simulation]")
+{
+    int takeovers = 0;
+    int restarts = 0;
+    checkWithSeed("restarts and takeovers", 20261206, 100, [&] {
+        const auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int, int>>>(40,
+            rc::gen::tuple(
+                rc::gen::inRange(0, 12), rc::gen::inRange(0, 100), rc::gen::inRange(0, 100), rc::gen::inRange(0, 100)));
+        Cell cell;
+        cell.clock.advance(seconds(5));
+        for (const auto& [kind, a, b, wait] : steps) {
+            constexpr std::array faults { 0, 1, 2, 3, 4, 9, 10,
+                11 }; // pauses, cut paths, late orders, deaths of owners
+            if (kind < static_cast<int>(faults.size())) {
+                applyFault(cell, faults.at(static_cast<std::size_t>(kind)), a, b);
+            } else {
+                cell.fleet.at(absl::StrCat("w", 1 + b % 5)).restart();
+                ++restarts;
+            }
+            cell.clock.advance(milliseconds(wait * 30));
+        }
+        cell.clearFaults();
+        cell.clock.advance(seconds(90));
+        RC_ASSERT(absl::StrJoin(cell.violations, "; ").empty());
+        RC_ASSERT(static_cast<bool>(cell.activeMember()));
+        RC_ASSERT(cell.allRunOnce());
+        for (const auto& member : cell.members)
+            takeovers += static_cast<int>(member->log.size());
+    });
+    std::cout << "ownership changes: " << takeovers << ", restarts of workers: " << restarts << '\n';
+    CHECK(takeovers > 100);
+    CHECK(restarts > 100);
+}
--- a/test/coordination/WorkerSessionsTest.cpp
+++ b/test/coordination/WorkerSessionsTest.cpp
@@ -391,3 +391,36 @@
     fixture.clock.advance(seconds(3));
     CHECK(fixture.owner().log.back() == "available w1");
 }
+
+TEST_CASE("A start sent to an earlier incarnation of a worker has no effect on the new one", "[worker-sessions]")
+{
+    Fixture fixture(3);
+    fixture.owner().gateway.link("w1").startDelay = milliseconds(1900);
+    fixture.owner().startTask("w1", "late");
+    fixture.clock.advance(milliseconds(100));
+    fixture.owner().gateway.link("w1").startDelay = {};
+    fixture.fleet.at("w1").restart();
+    fixture.clock.advance(milliseconds(1500));
+    CHECK(fixture.owner().log.back() == "available w1"); // before the start arrives
+    CHECK(fixture.owner().outcomes.at("late") == CommandOutcome::Unknown);
+    fixture.clock.advance(seconds(5));
+    CHECK(fixture.fleet.at("w1").starts == 0);
+}
+
+TEST_CASE("Late responses of an earlier incarnation do not end tasks of the new one", "[worker-sessions]")
+{
+    Fixture fixture(3);
+    auto& link = fixture.owner().gateway.link("w1");
+    link.delay = milliseconds(900); // responses of lease and event calls are still under way at the restart
+    fixture.clock.advance(milliseconds(1000));
+    link.delay = milliseconds(1);
+    fixture.fleet.at("w1").restart();
+    fixture.owner().log.clear();
+    for (int n = 0; n < 40 && (fixture.owner().log.empty() || fixture.owner().log.back() != "available w1"); ++n)
+        fixture.clock.advance(milliseconds(50));
+    REQUIRE(fixture.owner().log == Log { "lost w1", "available w1" });
+    fixture.owner().startTask("w1", "a");
+    fixture.clock.advance(seconds(5));
+    CHECK(fixture.owner().log == Log { "lost w1", "available w1" });
+    CHECK(fixture.fleet.at("w1").isRunning(taskNamed("a")));
+}
