Test that a worker's restart around a takeover is known before its report

No fault was found here. A worker that restarts shortly before, at or after the first lease request of a new owner is reported as lost before it is available, also when its new session is journalled only after the epoch became active; the scheduler then knows that its reports do not cover the deduplication window, and answers a request that may have run there with an unknown outcome.

--- a/test/coordination/CellSchedulerRecoveryTest.cpp
+++ b/test/coordination/CellSchedulerRecoveryTest.cpp
@@ -236,3 +236,24 @@
         CHECK(cell.pool.starts[1].worker == VmId("w2"));
     }
 }
+
+TEST_CASE("A request that may have run on a worker that restarted around a takeover does not run again",
+    "[scheduler][recovery]")
+{
+    SchedulerHarness cell;
+    const auto worker = SchedulerHarness::worker("w1");
+    cell.add(SchedulerHarness::worker("w2"));
+    WorkSpec spec = SchedulerHarness::spec("r1");
+    spec.attempt = 2;
+    const bool beforeActivation = GENERATE(true, false);
+    if (!beforeActivation)
+        cell.scheduler->activate({ worker.id });
+    cell.scheduler->workerLost(worker.id);
+    cell.add(worker); // its report is empty
+    if (beforeActivation)
+        cell.scheduler->activate({});
+    cell.submit(spec);
+    REQUIRE(cell.answer(spec));
+    CHECK(cell.answer(spec)->run == RunState::Unknown);
+    CHECK(cell.pool.starts.empty());
+}
--- a/test/coordination/WorkerSessionsTest.cpp
+++ b/test/coordination/WorkerSessionsTest.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 
 using namespace lycheeledge;
@@ -424,3 +425,35 @@
     CHECK(fixture.owner().log == Log { "lost w1", "available w1" });
     CHECK(fixture.fleet.at("w1").isRunning(taskNamed("a")));
 }
+
+TEST_CASE("A worker that restarted around a takeover is lost before it is available", "[worker-sessions]")
+{
+    // Otherwise the new owner would take its empty report for the whole history of the worker.
+    Fixture fixture(3);
+    const auto restartAt = GENERATE(milliseconds(-500), milliseconds(0), milliseconds(2), milliseconds(100));
+    const bool journalIsSlow = GENERATE(false, true); // then the epoch becomes active before the worker is available
+    fixture.owner().startTask("w1", "a");
+    fixture.clock.advance(milliseconds(10));
+    Owner& previous = fixture.owner();
+    Owner& owner = fixture.addOwner();
+    if (restartAt < milliseconds(0)) {
+        previous.runtime.pause();
+        fixture.fleet.at("w1").restart();
+        fixture.clock.advance(-restartAt);
+    }
+    fixture.journal.isDown = journalIsSlow;
+    owner.start();
+    if (restartAt >= milliseconds(0)) {
+        fixture.clock.advance(restartAt);
+        fixture.fleet.at("w1").restart();
+    }
+    fixture.clock.advance(seconds(2));
+    CHECK(owner.sessions.isActive());
+    fixture.journal.flush();
+    fixture.clock.advance(seconds(3));
+    Log ofWorker;
+    std::copy_if(owner.log.begin(), owner.log.end(), std::back_inserter(ofWorker),
+        [](const std::string& entry) { return entry.ends_with(" w1"); });
+    REQUIRE(ofWorker.size() >= 2);
+    CHECK(Log(ofWorker.end() - 2, ofWorker.end()) == Log { "lost w1", "available w1" });
+}
