--- a/src/lycheeledge/coordination/CellSchedulerRecovery.cpp
+++ b/src/lycheeledge/coordination/CellSchedulerRecovery.cpp
@@ -7,6 +7,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace lycheeledge {
 
@@ -63,6 +64,8 @@
         TaskRecord& task = item->tasks[start->id.index];
         task.run = std::max(task.run, start->id.run);
         task.journalled = true;
+        if (item->spec.repeatable)
+            ++task.attempts;
         item->recordRunState(RunState::Unknown);
     } else if (const auto* end = std::get_if<TaskEnded>(&record)) {
         WorkItem* item = find(end->id.work);
@@ -195,9 +198,10 @@
         if (running.id.index < item.tasks.size())
             attachRunningTask(item, running.id, running.worker);
     }
-    // Only the highest run of each task counts.
-    std::stable_sort(reported->finished.begin(), reported->finished.end(),
-        [](const auto& a, const auto& b) { return a.task.id.run > b.task.id.run; });
+    // Of each task, a run that succeeded counts; if there is none, the highest run.
+    std::stable_sort(reported->finished.begin(), reported->finished.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.task.succeeded, a.task.id.run) > std::tie(b.task.succeeded, b.task.id.run);
+    });
     absl::flat_hash_set<std::uint32_t> seen;
     for (const auto& finished : reported->finished) {
         const std::uint32_t index = finished.task.id.index;
@@ -206,11 +210,15 @@
             open->recordRunNumber(finished.task.id);
         if (!open || index >= open->tasks.size() || !seen.insert(index).second)
             continue;
+        if (!finished.task.succeeded && finished.task.id.run < open->tasks[index].run)
+            continue; // counted by an earlier owner
         const TaskState state = open->tasks[index].state;
-        if (state != TaskState::Unresolved && state != TaskState::Waiting)
-            continue;
-        std::erase(open->waiting, index);
-        applyReported(*open, finished.task);
+        if (state == TaskState::Unresolved || state == TaskState::Waiting) {
+            std::erase(open->waiting, index);
+            applyReported(*open, finished.task);
+        } else if (finished.task.succeeded) {
+            applyEarlierSuccess(*open, finished.task);
+        }
     }
     WorkItem* open = find(id);
     if (open && reported->lost && !open->spec.repeatable && !open->isJob() && open->reservedTasks == 0)
@@ -230,6 +238,25 @@
     m_unresolved.emplace(item.sequence, item.spec.id);
 }
 
+bool CellScheduler::endWithEarlierSuccess(WorkItem& item, std::uint32_t index)
+{
+    const auto earlier = item.earlierSuccesses.extract(index);
+    if (earlier.empty())
+        return false;
+    applyFinished(item, earlier.mapped());
+    return true;
+}
+
+void CellScheduler::withdraw(WorkItem& item, std::uint32_t index)
+{
+    if (std::erase(item.waiting, index) == 0)
+        return;
+    if (item.waiting.empty())
+        item.team->queues.remove(item);
+    if (m_hold.holder() == &item)
+        releaseHold(); // it was planned for all waiting tasks
+}
+
 void CellScheduler::attachRunningTask(WorkItem& item, const TaskId& id, WorkerIndex worker)
 {
     item.recordRunNumber(id);
@@ -271,7 +298,7 @@
     m_workers.setUsed(slot, report.used);
     setWorkerFlags(slot, true, true);
     for (const FinishedTask& task : report.finished)
-        taskFinished(worker.id, task);
+        applyEnd(worker.id, task);
     if (m_missingWorkers.erase(worker.id) > 0)
         missingWorkersChanged();
     requeueSetAside();
--- a/src/lycheeledge/coordination/WorkItem.h
+++ b/src/lycheeledge/coordination/WorkItem.h
@@ -3,6 +3,7 @@
 
 #include "../state/Outcome.h"
 #include "../state/Work.h"
+#include "../state/Worker.h"
 #include "Placement.h"
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,6 +41,7 @@
     std::uint32_t run = 0; ///< run number of the last start; 0 before the first
     std::uint32_t highestRun = 0; ///< highest run number seen; workers do not start a run that they remember
     std::uint32_t attempts = 0; ///< starts that count towards the policy's maxAttempts
+    std::uint32_t unjournalledFailures = 0; ///< failed runs whose record is not durable yet
     WorkerIndex worker = 0; ///< worker of the last start
     TimePoint since; ///< time of the last state change
     std::uint64_t startNumber = 0; ///< key in TeamRecord::preemptibleTasks; 0 if it is not in there
@@ -58,6 +61,8 @@
     std::vector<Done> waiters; ///< callbacks of all submissions with this ID
     std::vector<TaskRecord> tasks;
     std::deque<std::uint32_t> waiting; ///< tasks ready to be placed
+    /// Succeeded ends of earlier runs of tasks that have a reservation, by task. Each counts if the current run fails.
+    std::map<std::uint32_t, FinishedTask> earlierSuccesses;
     std::uint32_t reservedTasks = 0; ///< number of tasks with a reservation
     std::uint32_t succeeded = 0;
     std::uint32_t failed = 0;
--- a/test/coordination/SimulatedCell.cpp
+++ b/test/coordination/SimulatedCell.cpp
@@ -107,6 +107,8 @@
     if (all.empty())
         return;
     const auto& [worker, task] = all[n % all.size()];
+    if (!succeeded && !m_stopped.contains(task))
+        m_workers[worker].ownFailures.insert(task);
     end(m_workers[worker], task, succeeded);
     check();
 }
@@ -173,12 +175,14 @@
 {
     worker.reachable = false;
     worker.present = false;
+    worker.ownFailures.clear(); // the owner takes these runs for lost
     std::vector<TaskId> lostTasks;
     for (const auto& [task, size] : std::exchange(worker.running, {}))
         lostTasks.push_back(task);
     m_journal.records.push_back(WorkerRemoved { worker.description.id, lostTasks });
     for (auto& [task, done] : std::exchange(worker.unanswered, {}))
         m_runtime.post([done = std::move(done)] { done(CommandOutcome::Unknown, "worker lost"); });
+    forgetUnknownEnds();
     m_scheduler->workerLost(worker.description.id);
 }
 
@@ -207,6 +211,8 @@
     m_runtime.settle();
     for (Worker& worker : m_workers)
         worker.unanswered.clear();
+    m_notedByOwner.clear();
+    forgetUnknownEnds();
     startNewOwner();
     for (Submission& submission : m_submissions) {
         const bool awaitsAnswer = !submission.answered;
@@ -271,6 +277,7 @@
 {
     if (action != TaskAction::Stop)
         return;
+    m_stopped.insert(task);
     Worker& worker
         = *std::find_if(m_workers.begin(), m_workers.end(), [&](const Worker& w) { return w.description.id == id; });
     if (random(2) == 0 && worker.running.contains(task) && worker.reachable)
@@ -284,6 +291,8 @@
     const Submission& submission = m_submissions[m_byId.at(task.work)];
     if (running(task.work, task.index))
         addViolation(absl::StrCat(workName(task.work), ":", task.index, " runs on two workers"));
+    if (m_notedAsDone.contains({ task.work, task.index }))
+        addViolation(absl::StrCat(workName(task.work), ":", task.index, " started again after its end was noted"));
     ++m_taskRuns;
     if (++m_runs[{ task.work, task.index }] > 1 && !submission.spec.repeatable)
         addViolation(absl::StrCat(workName(task.work), ":", task.index, " is not repeatable and ran twice"));
@@ -307,6 +316,9 @@
     if (!m_scheduler)
         return; // a takeover is in progress
     for (const TaskId& task : std::exchange(worker.undelivered, {})) {
+        noteEnd(worker.finished.at(task));
+        if (worker.ownFailures.erase(task) > 0)
+            countFailure(task);
         m_scheduler->taskFinished(worker.description.id, worker.finished.at(task));
         if (random(4) == 0) // events are delivered at least once
             m_scheduler->taskFinished(worker.description.id, worker.finished.at(task));
@@ -314,13 +326,61 @@
     }
 }
 
-LeaseReport SimulatedCell::report(const Worker& worker) const
+void SimulatedCell::noteEnd(const FinishedTask& task)
+{
+    if (endsTask(task)) {
+        for (auto* noted : { &m_notedAsDone, &m_notedByOwner })
+            noted->insert({ task.id.work, task.id.index });
+    }
+}
+
+void SimulatedCell::countFailure(const TaskId& task)
+{
+    const WorkSpec& spec = m_submissions[m_byId.at(task.work)].spec;
+    // While a gang is being stopped, the failure of one more of its tasks makes no difference.
+    if (spec.kind != WorkKind::Batch || spec.gang)
+        return;
+    const std::uint32_t n = ++m_failures[{ task.work, task.index }];
+    if (n > m_configuration.policies.at(WorkKind::Batch).maxAttempts)
+        addViolation(absl::StrCat(workName(task.work), ":", task.index, " failed ", n, " times"));
+}
+
+bool SimulatedCell::endsTask(const FinishedTask& task) const
+{
+    const WorkSpec& spec = m_submissions[m_byId.at(task.id.work)].spec;
+    return task.succeeded && (spec.kind != WorkKind::Request || task.body.size() == task.bodyLength);
+}
+
+void SimulatedCell::forgetUnknownEnds()
+{
+    std::erase_if(m_notedAsDone, [&](const auto& key) {
+        const bool durable = std::any_of(m_journal.records.begin(), m_journal.records.end(), [&](const auto& record) {
+            const auto* job = std::get_if<JobEnded>(&record);
+            const auto* task = std::get_if<TaskEnded>(&record);
+            return (job && job->result.id == key.first)
+                || (task && task->succeeded && task->id.work == key.first && task->id.index == key.second);
+        });
+        return !durable && !m_notedByOwner.contains(key)
+            && std::none_of(m_workers.begin(), m_workers.end(), [&](const Worker& worker) {
+                   return worker.present
+                       && std::any_of(worker.finished.begin(), worker.finished.end(), [&](const auto& finished) {
+                              const FinishedTask& task = finished.second;
+                              return endsTask(task) && task.id.work == key.first && task.id.index == key.second;
+                          });
+               });
+    });
+}
+
+LeaseReport SimulatedCell::report(Worker& worker)
 {
     LeaseReport report = SchedulerHarness::report(worker.description);
     for (const auto& [task, size] : worker.running)
         report.running.push_back({ task, size, {} });
-    for (const auto& [id, task] : worker.finished)
+    for (const auto& [id, task] : worker.finished) {
+        noteEnd(task);
+        worker.ownFailures.erase(id);
         report.finished.push_back(task);
+    }
     return report;
 }
 
--- a/test/coordination/WorkerSessionsTest.cpp
+++ b/test/coordination/WorkerSessionsTest.cpp
@@ -9,6 +9,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <memory>
 
 using namespace lycheeledge;
@@ -359,3 +361,99 @@
     set.finishChange();
     CHECK(set.hasMajority(accepts({ "w1", "w2" })));
 }
+
+TEST_CASE(
+    "A replaced worker's tasks are lost only after the leases of the earlier VM have expired", "[worker-sessions]")
+{
+    Fixture fixture(3);
+    const bool takeover = GENERATE(false, true);
+    fixture.owner().startTask("w1", "a");
+    fixture.clock.advance(milliseconds(10));
+    // The earlier VM keeps running, out of reach, while another one at a new address has its id.
+    const std::unique_ptr<FakeWorker> earlier = std::move(fixture.fleet.workers.at(VmId("w1")));
+    WorkerDescription description = earlier->description();
+    description.address = { "127.0.0.2", 1 };
+    auto replacement = std::make_unique<FakeWorker>(fixture.clock, description);
+    replacement->restart();
+    fixture.fleet.workers.at(VmId("w1")) = std::move(replacement);
+    if (takeover)
+        fixture.addOwner().start();
+    fixture.setDisconnected(fixture.owner(), { "w1" });
+    fixture.clock.advance(milliseconds(1200)); // the list shows the new address
+    fixture.setDisconnected(fixture.owner(), { "w1" }, false);
+    const auto lost = [&] {
+        const Log& log = fixture.owner().log;
+        return std::find(log.begin(), log.end(), "lost w1") != log.end();
+    };
+    for (int n = 0; n < 400 && !lost(); ++n)
+        fixture.clock.advance(milliseconds(100));
+    CHECK(lost());
+    CHECK(earlier->runningCount() == 0);
+    fixture.clock.advance(seconds(3));
+    CHECK(fixture.owner().log.back() == "available w1");
+}
+
+TEST_CASE("A start sent to an earlier incarnation of a worker has no effect on the new one", "[worker-sessions]")
+{
+    Fixture fixture(3);
+    fixture.owner().gateway.link("w1").startDelay = milliseconds(1900);
+    fixture.owner().startTask("w1", "late");
+    fixture.clock.advance(milliseconds(100));
+    fixture.owner().gateway.link("w1").startDelay = {};
+    fixture.fleet.at("w1").restart();
+    fixture.clock.advance(milliseconds(1500));
+    CHECK(fixture.owner().log.back() == "available w1"); // before the start arrives
+    CHECK(fixture.owner().outcomes.at("late") == CommandOutcome::Unknown);
+    fixture.clock.advance(seconds(5));
+    CHECK(fixture.fleet.at("w1").starts == 0);
+}
+
+TEST_CASE("Late responses of an earlier incarnation do not end tasks of the new one", "[worker-sessions]")
+{
+    Fixture fixture(3);
+    auto& link = fixture.owner().gateway.link("w1");
+    link.delay = milliseconds(900); // responses of lease and event calls are still under way at the restart
+    fixture.clock.advance(milliseconds(1000));
+    link.delay = milliseconds(1);
+    fixture.fleet.at("w1").restart();
+    fixture.owner().log.clear();
+    for (int n = 0; n < 40 && (fixture.owner().log.empty() || fixture.owner().log.back() != "available w1"); ++n)
+        fixture.clock.advance(milliseconds(50));
+    REQUIRE(fixture.owner().log == Log { "lost w1", "available w1" });
+    fixture.owner().startTask("w1", "a");
+    fixture.clock.advance(seconds(5));
+    CHECK(fixture.owner().log == Log { "lost w1", "available w1" });
+    CHECK(fixture.fleet.at("w1").isRunning(taskNamed("a")));
+}
+
+TEST_CASE("A worker that restarted around a takeover is lost before it is available", "[worker-sessions]")
+{
+    // Otherwise the new owner would take its empty report for the whole history of the worker.
+    Fixture fixture(3);
+    const auto restartAt = GENERATE(milliseconds(-500), milliseconds(0), milliseconds(2), milliseconds(100));
+    const bool journalIsSlow = GENERATE(false, true); // then the epoch becomes active before the worker is available
+    fixture.owner().startTask("w1", "a");
+    fixture.clock.advance(milliseconds(10));
+    Owner& previous = fixture.owner();
+    Owner& owner = fixture.addOwner();
+    if (restartAt < milliseconds(0)) {
+        previous.runtime.pause();
+        fixture.fleet.at("w1").restart();
+        fixture.clock.advance(-restartAt);
+    }
+    fixture.journal.isDown = journalIsSlow;
+    owner.start();
+    if (restartAt >= milliseconds(0)) {
+        fixture.clock.advance(restartAt);
+        fixture.fleet.at("w1").restart();
+    }
+    fixture.clock.advance(seconds(2));
+    CHECK(owner.sessions.isActive());
+    fixture.journal.flush();
+    fixture.clock.advance(seconds(3));
+    Log ofWorker;
+    std::copy_if(owner.log.begin(), owner.log.end(), std::back_inserter(ofWorker),
+        [](const std::string& entry) { return entry.ends_with(" w1"); });
+    REQUIRE(ofWorker.size() >= 2);
+    CHECK(Log(ofWorker.end() - 2, ofWorker.end()) == Log { "lost w1", "available w1" });
+}
