End calls to unresolved host names without waiting for the look-up

What callers would see: one worker listed under a host name whose look-up is not answered delays the calls to all other workers, lease renewals included, by as long as the look-up takes.

Cause: when a call times out, curl waits for the thread that looks up its name. That happens on the client's only thread.

Fix: CURLOPT_QUICK_EXIT makes curl detach the thread, which frees its own state when the look-up ends.

--- a/src/lycheeledge/transport/HttpClient.cpp
+++ b/src/lycheeledge/transport/HttpClient.cpp
@@ -259,6 +259,8 @@
         curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
         curl_easy_setopt(easy, CURLOPT_PROXY, "");
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        // Without it, the end of a call waits for its name look-up, and so do all other calls.
+        curl_easy_setopt(easy, CURLOPT_QUICK_EXIT, 1L);
         curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
         curl_easy_setopt(
