Limit the nesting of store records that coordination reads

What callers would see: a deeply nested value under a roster, owner, quorum or configuration key ends each lycheeledged that reads it, again after every restart.

Cause: JsonFields.h and EpochRecord.cpp parsed with rapidjson's recursive parser, which overflows the stack.

Evidence: with a million levels of '[' or of '{"a":', decodeMemberRecord, parseEpochRecord, RosterView::update and OwnerTable::setRecords ended with SIGSEGV in the three tests "A deeply nested ...". A port or number out of range was already rejected ("A member or owner record with a port or number out of range is rejected" passed before).

Fix: state/JsonParser.h parses iteratively and ends at the 65th level, so that neither the parser nor a later visitor of the document recurses deeper.

--- a/src/lycheeledge/coordination/EpochRecord.cpp
+++ b/src/lycheeledge/coordination/EpochRecord.cpp
@@ -2,6 +2,8 @@
 
 #include "EpochRecord.h"
 
+#include "JsonFields.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <rapidjson/document.h>
@@ -37,8 +39,7 @@
 absl::StatusOr<EpochRecord> parseEpochRecord(std::string_view json)
 {
     rapidjson::Document document;
-    document.Parse(json.data(), json.size());
-    if (document.HasParseError() || !document.IsObject())
+    if (!detail::parseObject(document, json))
         return absl::InvalidArgumentError("owner record is not a JSON object");
     const auto text = [&](const char* name) -> const char* {
         const auto it = document.FindMember(name);
--- a/src/lycheeledge/coordination/JsonFields.h
+++ b/src/lycheeledge/coordination/JsonFields.h
@@ -1,6 +1,8 @@
 // Helpers to read and write fields of rapidjson objects.
 #pragma once
 
+#include "../state/JsonParser.h"
+
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
@@ -28,8 +30,7 @@
 /** @brief Parses `json`. @return false if it is malformed or not an object. */
 inline bool parseObject(rapidjson::Document& document, std::string_view json)
 {
-    document.Parse(json.data(), json.size());
-    return !document.HasParseError() && document.IsObject();
+    return !parseJson<rapidjson::kParseDefaultFlags>(document, json).IsError() && document.IsObject();
 }
 
 inline const rapidjson::Value* findField(const rapidjson::Value& object, const char* name)
