Leave odd VMs out of the list and follow the others

What callers would see: one VM of the list with a port out of range, a number beyond a double, a field of another type or a repeated id, and lycheeledged takes over no further list: new workers are not used, and leaving ones not drained.

Cause: decodeVmList() reported the first error of any element as an error of the whole list. Capacities up to 2^63 - 1 were accepted, and their sums overflow.

Fix: each element is read with a status of its own; invalid ones are left out and logged when they change. A value that is too deep and a number beyond a double read as `false`, so that only their element is refused. Hosts and ids are checked before they get into a URL or a log, and amounts are limited to 10^9. Of elements with the same id none is used, since it is unknown which one is right. A list of which no element is valid is still an error. A worker that has a session keeps it while the list leaves it out ("A worker that the list leaves out for a while ...", which passed before as well).

Also a test that a call to an odd address is not sent and harms no other call, which passed before.

--- a/src/lycheeledge/protocol/HttpVmDirectory.h
+++ b/src/lycheeledge/protocol/HttpVmDirectory.h
@@ -6,7 +6,9 @@
 #include "CompletionExecutor.h"
 
 #include <chrono>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace lycheeledge {
 
@@ -33,9 +35,14 @@
     HttpClient& m_client;
     CompletionExecutor& m_executor;
     VmDirectorySettings m_settings;
+    std::shared_ptr<std::vector<std::string>> m_loggedProblems; ///< used on the client's thread
 };
 
-/** @brief Decodes the list. Errors: `INVALID_ARGUMENT`, also for a duplicate id. */
+/**
+ * @brief Decodes the list without the VMs that are invalid or whose id occurs twice.
+ *
+ * Errors: `INVALID_ARGUMENT`, also if there are VMs and none is valid.
+ */
 absl::StatusOr<std::vector<WorkerDescription>> decodeVmList(const std::string& body);
 /** @brief Encodes one VM, as an element of the list. */
 std::string encodeVm(const WorkerDescription& vm);
--- a/src/lycheeledge/protocol/JsonFields.cpp
+++ b/src/lycheeledge/protocol/JsonFields.cpp
@@ -2,6 +2,8 @@
 
 #include "JsonFields.h"
 
+#include "../state/JsonParser.h"
+
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -14,18 +16,28 @@
 
 namespace {
 
-    // The iterative parser keeps its state on the heap, so deeply nested input cannot overflow the stack.
-    constexpr unsigned parseFlags = rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag;
+    absl::Status toStatus(const rapidjson::ParseResult& result)
+    {
+        if (!result.IsError())
+            return absl::OkStatus();
+        return absl::InvalidArgumentError(absl::StrCat(
+            "malformed JSON at offset ", result.Offset(), ": ", rapidjson::GetParseError_En(result.Code())));
+    }
 
 } // namespace
 
 absl::Status parseJson(const std::string& text, rapidjson::Document& document)
 {
-    document.Parse<parseFlags>(text.data(), text.size());
-    if (document.HasParseError())
-        return absl::InvalidArgumentError(absl::StrCat("malformed JSON at offset ", document.GetErrorOffset(), ": ",
-            rapidjson::GetParseError_En(document.GetParseError())));
-    return absl::OkStatus();
+    return toStatus(detail::parseJson(document, text));
+}
+
+absl::Status parseJsonList(const std::string& text, rapidjson::Document& document)
+{
+    constexpr unsigned anyBytes = rapidjson::kParseDefaultFlags;
+    auto result = detail::parseJson<anyBytes>(document, text, detail::DeepValues::Replace);
+    if (result.Code() == rapidjson::kParseErrorNumberTooBig)
+        result = detail::parseJson<anyBytes>(document, detail::replaceHugeNumbers(text), detail::DeepValues::Replace);
+    return toStatus(result);
 }
 
 JsonFields::JsonFields(const rapidjson::Value& value, std::string path, absl::Status& error)
--- a/src/lycheeledge/protocol/JsonFields.h
+++ b/src/lycheeledge/protocol/JsonFields.h
@@ -12,6 +12,12 @@
 
 /** @brief Parses a JSON text; deep nesting cannot overflow the stack. Errors: `INVALID_ARGUMENT`. */
 absl::Status parseJson(const std::string& text, rapidjson::Document& document);
+/**
+ * @brief As parseJson(), for a list whose elements come from several writers, of which each can be rejected without the
+ * others: a value that is too deep and a number beyond the range of a double read as `false`, and strings may have any
+ * bytes.
+ */
+absl::Status parseJsonList(const std::string& text, rapidjson::Document& document);
 
 /**
  * @brief Reads the fields of one JSON object and records the first error of the whole document.
--- a/src/lycheeledge/protocol/StateJson.cpp
+++ b/src/lycheeledge/protocol/StateJson.cpp
@@ -60,8 +60,13 @@
 
 Resources readResources(const JsonFields& fields)
 {
-    return { fields.amount("milliCpu"), fields.amount("memoryMb"), fields.amount("accelerators"),
-        fields.amount("slots"), fields.amount("connections") };
+    const auto amount = [&fields](const char* name) {
+        const std::int64_t result = fields.amount(name);
+        if (result > maxResourceAmount)
+            fields.fail(name, "is out of range");
+        return result;
+    };
+    return { amount("milliCpu"), amount("memoryMb"), amount("accelerators"), amount("slots"), amount("connections") };
 }
 
 TaskId readTaskId(const JsonFields& fields)
--- a/src/lycheeledge/state/Resources.h
+++ b/src/lycheeledge/state/Resources.h
@@ -6,6 +6,10 @@
 
 namespace lycheeledge {
 
+/// Largest amount of a resource on one worker or of one task: a million cores, a petabyte of memory. The sum over all
+/// workers or tasks that a process can hold is far from overflowing.
+inline constexpr std::int64_t maxResourceAmount = 1'000'000'000;
+
 /** @brief Vector of resource amounts, used for capacities, declared sizes, reservations and limits. */
 struct Resources {
     std::int64_t milliCpu = 0; ///< CPU, in thousandths of a core
--- a/test/coordination/WorkerSessionsTest.cpp
+++ b/test/coordination/WorkerSessionsTest.cpp
@@ -132,6 +132,23 @@
     CHECK(fixture.owner().log == Log { "available w1", "finished w1 a", "finished w1 b" });
 }
 
+TEST_CASE("A worker that the list leaves out for a while keeps its session and tasks", "[worker-sessions]")
+{
+    Fixture fixture(2);
+    fixture.owner().startTask("w1", "a");
+    fixture.clock.advance(milliseconds(10));
+    fixture.fleet.unlisted.insert(VmId("w1"));
+    fixture.fleet.add(fixture.clock, "w3");
+    fixture.clock.advance(seconds(30));
+    fixture.owner().startTask("w1", "b");
+    fixture.clock.advance(milliseconds(10));
+    fixture.fleet.unlisted.clear();
+    fixture.clock.advance(seconds(2));
+    CHECK(fixture.owner().outcomes.at("b") == CommandOutcome::Accepted);
+    CHECK(fixture.fleet.at("w1").runningCount() == 2);
+    CHECK(fixture.owner().log == Log { "available w1", "available w2", "available w3" });
+}
+
 TEST_CASE("A start is retried on the same worker until a response arrives", "[worker-sessions]")
 {
     Fixture fixture(1);
--- a/test/transport/HttpTest.cpp
+++ b/test/transport/HttpTest.cpp
@@ -6,6 +6,7 @@
 
 #include <lycheeledge/transport/HttpClient.h>
 #include <lycheeledge/transport/HttpServer.h>
+#include <lycheeledge/transport/Url.h>
 
 #include <catch2/catch.hpp>
 
@@ -325,3 +326,43 @@
     HttpServer second(settings, echo());
     CHECK(absl::IsUnavailable(second.start().status()));
 }
+
+TEST_CASE("A call to an odd address is not sent, and calls to others are answered", "[http]")
+{
+    HttpServer server({}, echo());
+    const auto port = server.start();
+    REQUIRE(port.ok());
+    HttpClient client;
+    const std::string ownPort = std::to_string(*port);
+    for (const std::string& address :
+        { std::string(), std::string("127.0.0.1:99999"), std::string("127.0.0.1:65536"), std::string("127.0.0.1:-1"),
+            std::string("127.0.0.1:0"), std::string("127.0.0.1:x"), "127.0.0.1 :" + ownPort, "127.0.0.1\r\n:" + ownPort,
+            "[::1:" + ownPort, std::string(":80"), std::string(1 << 20, '1'), std::string("\xff\x01") }) {
+        INFO(address.substr(0, 100));
+        const auto odd = call(client, makeRequest("http://" + address + "/", "body"));
+        CHECK_FALSE(odd.status.ok());
+        CHECK(odd.notSent);
+        CHECK(call(client, makeRequest(url(*port), "body")).response.body == "body");
+    }
+}
+
+TEST_CASE("Addresses and header values of other processes are checked", "[url]")
+{
+    for (const char* text : { "10.1.0.1:80", "127.0.0.1:65535", "10.1.0.1:1", "[::1]:80", "[fd00::1:2]:8080" })
+        CHECK(isIpEndpoint(text));
+    for (const char* text : { "", ":", ":80", "10.1.0.1", "10.1.0.1:", "10.1.0.1:0", "10.1.0.1:65536", "10.1.0.1:-1",
+             "10.1.0.1:+1", "10.1.0.1: 1", "10.1.0.1:1 ", "10.1.0.1:1e2", "10.1.0.1:000080", "10.1.0.1:80:80",
+             "10.1.0.256:80", "10.1.0:80", "host:80", "::1:80", "[::1:80", "[10.1.0.1]:80", "[]:80", "[:80" })
+        CHECK_FALSE(isIpEndpoint(text));
+    using namespace std::string_literals;
+    CHECK_FALSE(isIpEndpoint("10.1.0.1\0:80"s));
+    CHECK_FALSE(isIpEndpoint("10.1.0.1:8\0"s));
+    for (const char* text : { "10.1.0.1", "::1", "fd00::1", "w-1.example_a", "localhost" })
+        CHECK(isHost(text));
+    for (const std::string& text :
+        { ""s, "a b"s, "a/b"s, "a:80"s, "[::1]"s, "a@b"s, "a\0"s, "::1\0"s, "a\n"s, "\xff"s, std::string(254, 'a') })
+        CHECK_FALSE(isHost(text));
+    CHECK(isHeaderValue("w 1_\xc3\xa9"));
+    for (const std::string& text : { ""s, "a\r\nb"s, "a\tb"s, "\x7f"s, "a\0b"s })
+        CHECK_FALSE(isHeaderValue(text));
+}
