--- a/test/support/JobCluster.h
+++ b/test/support/JobCluster.h
@@ -39,11 +39,16 @@
     std::map<std::string, std::size_t> counts;
 };
 
-/** @brief Decodes platform records by lookup: a stored value is the name of an object that the test registered here. */
+/**
+ * @brief Decodes platform records by lookup: a stored value is the name of an object that the test registered here.
+ * Other values of workers go to `decodeWorker`.
+ */
 class FakePlatformRecords final : public jobs::PlatformRecords {
 public:
     std::map<std::string, jobs::ClusterConfiguration> configurations;
     std::map<std::string, jobs::WorkerRecord> workers;
+    std::function<absl::StatusOr<jobs::WorkerRecord>(const StoreEntry&)> decodeWorker
+        = [](const StoreEntry&) { return absl::InvalidArgumentError("unreadable"); };
 
     std::string operatorPrefix() const override { return "operator/"; }
     std::string configurationKey() const override { return "operator/configuration"; }
@@ -68,9 +73,7 @@
     absl::StatusOr<jobs::WorkerRecord> worker(const StoreEntry& entry) const override
     {
         const auto it = workers.find(entry.value);
-        if (it == workers.end())
-            return absl::InvalidArgumentError("unreadable");
-        return it->second;
+        return it == workers.end() ? decodeWorker(entry) : it->second;
     }
 };
 
