Start crash suspects on workers that no other task has just started on

What callers would see: a job that fails as crashing its workers although it ran beside the causes of two crashes.

Cause: a suspect starts apart from other suspects, but not from tasks that have just started for the first time, of which one may crash the worker, too. The next crash then counts against the suspect alone. A worker that is back from a crash is the emptiest, so a pass places new tasks and a suspect on it together.

Why it works: among the workers that a suspect may start on, those without a task that has just started are preferred. It is a preference only, so no work is held back.

--- a/src/lycheeledge/jobs/CrashSuspects.h
+++ b/src/lycheeledge/jobs/CrashSuspects.h
@@ -34,6 +34,7 @@
     /** @brief The run exists. @param clockMs the worker's clock; the times of one worker are compared. */
     void alive(const RunKey& run, std::int64_t clockMs);
     bool hasRepeated() const { return m_repeated > 0; }
+    bool isEmpty() const { return m_suspects.empty(); }
     /**
      * @brief Removes all runs except the survivors, because the incarnation has ended.
      * @return those that are known to have existed there. An order without a response may never have arrived.
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -198,7 +198,10 @@
     void scheduleStep(Job& job, const StepKey& key);
     std::size_t placeTasks(
         Job& job, const StepKey& key, const QueuePolicy& queue, const std::vector<std::uint32_t>& due);
-    /** @brief Selects workers that no task has just started on under which another worker crashed. */
+    /**
+     * @brief Selects workers that no task has just started on under which another worker crashed, and prefers those
+     * that no task at all has just started on.
+     */
     std::vector<PlacementCandidate> apartFromSuspects(std::vector<PlacementCandidate> candidates) const;
     bool mayStart(const Job& job);
     /** @brief Whether the owner can know how the last run of a waiting task ended. */
@@ -259,8 +262,8 @@
 
     // Reports (JobSchedulerReports.cpp)
     /**
-     * @brief Compares the incarnation that the worker or the registry tells of with the known one. The registry may be
-     * ahead of the worker's reports, and clocks are set back, so any start time but the one before is a restart.
+     * @brief Compares the incarnation that the worker or the registry tells of with the known one. The worker itself is
+     * always right, also if its clock was set back.
      * @return whether it is a restart.
      */
     bool noteIncarnation(Worker& worker, std::int64_t incarnationStartUnixMs);
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -304,6 +304,9 @@
         const Worker* worker = m_workers.find(it.worker);
         return worker == nullptr || worker->crashSuspects.hasRepeated();
     });
+    // A crash under another task that has just started would count against the suspect, too.
+    for (auto& candidate : candidates)
+        candidate.deprioritized = candidate.deprioritized || !m_workers.find(candidate.worker)->crashSuspects.isEmpty();
     return candidates;
 }
 
