Let a worker's own report decide which incarnation it is

What callers would see: jobs that never end (LOST) after a worker has restarted twice in quick succession.

Cause: any start time but the known one and the one before was taken for a restart. A registry that lags by one restart tells of an incarnation in between that the owner never saw. It replaced the newer one, whose reports then counted as sent before the restart, for good.

The new test fails on: the job does not complete.

Why it works: the worker itself is always right, since responses to earlier polls are ignored. The registry counts only if its entry has changed to a later start than the known one; if that was wrong, the next report corrects it.

--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -43,8 +43,6 @@
     Worker* worker = m_workers.find(id);
     if (worker == nullptr)
         return;
-    if (worker->isEarlierIncarnation(report.incarnationStartUnixMs))
-        return; // sent before the restart
     // Orders to the earlier incarnation may still arrive after this report, but not after the next one.
     if (noteIncarnation(*worker, report.incarnationStartUnixMs))
         return;
@@ -64,8 +62,7 @@
 bool JobScheduler::noteIncarnation(Worker& worker, std::int64_t incarnationStartUnixMs)
 {
     std::int64_t& known = worker.record.incarnationStartUnixMs;
-    if (incarnationStartUnixMs == 0 || incarnationStartUnixMs == known
-        || worker.isEarlierIncarnation(incarnationStartUnixMs))
+    if (incarnationStartUnixMs == 0 || incarnationStartUnixMs == known)
         return false;
     const bool restarted = known != 0;
     if (restarted)
@@ -79,7 +76,7 @@
     m_log.record("worker_restarted",
         { { "worker", worker.record.id.value() }, { "born_ms", incarnationStartUnixMs },
             { "runs", worker.runs.size() } });
-    worker.earlierIncarnationStartUnixMs = std::exchange(worker.record.incarnationStartUnixMs, incarnationStartUnixMs);
+    worker.record.incarnationStartUnixMs = incarnationStartUnixMs;
     worker.lastProcessedEnd = 0;
     worker.acknowledgements.reset();
     forgetStrayRuns(worker);
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -47,11 +47,12 @@
         if (moved)
             m_storedWorkers.erase(record.id);
         mustStore = mustStore || !m_storedWorkers.contains(record.id);
-        // An unchanged entry of the registry may be older than the worker's reports.
+        // The entry may be older than the worker's reports, by several restarts.
         if (std::exchange(known->registeredIncarnationStartUnixMs, record.incarnationStartUnixMs)
-            != record.incarnationStartUnixMs)
-            if (noteIncarnation(*known, record.incarnationStartUnixMs))
-                endListedRuns(*known);
+                != record.incarnationStartUnixMs
+            && record.incarnationStartUnixMs > known->record.incarnationStartUnixMs
+            && noteIncarnation(*known, record.incarnationStartUnixMs))
+            endListedRuns(*known);
         const std::int64_t incarnationStartUnixMs = known->record.incarnationStartUnixMs;
         known->record = record;
         known->record.incarnationStartUnixMs = incarnationStartUnixMs;
--- a/src/lycheeledge/jobs/WorkerTable.h
+++ b/src/lycheeledge/jobs/WorkerTable.h
@@ -53,18 +53,12 @@
     bool reported = false; ///< has sent a report in the current epoch
     bool mayHaveEarlierRuns = false; ///< earlier owners may have sent it orders
     std::int64_t registeredIncarnationStartUnixMs = 0; ///< as last read from the registry
-    /// Start of the incarnation before this one, of which the registry or a late reply may still tell; 0 if none.
-    std::int64_t earlierIncarnationStartUnixMs = 0;
     std::uint64_t lastProcessedEnd = 0; ///< highest sequence number of a processed end, in this incarnation
     EndAcknowledgements acknowledgements;
     TimePoint backoffUntil; ///< receives no tasks until then, after it refused a start
     double latencyRatio = 0; ///< highest ratio of tail latency to target among its latency-sensitive tasks
 
     Resources free() const { return record.capacity - reserved; }
-    bool isEarlierIncarnation(std::int64_t startUnixMs) const
-    {
-        return startUnixMs != 0 && startUnixMs == earlierIncarnationStartUnixMs;
-    }
 };
 
 /** @brief Workers by id. Pointers to entries stay valid until the entry is erased. */
--- a/test/jobs/WorkerRestartTest.cpp
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -59,6 +59,22 @@
     CHECK(cluster.workers.violations().empty());
 }
 
+TEST_CASE("a registry entry from between two restarts of its worker does not silence the worker", "[jobs][crash]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    completeJobOn(cluster, 1);
+    cluster.workers.restart("w0");
+    const WorkerRecord between = cluster.workers.record("w0");
+    cluster.workers.restart("w0");
+    cluster.advance(seconds(4)); // the worker itself tells of the second restart
+    cluster.registerWorker(between);
+    cluster.advance(seconds(1));
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    CHECK(cluster.waitForState(2, "batch", JobState::Completed, seconds(10)));
+    CHECK(cluster.workers.violations().empty());
+}
+
 TEST_CASE("no end is acknowledged unseen after a restart that left a poll without response", "[jobs][crash]")
 {
     // Starts reach the new incarnation while the poll still waits for the earlier one.
