--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -63,8 +63,8 @@
     /// Fault of polls: a late one has its effects `lateOrderDelay` later, whatever incarnation then answers the id.
     std::function<OrderFault(const std::string& worker)> pollFault
         = [](const std::string&) { return OrderFault::None; };
-    /// Whether a late start order is lost if its worker restarts first. Otherwise the next incarnation executes it, which
-    /// no owner can prevent before that incarnation has answered.
+    /// Whether a late start order is lost if its worker restarts first. Otherwise the next incarnation executes it,
+    /// which no owner can prevent before that incarnation has answered.
     bool restartDropsLateStarts = false;
     Duration maxLease = std::chrono::seconds(10); ///< leases that end later are shortened to this
     std::size_t maxListedEnds = 500; ///< in one report; the oldest come first
