Open overdue occurrences of a job a few at a time

Cause: releasing due occurrences had no bound but the number of repetitions.

Why it works: open occurrences of a job have up to 300,000 tasks together; further overdue ones follow as earlier ones end. One occurrence may have 300,000 tasks, and repetitions any number of 32 bits.

--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -62,6 +62,8 @@
     std::size_t maxWorkersPerTicketRenewal = 10; ///< workers named when tickets are renewed
     /// Workers named for a gang, whose tickets must all be valid at the same time.
     std::size_t maxWorkersPerGangCall = 60;
+    /// Tasks of a job's open occurrences, of 200 bytes each; one occurrence may have more.
+    std::size_t maxOpenTasks = 300000;
     /// A step of which no task runs this long after its release asks for admission ahead of the scheduling order.
     Duration overdueAfter = std::chrono::seconds(1);
 };
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -88,8 +88,12 @@
             occurrence.objective = occurrence.releasedAt + length;
     }
     const std::int64_t nowMs = m_host.unixMs();
+    const std::size_t tasksOfOccurrence = job.spec().taskCount();
     while (job.nextOccurrence < job.spec().occurrenceCount()) {
         if (job.spec().isScheduled() && job.nextOccurrence >= released) {
+            // Overdue occurrences beyond this are released as earlier ones end.
+            if (!job.open.empty() && (job.open.size() + 1) * tasksOfOccurrence > m_settings.maxOpenTasks)
+                break;
             const std::int64_t due = job.spec().firstDueUnixMs + job.nextOccurrence * job.spec().intervalMs;
             if (due > nowMs)
                 break;
--- a/src/lycheeledge/jobs/JobSpec.h
+++ b/src/lycheeledge/jobs/JobSpec.h
@@ -6,7 +6,9 @@
 #include "../state/Time.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -101,6 +103,12 @@
 
     bool isScheduled() const { return repetitions > 0; }
     std::uint32_t occurrenceCount() const { return isScheduled() ? repetitions : 1; }
+    /** @brief Number of tasks of one occurrence. */
+    std::size_t taskCount() const
+    {
+        return std::accumulate(
+            steps.begin(), steps.end(), std::size_t { 0 }, [](auto n, const auto& step) { return n + step.taskCount; });
+    }
 };
 
 /** @brief Resources that a task reserves on its worker. A task that uses idle CPU reserves no CPU. */
