Call entries and addresses that cannot be used invalid

In SubmissionRangeTest a member is set instead of initialised among members left out, which the compiler warned about. No check has changed.

--- a/test/platform/HttpStoreTest.cpp
+++ b/test/platform/HttpStoreTest.cpp
@@ -65,10 +65,10 @@
 
 TEST_CASE("a key with characters that end a URL does not end the list of the keys after it", "[store]")
 {
-    for (const char* odd :
+    for (const char* key :
         { "servers/b c", "servers/b&x=1", "servers/b#c", "servers/b%25", "servers/b+c", "servers/b?" }) {
-        INFO(odd);
-        Fixture fixture({ "servers/a", odd, "servers/d", "servers/e" });
+        INFO(key);
+        Fixture fixture({ "servers/a", key, "servers/d", "servers/e" });
         const auto first = fixture.list("");
         REQUIRE(first.ok());
         CHECK(first->truncated);
--- a/test/platform/InvalidEntryTest.cpp
+++ b/test/platform/InvalidEntryTest.cpp
@@ -43,7 +43,7 @@
 }
 
 /** @brief Values of an entry that name no worker to use. */
-std::vector<std::string> oddEntries(const std::string& id)
+std::vector<std::string> invalidEntries(const std::string& id)
 {
     constexpr std::size_t levels = 500000; // deep enough to overflow the stack of a recursive parser or destructor
     const std::string good = entryOf(id, 4000);
@@ -96,16 +96,16 @@
 
 } // namespace
 
-TEST_CASE("an entry that cannot be right names no worker", "[records][odd-entries]")
+TEST_CASE("an invalid entry names no worker", "[records][invalid-entries]")
 {
     REQUIRE(StoreRecords().worker({ "servers/w9", entryOf("w9", 4000), 1 }).ok());
-    for (const auto& value : oddEntries("w9")) {
+    for (const auto& value : invalidEntries("w9")) {
         INFO(value.substr(0, 200));
         CHECK_FALSE(StoreRecords().worker({ "servers/w9", value, 1 }).ok());
     }
 }
 
-TEST_CASE("an entry whose id cannot be sent in a header names no worker", "[records][odd-entries]")
+TEST_CASE("an entry whose id cannot be sent in a header names no worker", "[records][invalid-entries]")
 {
     const std::string good = entryOf("w9", 4000);
     for (const char* key :
@@ -117,7 +117,7 @@
         CHECK(StoreRecords().worker({ "servers/" + id, good, 1 }).ok());
 }
 
-TEST_CASE("an address of either IP version names a worker", "[records][odd-entries]")
+TEST_CASE("an address of either IP version names a worker", "[records][invalid-entries]")
 {
     for (const char* address : { "10.1.0.1:80", "127.0.0.1:65535", "10.1.0.1:1", "[::1]:80", "[fd00::1:2]:8080" }) {
         const auto worker
@@ -127,11 +127,11 @@
     }
 }
 
-TEST_CASE(
-    "one odd entry among the workers leaves the others in use, and later changes of them are followed", "[odd-entries]")
+TEST_CASE("one invalid entry among the workers leaves the others in use, and later changes of them are followed",
+    "[invalid-entries]")
 {
     std::uint64_t n = 0;
-    for (const auto& value : oddEntries("w9")) {
+    for (const auto& value : invalidEntries("w9")) {
         INFO(value.substr(0, 200));
         Fixture fixture;
         auto& cluster = fixture.cluster;
@@ -153,7 +153,7 @@
     }
 }
 
-TEST_CASE("an entry that is odd for a while keeps the runs of its worker", "[odd-entries]")
+TEST_CASE("an entry that is invalid for a while keeps the runs of its worker", "[invalid-entries]")
 {
     Fixture fixture;
     auto& cluster = fixture.cluster;
@@ -173,7 +173,7 @@
     CHECK(cluster.workers.violations().empty());
 }
 
-TEST_CASE("workers of the largest capacity that is accepted can be added up", "[odd-entries]")
+TEST_CASE("workers of the largest capacity that is accepted can be added up", "[invalid-entries]")
 {
     Fixture fixture;
     for (const char* id : { "w1", "w2", "w3" }) {
--- a/test/platform/SubmissionRangeTest.cpp
+++ b/test/platform/SubmissionRangeTest.cpp
@@ -103,6 +103,7 @@
     CHECK(timeoutMs("2500") == 2500);
     for (const char* value : { "-5", "-9223372036854775808", "9223372036854775808", "1e3", "" })
         CHECK(timeoutMs(value) == 0);
-    const jobs::ClientCall longest { .timeoutMs = timeoutMs("9223372036854775807") };
+    jobs::ClientCall longest;
+    longest.timeoutMs = timeoutMs("9223372036854775807");
     CHECK(replyDeadline(longest, TimePoint(hours(1))) > TimePoint(hours(2)));
 }
--- a/test/protocol/HttpVmDirectoryTest.cpp
+++ b/test/protocol/HttpVmDirectoryTest.cpp
@@ -136,13 +136,13 @@
     }
 }
 
-TEST_CASE("Changes of the VMs are followed while one of the list is odd", "[vm-directory]")
+TEST_CASE("Changes of the VMs are followed while one of the list is invalid", "[vm-directory]")
 {
-    const std::string odd
+    const std::string invalid
         = R"({"id":"w9","host":"127.0.0.1","port":99999,"state":"live","capacity":{"milliCpu":1e999}})";
     auto vms = sampleVms();
     for (int n = 0; n < 3; ++n) {
-        std::string text = R"({"vms":[)" + odd;
+        std::string text = R"({"vms":[)" + invalid;
         for (const auto& vm : vms)
             text += "," + encodeVm(vm);
         const auto list = listFrom({ 200, {}, text + "]}" });
--- a/test/transport/HttpTest.cpp
+++ b/test/transport/HttpTest.cpp
@@ -338,7 +338,7 @@
     CHECK(absl::IsUnavailable(second.start().status()));
 }
 
-TEST_CASE("A call to an odd address is not sent, and calls to others are answered", "[http]")
+TEST_CASE("A call to an invalid address is not sent, and calls to others are answered", "[http]")
 {
     HttpServer server({}, echo());
     const auto port = server.start();
@@ -350,9 +350,9 @@
             std::string("127.0.0.1:0"), std::string("127.0.0.1:x"), "127.0.0.1 :" + ownPort, "127.0.0.1\r\n:" + ownPort,
             "[::1:" + ownPort, std::string(":80"), std::string(1 << 20, '1'), std::string("\xff\x01") }) {
         INFO(address.substr(0, 100));
-        const auto odd = call(client, makeRequest("http://" + address + "/", "body"));
-        CHECK_FALSE(odd.status.ok());
-        CHECK(odd.notSent);
+        const auto refused = call(client, makeRequest("http://" + address + "/", "body"));
+        CHECK_FALSE(refused.status.ok());
+        CHECK(refused.notSent);
         CHECK(call(client, makeRequest(url(*port), "body")).response.body == "body");
     }
 }
