Wait after a takeover for reports that list all ends

Cause: an end that is known to the last owner but not stored is found by the next one in the worker's list. A worker lists 500 ends at a time. Its first report counted as its whole account even if that list was full, so tasks whose ends are behind it started again. Ends pile up while the store is silent and tasks are short.

Why it works: a worker counts as having reported once a report lists all its ends. Until then its earlier tasks wait, as they do for a silent worker.

--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -46,8 +46,9 @@
     // Orders to the earlier incarnation may still arrive after this report, but not after the next one.
     if (noteIncarnation(*worker, report.incarnationStartUnixMs))
         return;
-    const bool first = !worker->reported;
-    worker->reported = true;
+    // Ends behind a full list may be those of tasks that would start again.
+    const bool first = !worker->reported && report.ended.size() < maxListedEnds;
+    worker->reported = worker->reported || first;
     if (worker->awaitsReport)
         settleRestart(*worker, report);
     processEnds(*worker, report);
--- a/test/jobs/WorkerRestartTest.cpp
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -166,3 +166,20 @@
     CHECK(cluster.workers.starts().size() == 1200);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE(
+    "a task whose end is behind a full list of ends does not start again under the next owner", "[jobs][takeover]")
+{
+    JobCluster cluster(2);
+    addWorkers(cluster, 2);
+    cluster.workers.maxListedEnds = maxListedEnds;
+    cluster.workers.runTime = [](const TaskKey&) { return milliseconds(10); };
+    REQUIRE(cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(1800, 100) } }));
+    cluster.store.setFault(FakeClusterStore::Fault::Silent); // so no end is acknowledged
+    cluster.advance(seconds(4));
+    cluster.kill(*cluster.owner());
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(30)));
+    CHECK(cluster.workers.starts().size() == 1800);
+    CHECK(cluster.workers.violations().empty());
+}
