Do not repeat acknowledgements that the worker has answered

What callers would see: a task that starts again after its end was acknowledged (TWICE).

Cause: each poll repeated the number of the last stored end. A poll that is carried out seconds late reaches the next incarnation of a worker that has restarted under its id. Ends are numbered anew there, so the poll erases ends that nobody has read; their runs are then missing from the report and start again.

Evidence: the new test: 14 starts for 10 tasks without this change.

Why it works: a number is sent until a poll that carries it is answered; the worker has then forgotten those ends, so later polls have nothing to acknowledge and can erase nothing.

Measured: 10 starts.

--- a/src/lycheeledge/jobs/WorkerLink.cpp
+++ b/src/lycheeledge/jobs/WorkerLink.cpp
@@ -50,6 +50,7 @@
 {
     m_fencingToken = fencingToken;
     m_acknowledgedEnd = 0;
+    m_forgottenEnd = 0;
     m_lastListedEnd = 0;
     m_clockMs.reset();
     m_restarted = true;
@@ -123,7 +124,9 @@
     // An unresponsive worker is only read. Its lease is not extended, so that its tasks can start elsewhere once it has
     // expired; and it may have restarted, in which case its new ends have the numbers of the acknowledged ones.
     if (m_failures == 0) {
-        request.acknowledged = m_acknowledgedEnd;
+        // Not repeated once the worker has forgotten the ends: the poll may reach its next incarnation.
+        if (m_acknowledgedEnd > m_forgottenEnd)
+            request.acknowledged = m_acknowledgedEnd;
         request.leaseUntilMs = extendLeaseForOrder();
     }
     // A worker with unacknowledged ends responds immediately, so polls that wait would become a busy loop.
@@ -133,13 +136,15 @@
     const TimePoint sentAt = m_runtime.now();
     m_polling = true;
     m_port.poll(m_target, request, m_settings.pollTimeout,
-        [this, attempt, sentAt, alive = std::weak_ptr<bool>(m_alive)](const PollResult& result) {
+        [this, attempt, sentAt, acknowledged = request.acknowledged, alive = std::weak_ptr<bool>(m_alive)](
+            const PollResult& result) {
             if (!alive.expired())
-                handlePollResult(attempt, sentAt, result);
+                handlePollResult(attempt, sentAt, acknowledged, result);
         });
 }
 
-void WorkerLink::handlePollResult(std::uint64_t attempt, TimePoint sentAt, const PollResult& result)
+void WorkerLink::handlePollResult(
+    std::uint64_t attempt, TimePoint sentAt, std::uint64_t acknowledged, const PollResult& result)
 {
     if (attempt != m_attempt)
         return;
@@ -149,6 +154,7 @@
         return;
     }
     m_failures = 0;
+    m_forgottenEnd = std::max(m_forgottenEnd, acknowledged);
     if (std::exchange(m_restarted, false))
         assumeLongestLease();
     for (const auto& end : result.report.ended)
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -84,7 +84,8 @@
 private:
     void poll();
     void pollAnew();
-    void handlePollResult(std::uint64_t attempt, TimePoint sentAt, const PollResult& result);
+    void handlePollResult(
+        std::uint64_t attempt, TimePoint sentAt, std::uint64_t acknowledged, const PollResult& result);
     void handlePollFailure(OrderOutcome outcome);
     void schedulePoll(Duration delay);
     void setReachable(bool reachable);
@@ -100,6 +101,7 @@
     WorkerLinkSettings m_settings;
     std::uint64_t m_attempt = 0; ///< number of the poll in progress; responses to earlier polls are ignored
     std::uint64_t m_acknowledgedEnd = 0;
+    std::uint64_t m_forgottenEnd = 0; ///< last end whose acknowledgement the worker has answered
     std::uint64_t m_lastListedEnd = 0; ///< highest sequence number of an end that the worker reported
     int m_failures = 0; ///< consecutive polls without a response
     bool m_reachable = false;
--- a/test/jobs/WorkerRestartTest.cpp
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -183,3 +183,20 @@
     CHECK(cluster.workers.starts().size() == 1800);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("the acknowledgement in a late poll does not erase ends of the next incarnation", "[jobs][crash]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    completeJobOn(cluster, 1);
+    cluster.workers.lateOrderDelay = milliseconds(1500);
+    cluster.workers.pollFault = [](const std::string&) { return OrderFault::Late; };
+    cluster.advance(milliseconds(900)); // beyond the wait of the poll in progress
+    cluster.workers.pollFault = [](const std::string&) { return OrderFault::None; };
+    cluster.workers.restart("w0");
+    cluster.workers.runTime = [](const TaskKey&) { return milliseconds(100); };
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    CHECK(cluster.waitForState(2, "batch", JobState::Completed, seconds(10)));
+    CHECK(cluster.workers.starts().size() == 10);
+    CHECK(cluster.workers.violations().empty());
+}
