Give tasks to a restarted worker as soon as it has answered

What callers would see: a free worker gets nothing for 0.8 s after its restart is known.

Cause: the report that tells of the new incarnation resets the link, but its clock was recorded after that. So the next poll was sent as to a worker that is known, and waited for an end; tasks start only after its response.

The new test fails without this change: no start within 0.2 s.

Why it works: a report that has reset the link is not used any further. The next poll, without a clock, does not wait.

--- a/src/lycheeledge/jobs/WorkerLink.cpp
+++ b/src/lycheeledge/jobs/WorkerLink.cpp
@@ -162,8 +162,8 @@
     const std::weak_ptr<bool> alive = m_alive;
     setReachable(true);
     m_listener.workerReported(m_target.id, result.report, sentAt);
-    if (alive.expired())
-        return;
+    if (alive.expired() || attempt != m_attempt)
+        return; // the report told of a new incarnation, which the next poll asks for its clock
     recordClock(result.report.clockMs);
     if (m_polling || m_timer)
         return;
--- a/test/jobs/WorkerRestartTest.cpp
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -200,3 +200,15 @@
     CHECK(cluster.workers.starts().size() == 10);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("an idle worker receives tasks as soon as it has told of its restart", "[jobs][crash]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    completeJobOn(cluster, 1);
+    cluster.workers.restart("w0");
+    REQUIRE(cluster.waitFor([&] { return cluster.log.counts["worker_restarted"] == 1; }, seconds(5)));
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    CHECK(cluster.waitFor([&] { return cluster.workers.starts().size() == 7; }, milliseconds(200)));
+    CHECK(cluster.workers.violations().empty());
+}
