Let an owner that wakes from a freeze start no task unconfirmed

What callers would see: a task that starts again after its end was acknowledged (TWICE), or runs twice at a time, after the owner was frozen.

Cause: an owner that wakes within 8 s of its last confirmation starts tasks before it hears that it was replaced. The workers refuse that, but for one that has restarted meanwhile: it has forgotten the fencing token of the next owner, and accepts orders with the old one until the next owner has reached it.

The new test: 10 starts for 9 tasks without this change.

Why it works: a process that did not run for 1 s starts no task, and repeats no start order, until a call sent after that confirms the ownership. A shorter freeze does not outlast a lease that was renewed in time. Polls and stops go on as before, so an owner that is frozen in an outage of the store keeps its runs. An owner that is awake but turned away by the store may still start tasks for 8 s, as before.

--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -112,6 +112,7 @@
 
 void EntryNode::measureLag(TimePoint due)
 {
+    m_lease.noteRunning();
     const Duration late = m_runtime.now() - due;
     m_timerLag += (late - m_timerLag) / lagSamples;
     if (m_lease.isOwner()) {
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -98,6 +98,8 @@
 
     /** @brief Whether this process still holds ownership and may send orders. */
     virtual bool maySendOrders() const = 0;
+    /** @brief Whether it may also start tasks. */
+    virtual bool mayStartTasks() const = 0;
     /** @brief Until this time, no other process has certainly owned the jobs since this one does. */
     virtual TimePoint ownershipConfirmedAt() const = 0;
     /** @brief Called when a worker has rejected an order because it has accepted a higher epoch. */
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -188,7 +188,7 @@
 
 void JobScheduler::pass()
 {
-    if (!m_recovered || !m_configuration || !m_host.maySendOrders())
+    if (!m_recovered || !m_configuration || !m_host.mayStartTasks())
         return;
     std::vector<std::pair<StepUrgency, StepKey>> waiting;
     m_allWorkersReported.reset();
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -129,7 +129,7 @@
     const Step& step = *job->find(stepOf(key));
     const Epoch fencingToken = worker->fencingToken;
     const auto lease = worker->link->extendLeaseForOrder();
-    if (!lease || !m_host.maySendOrders()) {
+    if (!lease || !m_host.mayStartTasks()) {
         // An unsent first attempt means that no run exists; after a second one, a run of the first may exist.
         if (attempt > 1)
             stopTask(*job, key, "no response to start order");
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -82,6 +82,19 @@
     return m_epoch && m_runtime.now() - m_confirmedAt < m_settings.confirmationLimit;
 }
 
+bool OwnerLease::mayStartTasks() const
+{
+    // After a freeze, this may be asked before noteRunning() is called.
+    return maySendOrders() && m_confirmedAt >= m_wokeAt && m_runtime.now() - m_runningAt < m_settings.freezeLimit;
+}
+
+void OwnerLease::noteRunning()
+{
+    const TimePoint now = m_runtime.now();
+    if (now - std::exchange(m_runningAt, now) >= m_settings.freezeLimit)
+        m_wokeAt = now;
+}
+
 void OwnerLease::confirmed(TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); }
 
 bool OwnerLease::needsHandover() const
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -50,6 +50,9 @@
     /// An owner whose ownership has not been confirmed for this long stops sending orders. Must exceed the store
     /// outages that an owner should survive. A new owner waits this long where it cannot fence workers.
     Duration confirmationLimit = std::chrono::milliseconds(8000);
+    /// A process that did not run for this long may have been replaced meanwhile. Less than `timeToLive` without
+    /// `renewInterval`, after which the lease may have ended.
+    Duration freezeLimit = std::chrono::milliseconds(1000);
 };
 
 class OwnerLeaseListener {
@@ -106,6 +109,13 @@
     Epoch epoch() const { return m_epoch.value_or(0); }
     /** @brief Whether this process is the owner and was confirmed recently enough to send orders. */
     bool maySendOrders() const;
+    /**
+     * @brief Whether it may also start tasks: not between a freeze of this process and the next confirmation, since a
+     * worker that restarted meanwhile does not know the fencing token of the next owner.
+     */
+    bool mayStartTasks() const;
+    /** @brief This process runs. Called at intervals far below the freeze limit. */
+    void noteRunning();
     std::optional<OwnerRecord> owner() const { return m_owner; }
     /** @brief Other members that owned the jobs shortly before this owner's claim. */
     const std::set<std::string>& earlierOwners() const { return m_earlierOwners; }
@@ -140,6 +150,8 @@
     Revision m_claimRevision = 0; ///< of the epoch record, as written by this owner's claim
     TimePoint m_confirmedAt;
     TimePoint m_answeredAt;
+    TimePoint m_runningAt; ///< last call of noteRunning()
+    TimePoint m_wokeAt; ///< end of the last freeze
     bool m_claiming = false;
     int m_failedRenewals = 0; ///< in a row, as the owner
     std::optional<TimePoint> m_renewalSentAt; ///< of the renewal in progress
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -71,6 +71,7 @@
 
     // JobSchedulerHost
     bool maySendOrders() const override { return m_lease.maySendOrders(); }
+    bool mayStartTasks() const override { return m_lease.mayStartTasks(); }
     TimePoint ownershipConfirmedAt() const override { return m_lease.confirmedAt(); }
     void fenced() override;
     std::int64_t unixMs() const override { return m_unixMs(); }
--- a/test/jobs/TakeoverTest.cpp
+++ b/test/jobs/TakeoverTest.cpp
@@ -69,6 +69,29 @@
     CHECK(cluster.workers.violations().empty());
 }
 
+TEST_CASE("an owner that wakes after its replacement starts no task on a worker that has forgotten the replacement",
+    "[takeover][crash]")
+{
+    JobCluster cluster(2);
+    cluster.workers.runTime = [](const TaskKey&) { return milliseconds(300); };
+    addWorkers(cluster, 1);
+    const std::string first = *cluster.owner();
+    REQUIRE(cluster.submit(first, "batch", 1, { .payload = {}, .steps = { simpleStep(8, 1000) } }));
+    REQUIRE(cluster.submit(first, "batch", 2, { .payload = {}, .steps = { simpleStep(1, 1000) } })); // w0 is full
+    REQUIRE(cluster.workers.starts().size() == 8);
+    cluster.member(first).runtime.pause(); // the ends of the first job are in the answer that it reads when it wakes
+    REQUIRE(cluster.waitFor([&] { return hasOtherOwner(cluster, first); }, seconds(5)));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.starts().size() == 9; }, seconds(3)));
+    cluster.advance(seconds(1)); // the end of the second job is acknowledged
+    const std::string second = first == "m0" ? "m1" : "m0";
+    cluster.member(second).workers.isCutOff = [](const std::string&) { return true; };
+    cluster.workers.restart("w0");
+    cluster.member(first).runtime.resume();
+    cluster.advance(seconds(2));
+    CHECK(cluster.workers.starts().size() == 9);
+    CHECK(cluster.workers.violations().empty());
+}
+
 TEST_CASE("the owner keeps starting known tasks while the store is down", "[takeover]")
 {
     JobCluster cluster(2);
