Repeat the first poll after a worker's restart sooner

What callers would see: a task starts again after its end was acknowledged (TWICE), or beyond its attempts (BUDGET).

Cause: once a restart is known, a poll with a higher token makes the new incarnation refuse late polls of the earlier one. If that poll is late itself, it was repeated only after 1.5 s, and late polls erased ends of the new incarnation meanwhile.

Why it works: up to three polls after a restart end after 0.2 s, ten times the response time of a healthy worker, and are repeated at once. They only read and answer for a worker from which nothing is known yet. Later ones have the usual time, so a worker that is slow after its start is heard 0.6 s later than before at worst. Workers that have not restarted are polled as before.

--- a/src/lycheeledge/jobs/WorkerLink.cpp
+++ b/src/lycheeledge/jobs/WorkerLink.cpp
@@ -11,6 +11,10 @@
 
     // One failed poll may be a lost packet; after two in a row the worker counts as unreachable.
     constexpr int failuresUntilUnreachable = 2;
+    // Until a restarted worker has answered, late polls of its earlier incarnation may acknowledge its new ends, so the
+    // first polls after a restart are repeated sooner. Ten times the response time of a healthy worker.
+    constexpr Duration firstPollTimeout = std::chrono::milliseconds(200);
+    constexpr int firstPolls = 3;
     // Beyond the deviation of a worker's clock.
     constexpr Duration clockTolerance = std::chrono::milliseconds(20);
 
@@ -160,7 +164,8 @@
     const std::uint64_t attempt = ++m_attempt;
     const TimePoint sentAt = m_runtime.now();
     m_polling = true;
-    m_port.poll(m_target, request, m_settings.pollTimeout,
+    const Duration timeout = m_restarted && m_failures < firstPolls ? firstPollTimeout : m_settings.pollTimeout;
+    m_port.poll(m_target, request, timeout,
         [this, attempt, sentAt, acknowledged = request.acknowledged, alive = std::weak_ptr<bool>(m_alive)](
             const PollResult& result) {
             if (!alive.expired())
@@ -209,7 +214,7 @@
         return;
     }
     ++m_failures;
-    const bool retryAtOnce = m_failures < failuresUntilUnreachable;
+    const bool retryAtOnce = m_failures < (m_restarted ? firstPolls : failuresUntilUnreachable);
     const std::weak_ptr<bool> alive = m_alive;
     if (!retryAtOnce)
         setReachable(false);
--- a/test/jobs/WorkerRestartTest.cpp
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -233,3 +233,25 @@
     CHECK(cluster.workers.starts().size() == 11);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("a late poll erases no ends of a restarted worker although the first poll after the restart is late, too",
+    "[jobs][crash]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 1);
+    completeJobOn(cluster, 1);
+    REQUIRE(cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    int polls = 0;
+    cluster.workers.pollFault = [&](const std::string&) {
+        ++polls;
+        // The first one acknowledges the end of job 2, the second one is sent after the restart is known.
+        cluster.workers.lateOrderDelay = polls == 1 ? milliseconds(1000) : milliseconds(4000);
+        return polls <= 2 ? OrderFault::Late : OrderFault::None;
+    };
+    REQUIRE(cluster.waitFor([&] { return polls == 1; }, seconds(2)));
+    cluster.workers.restart("w0");
+    REQUIRE(cluster.submit("m0", "batch", 3, { .payload = {}, .steps = { simpleStep(4, 1000) } }));
+    CHECK(cluster.waitForState(3, "batch", JobState::Completed, seconds(10)));
+    CHECK(cluster.workers.starts().size() == 11);
+    CHECK(cluster.workers.violations().empty());
+}
