Wait after a takeover for the longest lease of a silent worker that restarted

What callers would see: a task that starts again after its end was acknowledged (TWICE): a worker restarts under its id, the owner is lost, and the worker is silent.

Cause: a start order on the clock of an earlier incarnation gives the next one a lease of up to 10 s. A new owner learns of the restart from the registry and assumes that lease, but for a worker that has not reported to it, it looked only at the 5.6 s that earlier owners' leases usually last.

The new test: 24 starts for 16 tasks without this change.

Why it works: such a worker, and earlier tasks, wait for the later of the two times. Silent workers of which no restart is known wait no longer than before.

--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -154,12 +154,16 @@
 bool JobScheduler::mayStart(const Job& job)
 {
     const TimePoint confirmedAt = m_host.ownershipConfirmedAt();
-    if (!job.mayHaveUnlocatedRuns || (m_runtime.now() >= m_unlocatedRunsExpiry && confirmedAt >= m_unlocatedRunsExpiry))
+    if (!job.mayHaveUnlocatedRuns)
         return true;
+    const TimePoint known = std::min(m_runtime.now(), confirmedAt);
+    const bool expired = known >= m_unlocatedRunsExpiry;
     if (!m_allWorkersReported)
-        m_allWorkersReported = std::all_of(
-            m_workers.all().begin(), m_workers.all().end(), [](const auto& it) { return it.second.reported; });
-    return *m_allWorkersReported && confirmedAt >= m_unreportedLossAt;
+        m_allWorkersReported = std::all_of(m_workers.all().begin(), m_workers.all().end(), [&](const auto& it) {
+            const Worker& worker = it.second;
+            return worker.reported || (expired && worker.link && known >= worker.link->leaseExpiry());
+        });
+    return *m_allWorkersReported && (expired || confirmedAt >= m_unreportedLossAt);
 }
 
 StepUrgency JobScheduler::urgencyOf(const Job& job, const StepKey& key)
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -146,8 +146,10 @@
         if (!worker.link || worker.link->isReachable())
             continue;
         left = (hasLeft(worker) && m_storedWorkers.erase(id) > 0) || left;
-        // A worker that has not reported to this owner may still hold a lease from an earlier owner.
-        const TimePoint end = worker.reported ? worker.link->leaseExpiry() : m_unlocatedRunsExpiry;
+        // A worker that has not reported to this owner may still hold a lease from an earlier owner, and a longer one
+        // if it has restarted.
+        const TimePoint lease = worker.link->leaseExpiry();
+        const TimePoint end = worker.reported ? lease : std::max(lease, m_unlocatedRunsExpiry);
         if (now < end || (!worker.reported && m_host.ownershipConfirmedAt() < end))
             continue;
         forgetStrayRuns(worker);
--- a/test/jobs/WorkerRestartTest.cpp
+++ b/test/jobs/WorkerRestartTest.cpp
@@ -255,3 +255,27 @@
     CHECK(cluster.workers.starts().size() == 11);
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE("a new owner waits for the longest lease of a silent worker once the registry tells of its restart",
+    "[takeover][crash]")
+{
+    JobCluster cluster(2);
+    addWorkers(cluster, 2);
+    cluster.advance(seconds(10)); // the clock of the earlier incarnation is far ahead
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(2); };
+    const std::string first = *cluster.owner();
+    cluster.workers.restart("w0");
+    REQUIRE(cluster.submit(first, "batch", 1, { .payload = {}, .steps = { simpleStep(16, 1000) } }));
+    cluster.advance(seconds(1));
+    cluster.workers.setDisconnected("w0", true);
+    cluster.kill(first);
+    cluster.startMember(first); // so the next owner knows that the earlier one has stopped
+    cluster.advance(seconds(4));
+    cluster.registerWorker(cluster.workers.record("w0"));
+    cluster.advance(milliseconds(4300));
+    cluster.workers.setDisconnected("w0", false);
+    CHECK(cluster.waitForState(1, "batch", JobState::Completed, seconds(15)));
+    cluster.advance(seconds(2)); // the ends on w0 are acknowledged
+    CHECK(cluster.workers.starts().size() == 16);
+    CHECK(cluster.workers.violations().empty());
+}
