review: Start a task again after its acknowledged end on a restarted worker

Claim: TWICE of RULES.md is broken. A worker that restarts under its id takes the longest lease from an order on its old clock; the next owner takes that lease for shorter, starts the task elsewhere, and acknowledges the first end afterwards.

It takes the place of the case of a withdrawn key, which stays in the report.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review/revoked_key "$folder" "${TROUBLE:-1}"
+target/review/wave_outage "$folder" "${TROUBLE:-1}"
 result=$?
-cp "$folder/record.txt" review/5/record.txt
+cp "$folder/record.txt" review/4/record.txt
 case $result in 0 | 1 | 2) exit $result ;; *) exit 2 ;; esac
--- a/review/sim/Executor.h
+++ b/review/sim/Executor.h
@@ -106,8 +106,9 @@
     Executor(const Executor&) = delete;
     Executor& operator=(const Executor&) = delete;
 
-    /** @param id of this life; may be that of the life before. */
-    void boot(const std::string& id)
+    /** @param id of this life; may be that of the life before. @param publishes whether its entry is written at once.
+     */
+    void boot(const std::string& id, bool publishes = true)
     {
         {
             const std::lock_guard lock(m_mutex);
@@ -125,22 +126,21 @@
         }
         m_server.up();
         m_record.line("boot   " + id + " at " + m_server.address());
-        publish("ready");
+        if (publishes)
+            publish("ready");
     }
     /** @brief Kills everything that runs here. The entry stays in the store until unregister(). */
     void crash()
     {
-        {
-            const std::lock_guard lock(m_mutex);
-            m_up = false;
-            m_record.line("crash  " + m_id);
-            for (const auto& [task, run] : m_runningTasks)
-                m_runs.end(run.seen, "crash");
-            m_runningTasks.clear();
-            m_changed.notify_all();
-        }
+        endLife("crash  ");
         m_server.down();
     }
+    /** @brief As crash(), but nobody hears of it: open connections fall silent. */
+    void losePower()
+    {
+        m_server.losePower(); // first, so that no connection ends with the calls in progress
+        endLife("dark   ");
+    }
     void unregister() { m_store.remove("servers/" + m_id); }
     void publish(const std::string& state)
     {
@@ -180,6 +180,17 @@
     std::function<bool(const Request&)> losesResponse;
 
 private:
+    void endLife(const std::string& what)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_up = false;
+        m_record.line(what + m_id);
+        for (const auto& [task, run] : m_runningTasks)
+            m_runs.end(run.seen, "crash");
+        m_runningTasks.clear();
+        m_changed.notify_all();
+    }
+
     struct Running {
         std::int64_t run = 0;
         Clock::time_point begin;
--- a/review/sim/Http.h
+++ b/review/sim/Http.h
@@ -178,13 +178,10 @@
         m_acceptor = std::thread([this, fd] { accept(fd); });
     }
 
+    /** @brief The process ends: its connections are reset. */
     void down()
     {
-        if (!m_up.exchange(false))
-            return;
-        shutdown(m_listener, SHUT_RDWR);
-        m_acceptor.join();
-        close(m_listener);
+        closeListener();
         {
             const std::lock_guard lock(m_mutex);
             for (const int fd : m_connections)
@@ -193,6 +190,8 @@
         while (m_threads > 0)
             std::this_thread::sleep_for(Milliseconds(1));
     }
+    /** @brief The machine loses power: open connections fall silent, and are reset by data that comes after up(). */
+    void losePower() { closeListener(); }
 
     std::string address() const { return m_host + ":" + std::to_string(m_port); }
     bool isUp() const { return m_up; }
@@ -205,6 +204,16 @@
         shutdown(fd, SHUT_RDWR);
     }
 
+    void closeListener()
+    {
+        ++m_life;
+        if (!m_up.exchange(false))
+            return;
+        shutdown(m_listener, SHUT_RDWR);
+        m_acceptor.join();
+        close(m_listener);
+    }
+
     void accept(int listener)
     {
         while (m_up) {
@@ -227,9 +236,16 @@
         std::string buf;
         std::string head;
         std::string body;
-        while (m_up && detail::readMessage(fd, buf, head, body, Clock::now() + std::chrono::hours(1))) {
+        const int life = m_life;
+        while (detail::readMessage(fd, buf, head, body, Clock::now() + std::chrono::hours(1))) {
+            if (life != m_life) {
+                reset(fd);
+                break;
+            }
             const Response response = m_handler(detail::parseRequest(head, body));
-            if (!m_up || response.lost
+            if (life != m_life)
+                continue; // the machine that was asked is gone
+            if (response.lost
                 || !detail::sendAll(fd,
                     "HTTP/1.1 " + std::to_string(response.status)
                         + " X\r\nContent-Type: application/json\r\nContent-Length: "
@@ -249,6 +265,7 @@
     int m_port = 0;
     int m_listener = -1;
     std::atomic<bool> m_up { false };
+    std::atomic<int> m_life { 0 }; ///< rises when the process or the machine ends
     std::atomic<int> m_threads { 0 };
     std::mutex m_mutex;
     std::set<int> m_connections;
