--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,5 +5,5 @@
 trap 'rm -rf "$folder"' EXIT
 target/review/wave_outage "$folder" "${TROUBLE:-1}"
 result=$?
-cp "$folder/record.txt" review/4/record.txt
+cp "$folder/record.txt" review/5/record.txt
 case $result in 0 | 1 | 2) exit $result ;; *) exit 2 ;; esac
