Let only an order's own effect tell that a VM of a wave has begun its maintenance

Cause: the order got no answer and was not executed, the VM's worker crashed meanwhile and came back under another id, and the list with that id counted as the effect of the order and as the return from it.

Change: an order is repeated until it is answered, or the list shows the VM in maintenance and no other unfinished wave names it. VMs that are not listed are ordered, too; the answer tells whether they exist. A VM is back when a list requested after the begin and the list's lag shows it up. A worker that replaces a drained one is drained.

Why it works: the provider executes an order once for each wave and confirms repetitions, so an answer is proof, and a repetition does no harm. A crash cannot put a VM into maintenance. Unanswered orders count against the limit on VMs that are down, so that limit holds.

Related paths, mended here as they share the cause: two waves that name the same VMs, VMs that the list leaves out, and workers replaced while their VM drains.

--- a/src/lycheeledge/jobs/MaintenanceCoordinator.cpp
+++ b/src/lycheeledge/jobs/MaintenanceCoordinator.cpp
@@ -64,6 +64,7 @@
     m_session.reset();
     m_waves.clear();
     m_knownWaves.clear();
+    m_unreadWaves = 0;
     m_listing = false;
     m_nextList = {};
     if (m_timer)
@@ -73,17 +74,24 @@
 
 void MaintenanceCoordinator::add(const MaintenanceWave& wave)
 {
-    if (m_session && m_knownWaves.insert(wave.number).second)
-        readState(wave);
+    if (!m_session || !m_knownWaves.insert(wave.number).second)
+        return;
+    ++m_unreadWaves;
+    readState(wave);
 }
 
 // An earlier owner may have completed the wave or part of it.
 void MaintenanceCoordinator::readState(const MaintenanceWave& wave)
 {
     read(m_records.waveStateKey(wave.number), [this, wave](const std::string& state) {
-        if (state == m_records.waveState(true))
+        if (state == m_records.waveState(true)) {
+            --m_unreadWaves;
             return;
-        read(progressKey(wave.number), [this, wave](const std::string& begunVms) { start(wave, begunVms); });
+        }
+        read(progressKey(wave.number), [this, wave](const std::string& begunVms) {
+            --m_unreadWaves;
+            start(wave, begunVms);
+        });
     });
 }
 
@@ -131,7 +139,7 @@
     for (const auto vm : absl::StrSplit(begunVms, ' ', absl::SkipEmpty())) {
         const auto it = added.vms.find(VmId(std::string(vm)));
         if (it != added.vms.end())
-            setPhase(it->second, MaintenancePhase::Down); // until the VM list shows that it is up again
+            setPhase(it->second, MaintenancePhase::Down); // until the VM list shows that it is up
     }
     m_log.record("wave_started",
         { { "wave", wave.number }, { "vms", wave.vms.size() }, { "max_down", wave.maxDown }, { "epoch", m_epoch } });
@@ -166,11 +174,13 @@
 
 // --- VM list ---
 
-void MaintenanceCoordinator::requestVmList(const std::string& page, std::shared_ptr<std::map<VmId, VmRecord>> seen)
+void MaintenanceCoordinator::requestVmList(
+    const std::string& page, TimePoint requestedAt, std::shared_ptr<std::map<VmId, VmRecord>> seen)
 {
     m_listing = true;
     m_port.list(page, m_settings.callTimeout,
-        [this, seen = std::move(seen), session = Session(m_session)](const absl::StatusOr<VmPage>& result) {
+        [this, requestedAt, seen = std::move(seen), session = Session(m_session)](
+            const absl::StatusOr<VmPage>& result) {
             if (session.expired())
                 return;
             m_listing = false;
@@ -182,36 +192,31 @@
             for (const auto& vm : result->vms)
                 (*seen)[vm.vm] = vm;
             if (!result->next.empty())
-                requestVmList(result->next, seen);
+                requestVmList(result->next, requestedAt, seen);
             else
-                applyVmList(*seen);
+                applyVmList(*seen, requestedAt);
         });
 }
 
-void MaintenanceCoordinator::applyVmList(const std::map<VmId, VmRecord>& seen)
+void MaintenanceCoordinator::applyVmList(const std::map<VmId, VmRecord>& seen, TimePoint requestedAt)
 {
     for (auto& [number, wave] : m_waves) {
         for (auto& [id, vm] : wave.vms) {
             const auto it = seen.find(id);
-            if (it == seen.end()) {
-                setPhase(vm, MaintenancePhase::Done); // no longer listed: the VM was removed
-                continue;
-            }
-            vm.state = it->second.state;
-            vm.worker = it->second.worker;
-            if (vm.phase == MaintenancePhase::Pending && vm.state == VmState::InMaintenance)
-                setPhase(vm, MaintenancePhase::Down); // ordered by an earlier owner
-            // The list also shows the effect of an order whose response was lost.
-            const bool replaced = !vm.worker.value().empty() && vm.worker != vm.drainedWorker;
-            if (vm.phase == MaintenancePhase::OrderPending && (vm.state == VmState::InMaintenance || replaced)) {
+            vm.listed = it != seen.end();
+            vm.state = vm.listed ? it->second.state : VmState::Down;
+            vm.worker = vm.listed ? it->second.worker : WorkerId();
+            if (vm.phase == MaintenancePhase::Draining && !vm.worker.value().empty() && vm.worker != vm.drainedWorker)
+                drainWorker(number, id, vm);
+            // The effect of an unanswered order, or of one by an earlier owner.
+            const bool awaitsOrder = vm.phase != MaintenancePhase::Down && vm.phase != MaintenancePhase::Done;
+            if (awaitsOrder && vm.state == VmState::InMaintenance && isOnlyWaveOf(id)) {
                 setPhase(vm, MaintenancePhase::Down);
                 storeProgress(number);
             }
-            // If the listed worker stays the same for longer than maintenance and list lag, the VM has come back with
-            // it: an earlier owner ordered that maintenance.
-            const bool sameWorkerReturned
-                = m_runtime.now() - vm.since > m_settings.maintenanceDuration + m_settings.listLag;
-            if (vm.phase == MaintenancePhase::Down && vm.state == VmState::Up && (replaced || sameWorkerReturned)) {
+            // Earlier lists may show the VM as it was before its maintenance.
+            const bool isBack = vm.state == VmState::Up && requestedAt >= vm.since + m_settings.listLag;
+            if (vm.phase == MaintenancePhase::Down && (isBack || !vm.listed)) {
                 m_workers.setMaintenance(vm.drainedWorker, false);
                 setPhase(vm, MaintenancePhase::Done);
             }
@@ -219,12 +224,21 @@
     }
 }
 
+bool MaintenanceCoordinator::isOnlyWaveOf(const VmId& id) const
+{
+    const auto waves = std::count_if(m_waves.begin(), m_waves.end(), [&id](const auto& it) {
+        const auto vm = it.second.vms.find(id);
+        return vm != it.second.vms.end() && vm->second.phase != MaintenancePhase::Done;
+    });
+    return waves == 1 && m_unreadWaves == 0;
+}
+
 // --- Decisions ---
 
 void MaintenanceCoordinator::decide()
 {
     if (!m_listing && m_runtime.now() >= m_nextList)
-        requestVmList({}, std::make_shared<std::map<VmId, VmRecord>>());
+        requestVmList({}, m_runtime.now(), std::make_shared<std::map<VmId, VmRecord>>());
     for (auto& [number, wave] : m_waves)
         decide(number, wave);
 }
@@ -235,19 +249,14 @@
         return;
     const Duration timeout = drainTimeout(wave.request, m_settings.maintenanceDuration);
     for (auto& [id, vm] : wave.vms) {
-        if (vm.phase == MaintenancePhase::Draining)
-            vm.runs = m_workers.drain(vm.drainedWorker, m_runtime.now() - vm.since > timeout);
-    }
-    const MaintenanceActions actions = planMaintenance(wave.request, wave.vms);
-    for (const auto& id : actions.drain) {
-        WaveVm& vm = wave.vms.at(id);
-        vm.drainedWorker = vm.worker;
-        m_workers.setMaintenance(vm.drainedWorker, true);
-        vm.runs = m_workers.drain(vm.drainedWorker, false);
-        setPhase(vm, MaintenancePhase::Draining);
-        m_log.record("vm_draining",
-            { { "wave", number }, { "vm", id.value() }, { "worker", vm.drainedWorker.value() }, { "runs", vm.runs } });
+        if (vm.phase != MaintenancePhase::Draining)
+            continue;
+        m_workers.setMaintenance(vm.drainedWorker, true); // it may have come back under the same id
+        vm.runs = m_workers.drain(vm.drainedWorker, m_runtime.now() - vm.since > timeout);
     }
+    const MaintenanceActions actions = planMaintenance(wave.request, wave.vms, m_runtime.now());
+    for (const auto& id : actions.drain)
+        drainWorker(number, id, wave.vms.at(id));
     if (m_runtime.now() >= m_orderAllowedFrom) {
         for (const auto& id : actions.order)
             sendOrder(number, id);
@@ -260,6 +269,18 @@
     }
 }
 
+void MaintenanceCoordinator::drainWorker(std::uint64_t number, const VmId& id, WaveVm& vm)
+{
+    if (!vm.drainedWorker.value().empty())
+        m_workers.setMaintenance(vm.drainedWorker, false);
+    vm.drainedWorker = vm.worker;
+    m_workers.setMaintenance(vm.drainedWorker, true);
+    vm.runs = m_workers.drain(vm.drainedWorker, false);
+    setPhase(vm, MaintenancePhase::Draining);
+    m_log.record("vm_draining",
+        { { "wave", number }, { "vm", id.value() }, { "worker", vm.drainedWorker.value() }, { "runs", vm.runs } });
+}
+
 // --- Orders ---
 
 void MaintenanceCoordinator::sendOrder(std::uint64_t number, const VmId& id)
@@ -295,20 +316,16 @@
     case MaintenanceOutcome::Fenced:
         // Another owner is active, and this one will learn of it from the store. No further order is sent for this VM.
         return;
+    case MaintenanceOutcome::Unknown:
+        vm.orderUnanswered = true;
+        break;
     case MaintenanceOutcome::Busy:
     case MaintenanceOutcome::Rejected:
-        setPhase(vm, MaintenancePhase::Draining);
-        return;
-    case MaintenanceOutcome::Unknown:
         break;
     }
-    m_runtime.after(m_settings.retryPause, [this, number, id, session = Session(m_session)] {
-        if (session.expired())
-            return;
-        const auto it = m_waves.find(number);
-        if (it != m_waves.end() && it->second.vms.at(id).phase == MaintenancePhase::OrderPending)
-            sendOrder(number, id);
-    });
+    // Repeated until it is answered: an order that was executed is confirmed, and not executed again.
+    vm.phase = MaintenancePhase::Draining;
+    vm.earliestOrder = m_runtime.now() + m_settings.retryPause;
 }
 
 void MaintenanceCoordinator::reportCompleted(std::uint64_t number)
--- a/src/lycheeledge/jobs/MaintenanceCoordinator.h
+++ b/src/lycheeledge/jobs/MaintenanceCoordinator.h
@@ -81,8 +81,13 @@
     void schedule();
     void decide();
     void decide(std::uint64_t number, Wave& wave);
-    void requestVmList(const std::string& page, std::shared_ptr<std::map<VmId, VmRecord>> seen);
-    void applyVmList(const std::map<VmId, VmRecord>& seen);
+    void requestVmList(const std::string& page, TimePoint requestedAt, std::shared_ptr<std::map<VmId, VmRecord>> seen);
+    /** @param requestedAt when the first page was requested. */
+    void applyVmList(const std::map<VmId, VmRecord>& seen, TimePoint requestedAt);
+    /** @brief Whether no other wave that is in progress names the VM, so that its maintenance is that of this one. */
+    bool isOnlyWaveOf(const VmId& id) const;
+    /** @brief Begins to drain the VM's worker, also if another one was drained before. */
+    void drainWorker(std::uint64_t number, const VmId& id, WaveVm& vm);
     void sendOrder(std::uint64_t number, const VmId& id);
     void handleOrderReply(std::uint64_t number, const VmId& id, MaintenanceOutcome outcome);
     void reportCompleted(std::uint64_t number);
@@ -100,6 +105,7 @@
     TimePoint m_orderAllowedFrom;
     std::map<std::uint64_t, Wave> m_waves; ///< in progress
     std::set<std::uint64_t> m_knownWaves; ///< includes completed waves
+    std::size_t m_unreadWaves = 0; ///< known, and not yet read whether an earlier owner has completed them
     std::optional<Runtime::TimerId> m_timer;
     bool m_listing = false;
     TimePoint m_nextList;
--- a/src/lycheeledge/jobs/MaintenancePlan.cpp
+++ b/src/lycheeledge/jobs/MaintenancePlan.cpp
@@ -15,11 +15,13 @@
     // Time per round for orders, the lag of the VM list and the restart of the worker.
     constexpr Duration roundOverhead = std::chrono::milliseconds(1500);
 
-    std::size_t count(const std::map<VmId, WaveVm>& vms, std::initializer_list<MaintenancePhase> phases)
+    /** @brief Whether the VM may be down for this wave. */
+    bool mayBeDown(const WaveVm& vm)
     {
-        return static_cast<std::size_t>(std::count_if(vms.begin(), vms.end(), [&phases](const auto& it) {
-            return std::find(phases.begin(), phases.end(), it.second.phase) != phases.end();
-        }));
+        if (vm.phase == MaintenancePhase::Done)
+            return false;
+        return vm.phase == MaintenancePhase::OrderPending || vm.phase == MaintenancePhase::Down || vm.orderUnanswered
+            || vm.state == VmState::InMaintenance; // an earlier owner may have ordered it
     }
 
 } // namespace
@@ -32,23 +34,26 @@
     return std::clamp(roundTime - maintenanceDuration - roundOverhead, minDrainTimeout, maxDrainTimeout);
 }
 
-MaintenanceActions planMaintenance(const MaintenanceWave& wave, const std::map<VmId, WaveVm>& vms)
+MaintenanceActions planMaintenance(const MaintenanceWave& wave, const std::map<VmId, WaveVm>& vms, TimePoint now)
 {
     MaintenanceActions result;
-    std::size_t down = count(vms, { MaintenancePhase::OrderPending, MaintenancePhase::Down });
+    auto down = static_cast<std::size_t>(
+        std::count_if(vms.begin(), vms.end(), [](const auto& it) { return mayBeDown(it.second); }));
     std::size_t draining = 0;
     for (const auto& [id, vm] : vms) {
         if (vm.phase != MaintenancePhase::Draining)
             continue;
-        if (vm.runs == 0 && down < wave.maxDown) {
+        const bool drained = vm.runs == 0 && now >= vm.earliestOrder;
+        if (drained && (mayBeDown(vm) || down < wave.maxDown)) {
             result.order.push_back(id);
-            ++down;
-        } else
+            down += mayBeDown(vm) ? 0 : 1;
+        } else if (!vm.orderUnanswered)
             ++draining;
     }
     std::vector<std::pair<std::size_t, VmId>> pending;
     for (const auto& [id, vm] : vms) {
-        if (vm.phase == MaintenancePhase::Pending && vm.state == VmState::Up)
+        // A VM that is not listed was removed, which the response to an order confirms.
+        if (vm.phase == MaintenancePhase::Pending && (vm.state == VmState::Up || !vm.listed))
             pending.emplace_back(vm.runs, id);
     }
     std::sort(pending.begin(), pending.end());
--- a/test/jobs/MaintenanceTest.cpp
+++ b/test/jobs/MaintenanceTest.cpp
@@ -49,6 +49,17 @@
         return entry ? entry->value : std::string();
     }
 
+    /** @brief The worker of a VM crashes, with its runs, and comes back under another id. */
+    void crashWorkerOf(const std::string& vm)
+    {
+        const std::string crashed = cluster.vms.workerOf(vm).value();
+        cluster.workers.restart(crashed);
+        cluster.workers.setDisconnected(crashed, true);
+        cluster.unregisterWorker(crashed);
+        cluster.addWorker("next-" + vm, 8000);
+        cluster.vms.replaceWorker(vm, "next-" + vm);
+    }
+
     JobCluster cluster;
     std::size_t runsAtMaintenance = 0; ///< runs that were still active when maintenance of their VM began
 };
@@ -117,6 +128,55 @@
     CHECK(fleet.cluster.vms.mostDown() == 1);
 }
 
+TEST_CASE("a wave does not count the return of a crashed worker as maintenance of its VM", "[maintenance]")
+{
+    // The order meets an outage of the provider and is not executed; the list is read before the order is repeated.
+    Fleet fleet(1, 4);
+    fleet.requestWave(1, 4, 1, seconds(30));
+    fleet.cluster.vms.losesOrders = true;
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.cluster.log.counts["maintenance_ordered"] > 0; }, seconds(5)));
+    fleet.crashWorkerOf("vm0");
+    fleet.cluster.advance(seconds(2));
+    fleet.cluster.vms.losesOrders = false;
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.state(1) == "completed"; }, seconds(40)));
+    CHECK(fleet.cluster.vms.maintained() == 4);
+    CHECK(fleet.cluster.vms.mostDown() == 1);
+}
+
+TEST_CASE("a wave does not count maintenance that another wave ordered as its own", "[maintenance]")
+{
+    Fleet fleet(1, 4);
+    fleet.requestWave(1, 4, 1, seconds(30));
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.cluster.vms.down() > 0; }, seconds(10)));
+    fleet.requestWave(2, 4, 1, seconds(30));
+    REQUIRE(fleet.cluster.waitFor(
+        [&] { return fleet.state(1) == "completed" && fleet.state(2) == "completed"; }, seconds(90)));
+    CHECK(fleet.cluster.vms.maintained() == 8);
+}
+
+TEST_CASE("a wave does not take a VM that the list leaves out for removed", "[maintenance]")
+{
+    Fleet fleet(1, 3);
+    fleet.cluster.vms.unlisted = { "vm1" };
+    fleet.requestWave(1, 3, 1, seconds(30));
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.state(1) == "completed"; }, seconds(40)));
+    CHECK(fleet.cluster.vms.maintained() == 3);
+}
+
+TEST_CASE("a worker that replaces a crashed one is drained before the maintenance of its VM", "[maintenance]")
+{
+    Fleet fleet(1, 2);
+    fleet.cluster.workers.runTime = [](const TaskKey&) { return seconds(4); };
+    REQUIRE(fleet.cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { simpleStep(16, 1000) } }));
+    fleet.requestWave(1, 1, 1, seconds(60));
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.cluster.log.counts["vm_draining"] > 0; }, seconds(5)));
+    fleet.crashWorkerOf("vm0");
+    REQUIRE(fleet.cluster.submit("m0", "batch", 2, { .payload = {}, .steps = { simpleStep(16, 1000) } }));
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.state(1) == "completed"; }, seconds(40)));
+    CHECK(fleet.runsAtMaintenance == 0);
+    CHECK(fleet.cluster.vms.maintained() == 1);
+}
+
 TEST_CASE("a wave completes although one of its VMs no longer exists", "[maintenance]")
 {
     Fleet fleet(1, 3);
--- a/test/support/FakeVms.h
+++ b/test/support/FakeVms.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
     Duration maintenanceDuration = std::chrono::seconds(2);
     std::size_t pageSize = 2;
     bool losesResponses = false; ///< orders are executed, but their responses are lost
+    bool losesOrders = false; ///< orders are not executed, and get no response
+    std::set<std::string> unlisted; ///< VMs that exist, but are missing from the list
     /// Called when a VM goes down for maintenance, with the worker that ran on it, and when the VM is up again. The
     /// second call returns the id of the VM's new worker.
     std::function<void(const jobs::WorkerId&)> wentDown = [](const jobs::WorkerId&) {};
@@ -32,15 +35,22 @@
         m_vms[VmId(vm)] = { .worker = jobs::WorkerId(worker) };
     }
     void remove(const std::string& vm) { m_vms.erase(VmId(vm)); }
+    /** @brief A crashed worker of the VM has come back under another id. */
+    void replaceWorker(const std::string& vm, const std::string& worker)
+    {
+        m_vms.at(VmId(vm)).worker = jobs::WorkerId(worker);
+    }
+    const jobs::WorkerId& workerOf(const std::string& vm) const { return m_vms.at(VmId(vm)).worker; }
     std::size_t down() const { return m_down; }
     std::size_t mostDown() const { return m_maxDown; }
     std::size_t maintained() const { return m_maintenanceCount; }
 
-    void list(const std::string& page, Duration, std::function<void(absl::StatusOr<jobs::VmPage>)> done) override
+    void list(
+        const std::string& page, Duration timeout, std::function<void(absl::StatusOr<jobs::VmPage>)> done) override
     {
         jobs::VmPage result;
         for (const auto& [id, vm] : m_vms) {
-            if (id.value() <= page)
+            if (id.value() <= page || unlisted.contains(id.value()))
                 continue;
             if (result.vms.size() == pageSize) {
                 result.next = result.vms.back().vm.value();
@@ -54,8 +64,8 @@
     void beginMaintenance(const jobs::MaintenanceOrder& order, Duration timeout,
         std::function<void(jobs::MaintenanceOutcome)> done) override
     {
-        const auto outcome = execute(order);
-        if (losesResponses)
+        const auto outcome = losesOrders ? jobs::MaintenanceOutcome::Unknown : execute(order);
+        if (losesResponses || losesOrders)
             m_runtime.after(timeout, [done] { done(jobs::MaintenanceOutcome::Unknown); });
         else
             m_runtime.after(callLatency, [done, outcome] { done(outcome); });
@@ -68,7 +78,7 @@
         jobs::WorkerId worker;
         jobs::VmState state = jobs::VmState::Up;
         Epoch epoch = 0;
-        std::uint64_t lastWave = 0; ///< wave of the latest maintenance
+        std::set<std::uint64_t> waves {}; ///< whose maintenance has begun
     };
 
     jobs::MaintenanceOutcome execute(const jobs::MaintenanceOrder& order)
@@ -80,11 +90,11 @@
         if (order.epoch < vm.epoch)
             return jobs::MaintenanceOutcome::Fenced;
         vm.epoch = order.epoch;
-        if (vm.lastWave == order.wave)
+        if (vm.waves.contains(order.wave))
             return jobs::MaintenanceOutcome::Begun;
         if (vm.state != jobs::VmState::Up)
             return jobs::MaintenanceOutcome::Busy;
-        vm.lastWave = order.wave;
+        vm.waves.insert(order.wave);
         vm.state = jobs::VmState::InMaintenance;
         wentDown(vm.worker);
         vm.worker = {};
