--- a/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
@@ -90,10 +90,10 @@
         const QueuePolicy* queue = queueOf(job);
         const Step& step = *job.find(key);
         const StepSpec& spec = job.spec().steps[key.step];
-        const auto mayRun = [&] {
+        const auto mayRun = [this, &job, &step, stepKey = key] {
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                 if (step.tasks[i].phase == TaskPhase::Waiting
-                    && mayStart(job, { key.job, key.occurrence, key.step, i }))
+                    && mayStart(job, { stepKey.job, stepKey.occurrence, stepKey.step, i }))
                     return true;
             }
             return false;
