Log which run a crash of a worker counts against

`worker_crashed` told neither the suspects nor their counts, so that the log of a failed job did not lead to the workers that it was blamed for, and runs that had been lost before could not be told from those on the worker. `crash_counted` has the task, the run, the worker, the count, whether the crash is confirmed, and whether the run is still assigned there. No decision changes.

--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -324,8 +324,8 @@
      * @return jobs that shall fail once the worker's runs are known to have ended.
      */
     std::vector<JobId> recordCrash(Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors = {});
-    /** @brief Tasks that may have crashed the worker. Removes them from its suspects. */
-    std::vector<TaskKey> likeliestCauses(Worker& worker, const absl::flat_hash_set<RunKey>& survivors);
+    /** @brief Runs that may have crashed the worker. Removes them from its suspects. */
+    std::vector<RunKey> likeliestCauses(Worker& worker, const absl::flat_hash_set<RunKey>& survivors);
     void failCrashingJobs(const std::vector<JobId>& jobs);
 
     // Workers (JobSchedulerWorkers.cpp)
--- a/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
@@ -22,10 +22,16 @@
                 { "suspects", causes.size() } });
     std::set<JobId> changed;
     std::set<JobId> crashing;
-    for (const auto& key : causes) {
+    for (const auto& run : causes) {
+        const TaskKey& key = run.task;
+        Task& task = *find(key.job)->find(key);
         changed.insert(key.job);
-        if (++find(key.job)->find(key)->crashes >= m_settings.crashLimit)
+        if (++task.crashes >= m_settings.crashLimit)
             crashing.insert(key.job);
+        m_log.record("crash_counted",
+            { { "task", describe(key) }, { "run", run.run }, { "worker", worker.record.id.value() },
+                { "confirmed", confirmed }, { "assigned", task.run == run.run && task.worker == worker.record.id },
+                { "crashes", task.crashes } });
     }
     for (const auto& [key, run] : worker.runs) {
         Job* job = find(key.job);
@@ -43,9 +49,9 @@
 }
 
 // Of the tasks that had just been started, those under which the most workers have crashed already.
-std::vector<TaskKey> JobScheduler::likeliestCauses(Worker& worker, const absl::flat_hash_set<RunKey>& survivors)
+std::vector<RunKey> JobScheduler::likeliestCauses(Worker& worker, const absl::flat_hash_set<RunKey>& survivors)
 {
-    std::vector<TaskKey> result;
+    std::vector<RunKey> result;
     std::uint32_t most = 0;
     for (const auto& run : worker.crashSuspects.take(survivors)) {
         Job* job = find(run.task.job);
@@ -55,7 +61,7 @@
         if (task->crashes > most)
             result.clear();
         most = task->crashes;
-        result.push_back(run.task);
+        result.push_back(run);
     }
     return result;
 }
