Don't count a crash against runs that the worker had lost with their lease

A run that is lost with its lease stayed among the suspects of its worker: only a listed end, a missing run or a refused start took it out. When that worker crashed later, the crash counted against a task that ran elsewhere by then; two such crashes failed the job.

A confirmed crash now counts only against runs that are still assigned to the worker. Within the lease nothing changes.

--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -325,7 +325,7 @@
      */
     std::vector<JobId> recordCrash(Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors = {});
     /** @brief Runs that may have crashed the worker. Removes them from its suspects. */
-    std::vector<RunKey> likeliestCauses(Worker& worker, const absl::flat_hash_set<RunKey>& survivors);
+    std::vector<RunKey> likeliestCauses(Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors);
     void failCrashingJobs(const std::vector<JobId>& jobs);
 
     // Workers (JobSchedulerWorkers.cpp)
--- a/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
@@ -13,7 +13,7 @@
 std::vector<JobId> JobScheduler::recordCrash(
     Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors)
 {
-    const auto causes = likeliestCauses(worker, survivors);
+    const auto causes = likeliestCauses(worker, confirmed, survivors);
     if (worker.record.draining || worker.inMaintenance || worker.restartWasPlanned)
         return {};
     if (!causes.empty() || !worker.runs.empty())
@@ -49,7 +49,8 @@
 }
 
 // Of the tasks that had just been started, those under which the most workers have crashed already.
-std::vector<RunKey> JobScheduler::likeliestCauses(Worker& worker, const absl::flat_hash_set<RunKey>& survivors)
+std::vector<RunKey> JobScheduler::likeliestCauses(
+    Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors)
 {
     std::vector<RunKey> result;
     std::uint32_t most = 0;
@@ -58,6 +59,9 @@
         const Task* task = job != nullptr && !isFinal(job->state) ? job->find(run.task) : nullptr;
         if (task == nullptr || task->phase == TaskPhase::Done || task->crashes < most)
             continue;
+        // The lease of a run that was lost before may have ended before the worker crashed.
+        if (confirmed && !worker.runs.contains(run.task))
+            continue;
         if (task->crashes > most)
             result.clear();
         most = task->crashes;
