Don't take a worker that is out of reach for crashed

An unreachable worker that had left the registry was removed, and its removal counted as a crash of each task that had just started there; the second one failed the job. A store outage empties the registry, so silence alone was enough. Class of the fault: a conclusion from silence.

A loss in silence stays unexplained until something is known. It is taken back when the same incarnation is heard from, or when a later run of the task is alive for long enough. It becomes a crash when the next incarnation, under the same id or at the same address, began while the run held its lease; the owner remembers the workers that it has removed for that. A task whose workers never come back is given up after four starts in a row; the platform allows five. The counts are stored with the job in a field of their own.

--- a/src/lycheeledge/jobs/CrashSuspects.cpp
+++ b/src/lycheeledge/jobs/CrashSuspects.cpp
@@ -28,16 +28,18 @@
         erase(it);
 }
 
-void CrashSuspects::alive(const RunKey& run, std::int64_t clockMs)
+bool CrashSuspects::alive(const RunKey& run, std::int64_t clockMs)
 {
     const auto it = m_suspects.find(run.task);
     if (it == m_suspects.end() || it->second.run != run.run)
-        return;
+        return false;
     Suspect& suspect = it->second;
     if (!suspect.aliveSinceMs)
         suspect.aliveSinceMs = clockMs;
-    else if (std::chrono::milliseconds(clockMs - *suspect.aliveSinceMs) >= m_aliveFor)
-        erase(it);
+    if (std::chrono::milliseconds(clockMs - *suspect.aliveSinceMs) < m_aliveFor)
+        return false;
+    erase(it);
+    return true;
 }
 
 std::vector<RunKey> CrashSuspects::take(const absl::flat_hash_set<RunKey>& survivors)
--- a/src/lycheeledge/jobs/CrashSuspects.h
+++ b/src/lycheeledge/jobs/CrashSuspects.h
@@ -31,8 +31,12 @@
     void add(const RunKey& run, bool repeated);
     /** @brief The run has ended, or the worker refused to start it. */
     void clear(const RunKey& run);
-    /** @brief The run exists. @param clockMs the worker's clock; the times of one worker are compared. */
-    void alive(const RunKey& run, std::int64_t clockMs);
+    /**
+     * @brief The run exists.
+     * @param clockMs the worker's clock; the times of one worker are compared.
+     * @return whether it has now been alive for long enough.
+     */
+    bool alive(const RunKey& run, std::int64_t clockMs);
     bool hasRepeated() const { return m_repeated > 0; }
     bool isEmpty() const { return m_suspects.empty(); }
     /**
--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -110,7 +110,8 @@
         .crashCounts = {},
         .runsAtEnd = runsAtEnd,
         .placements = {},
-        .doneTasks = {} };
+        .doneTasks = {},
+        .crashTallies = {} };
     if (isFinal(state))
         return record;
     for (const auto& [key, placement] : placements)
@@ -140,8 +141,9 @@
                         progress.tasks.push_back({ i, true, task.failedRuns, {} });
                     continue;
                 }
-                if (task.crashes + task.interruptions > 0)
-                    record.crashCounts.push_back({ n, k, i, task.crashes, task.interruptions });
+                if (task.suspicions() + task.interruptions > 0)
+                    record.crashTallies.push_back(
+                        { n, k, i, task.crashes, task.unexplainedLosses, task.interruptions });
                 const bool hasCheckpoint = !task.checkpoint.empty() && task.checkpoint.size() <= maxCheckpointBytes;
                 if (task.failedRuns.empty() && !hasCheckpoint)
                     continue;
@@ -226,6 +228,13 @@
             task->interruptions = count.interruptions;
         }
     }
+    for (const auto& tally : record.crashTallies) {
+        if (Task* task = find(TaskKey { id, tally.occurrence, tally.step, tally.index })) {
+            task->crashes = tally.crashes;
+            task->unexplainedLosses = tally.unexplainedLosses;
+            task->interruptions = tally.interruptions;
+        }
+    }
     placements.clear();
     storedPlacements.clear();
     for (const auto& placement : record.placements) {
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -33,6 +33,9 @@
     RunNumber run = 0; ///< number of the latest run; 0 before the first start
     std::vector<RunNumber> failedRuns; ///< failed runs that count as attempts
     std::uint32_t crashes = 0; ///< workers that crashed soon after they had started the task
+    /// Workers that went out of reach soon after they had started the task, and may have crashed; zero again once a run
+    /// has been alive for long enough.
+    std::uint32_t unexplainedLosses = 0;
     std::uint32_t interruptions = 0; ///< workers that crashed while they ran the task, however long
     WorkerId worker; ///< set exactly while Starting, Running or Stopping, when resources are reserved on it
     TimePoint since; ///< when the phase began
@@ -51,6 +54,8 @@
 
     /** @brief Whether this or an earlier owner knows of a run of it. */
     bool hasStarted() const { return run != 0 || !failedRuns.empty() || !checkpoint.empty(); }
+    /** @brief Number of workers that the task may have crashed. */
+    std::uint32_t suspicions() const { return crashes + unexplainedLosses; }
     /** @brief Whether a long-running task is ready to serve its users. */
     bool isAvailable() const { return phase == TaskPhase::Running && progressPercent >= 100; }
     bool isAssigned() const
--- a/src/lycheeledge/jobs/JobRecord.h
+++ b/src/lycheeledge/jobs/JobRecord.h
@@ -63,7 +63,7 @@
     bool operator==(const OccurrenceProgress&) const = default;
 };
 
-/** @brief Crashes of workers under a task that is not done. */
+/** @brief Crashes of workers under a task that is not done, as earlier builds wrote them. */
 struct CrashCount {
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
@@ -74,6 +74,18 @@
     bool operator==(const CrashCount&) const = default;
 };
 
+/** @brief Workers that crashed, or may have, under a task that is not done. */
+struct CrashTally {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    std::uint32_t crashes = 0; ///< soon after the start of the task
+    std::uint32_t unexplainedLosses = 0; ///< out of reach soon after the start of the task
+    std::uint32_t interruptions = 0; ///< crashes at any time
+
+    bool operator==(const CrashTally&) const = default;
+};
+
 /**
  * @brief The confirmed run of a task that runs until it is cancelled.
  *
@@ -114,11 +126,13 @@
     std::uint32_t nextOccurrence = 0; ///< occurrences with lower numbers have been released
     /// Occurrences that are released and not yet done; empty if the state is final.
     std::vector<OccurrenceProgress> open;
-    std::vector<CrashCount> crashCounts; ///< of tasks under which a worker crashed; omitted in the encoding if empty
+    std::vector<CrashCount> crashCounts; ///< only in records of earlier builds; omitted in the encoding if empty
     /// Of the runs that could exist when the job failed or was cancelled; omitted in the encoding if zero.
     RunUsage runsAtEnd;
     std::vector<RunPlacement> placements; ///< of long-running tasks; omitted in the encoding if empty
     std::vector<DoneTasks> doneTasks; ///< beside those in `open`; omitted in the encoding if empty
+    /// Of tasks under which a worker crashed or may have; omitted in the encoding if empty.
+    std::vector<CrashTally> crashTallies;
 
     bool operator==(const ProgressRecord&) const = default;
 };
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -38,6 +38,7 @@
     m_placedRunsExpiry = m_beginTime + m_settings.previousOwnerTimeout + leaseOf(m_settings.link.lease);
     m_unlocatedRunsExpiry = std::max(m_placedRunsExpiry, m_beginTime + longestLease());
     m_unreportedLossAt = {};
+    m_vanished.reset();
     tick();
 }
 
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -14,6 +14,7 @@
 #include "PoolIndex.h"
 #include "StepOrder.h"
 #include "UncountedUsage.h"
+#include "VanishedWorkers.h"
 #include "WorkerTable.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -54,6 +55,9 @@
     /// Number of workers that crash soon after they have started a task at which its job fails: as many as the platform
     /// asks a task to be tried on.
     std::uint32_t crashLimit = 2;
+    /// The same for crashes together with workers that went out of reach at that moment and of which nothing more is
+    /// known. The platform allows five starts of a task that crashes its workers; a takeover may leave one uncounted.
+    std::uint32_t unexplainedLossLimit = 4;
     /// The same for crashes at any time, for tasks that end by themselves. The platform allows two starts after the
     /// third crash.
     std::uint32_t interruptionLimit = 5;
@@ -318,15 +322,32 @@
 
     // Crashes of workers (JobSchedulerCrashes.cpp)
     /**
-     * @brief Counts the end of a worker's incarnation against the tasks that it ran.
-     * @param confirmed the incarnation has ended; otherwise it may only be out of reach.
+     * @brief Counts the end of a worker's incarnation, before the lease of its runs, against the tasks that it ran.
      * @param survivors runs of the next incarnation.
      * @return jobs that shall fail once the worker's runs are known to have ended.
      */
-    std::vector<JobId> recordCrash(Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors = {});
-    /** @brief Runs that may have crashed the worker. Removes them from its suspects. */
-    std::vector<RunKey> likeliestCauses(Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors);
+    std::vector<JobId> recordCrash(Worker& worker, const absl::flat_hash_set<RunKey>& survivors = {});
+    /**
+     * @brief Counts an unexplained loss of the tasks that had just started on a worker which is out of reach and may
+     * have crashed. Called when the lease of its runs has ended.
+     * @return jobs that shall fail once the worker's runs are known to have ended.
+     */
+    std::vector<JobId> recordVanished(Worker& worker);
+    /**
+     * @brief Takes the losses back if the worker of the report had not crashed, and counts a crash if its report shows
+     * that the earlier incarnation did while it held the lease.
+     */
+    void explainLosses(const Worker& worker, const PollReport& report);
+    /** @brief A run of the task was alive for long enough: a task that crashes its workers would have crashed this one.
+     */
+    void noteSurvived(const TaskKey& key);
+    void forgetVanishedWorkers();
+    /** @return jobs that shall fail. */
+    std::set<JobId> countCrashes(const WorkerId& worker, const std::vector<RunKey>& suspects);
+    std::vector<RunKey> likeliestCauses(const std::vector<RunKey>& suspects);
     void failCrashingJobs(const std::vector<JobId>& jobs);
+    void logCrash(const char* event, const WorkerId& worker, const std::vector<RunKey>& suspects, std::size_t runs);
+    void logSuspicion(const char* outcome, const RunKey& run, const WorkerId& worker, const Task& task);
 
     // Workers (JobSchedulerWorkers.cpp)
     void forgetStrayRuns(Worker& worker);
@@ -347,6 +368,8 @@
     bool mayInterrupt(Job& job, const TaskKey& key) const;
 
     Job* find(const JobId& id);
+    /** @brief A task that is not done, of a job that has not ended. */
+    Task* findUnfinished(const TaskKey& key);
     const QueuePolicy* queueOf(const Job& job) const;
 
     Runtime& m_runtime;
@@ -381,6 +404,7 @@
     /// Whether a worker of earlier owners reported or was lost, or stray runs appeared or ended, since the evaluation.
     bool m_uncountedChanged = false;
     absl::flat_hash_set<AccountId> m_heldBackAccounts; ///< logged as held back by unknown runs
+    VanishedWorkers m_vanished; ///< since this owner took over
     FailureQuarantine m_quarantine;
     WorkerSpeeds m_speeds;
     std::set<std::pair<std::int64_t, JobId>> m_finishedJobs; ///< ordered by end time
--- a/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
@@ -1,75 +1,174 @@
 // Scheduler of the owner: tasks that crash the workers that start them.
 //
 // When a worker crashes, all tasks that it ran start again elsewhere. If one of them was the cause, it crashes worker
-// after worker, so its job fails after a few of them.
+// after worker, so its job fails after a few of them. A worker that is only out of reach has not crashed: its loss
+// stays unexplained until it, or its successor, is heard from.
 
 #include "JobScheduler.h"
 
+#include <absl/strings/str_join.h>
+
+#include <algorithm>
 #include <set>
 #include <utility>
 
 namespace lycheeledge::jobs {
 
-std::vector<JobId> JobScheduler::recordCrash(
-    Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors)
+namespace {
+
+    // How long the owner remembers a worker that went out of reach.
+    constexpr Duration vanishedRetention = std::chrono::minutes(10);
+    constexpr std::size_t maxLoggedTasks = 8;
+
+} // namespace
+
+std::vector<JobId> JobScheduler::recordCrash(Worker& worker, const absl::flat_hash_set<RunKey>& survivors)
 {
-    const auto causes = likeliestCauses(worker, confirmed, survivors);
+    const auto suspects = worker.crashSuspects.take(survivors);
     if (worker.record.draining || worker.inMaintenance || worker.restartWasPlanned)
         return {};
-    if (!causes.empty() || !worker.runs.empty())
-        m_log.record("worker_crashed",
-            { { "worker", worker.record.id.value() }, { "confirmed", confirmed }, { "runs", worker.runs.size() },
-                { "suspects", causes.size() } });
-    std::set<JobId> changed;
-    std::set<JobId> crashing;
-    for (const auto& run : causes) {
-        const TaskKey& key = run.task;
-        Task& task = *find(key.job)->find(key);
-        changed.insert(key.job);
-        if (++task.crashes >= m_settings.crashLimit)
-            crashing.insert(key.job);
-        m_log.record("crash_counted",
-            { { "task", describe(key) }, { "run", run.run }, { "worker", worker.record.id.value() },
-                { "confirmed", confirmed }, { "assigned", task.run == run.run && task.worker == worker.record.id },
-                { "crashes", task.crashes } });
-    }
+    if (!suspects.empty() || !worker.runs.empty())
+        logCrash("worker_crashed", worker.record.id, suspects, worker.runs.size());
+    std::set<JobId> crashing = countCrashes(worker.record.id, suspects);
     for (const auto& [key, run] : worker.runs) {
         Job* job = find(key.job);
         Task* task = job != nullptr && !isFinal(job->state) ? job->find(key) : nullptr;
-        if (!confirmed || task == nullptr || job->spec().steps[key.step].longRunning
-            || survivors.contains({ key, run.run }))
+        if (task == nullptr || job->spec().steps[key.step].longRunning || survivors.contains({ key, run.run }))
             continue;
-        changed.insert(key.job);
+        markChanged(*job);
         if (++task->interruptions >= m_settings.interruptionLimit)
             crashing.insert(key.job);
     }
-    for (const auto& id : changed)
-        markChanged(*find(id));
     return { crashing.begin(), crashing.end() };
 }
 
-// Of the tasks that had just been started, those under which the most workers have crashed already.
-std::vector<RunKey> JobScheduler::likeliestCauses(
-    Worker& worker, bool confirmed, const absl::flat_hash_set<RunKey>& survivors)
+std::vector<JobId> JobScheduler::recordVanished(Worker& worker)
+{
+    if (worker.crashSuspects.isEmpty())
+        return {};
+    VanishedWorker vanished { .id = worker.record.id,
+        .address = worker.record.address,
+        .incarnationStartUnixMs = worker.record.incarnationStartUnixMs,
+        .heardAt = worker.link->heardAt(),
+        .leaseEnd = worker.link->leaseExpiry(),
+        .suspects = worker.crashSuspects.take() };
+    if (worker.record.draining || worker.inMaintenance || worker.restartWasPlanned)
+        return {};
+    std::erase_if(vanished.suspects, [this](const RunKey& run) { return findUnfinished(run.task) == nullptr; });
+    if (vanished.suspects.empty())
+        return {};
+    logCrash("worker_vanished", vanished.id, vanished.suspects, worker.runs.size());
+    std::set<JobId> crashing;
+    for (const auto& run : vanished.suspects) {
+        Task& task = *findUnfinished(run.task);
+        ++task.unexplainedLosses;
+        markChanged(*find(run.task.job));
+        if (task.crashes + task.unexplainedLosses >= m_settings.unexplainedLossLimit)
+            crashing.insert(run.task.job);
+        logSuspicion("silent", run, vanished.id, task);
+    }
+    m_vanished.add(std::move(vanished));
+    return { crashing.begin(), crashing.end() };
+}
+
+void JobScheduler::explainLosses(const Worker& worker, const PollReport& report)
+{
+    const auto vanished = m_vanished.take(worker.record.id, worker.record.address);
+    if (!vanished)
+        return;
+    const bool returned
+        = vanished->id == worker.record.id && vanished->incarnationStartUnixMs == report.incarnationStartUnixMs;
+    // The clock of an incarnation begins with it. A slow one tells of a later start.
+    const TimePoint start = m_runtime.now() - std::chrono::milliseconds(report.clockMs);
+    const bool crashed = !returned && crashedUnderRuns(*vanished, start);
+    if (!returned && !crashed) {
+        m_log.record("loss_unexplained",
+            { { "worker", vanished->id.value() }, { "successor", worker.record.id.value() },
+                { "suspects", vanished->suspects.size() } });
+        return;
+    }
+    for (const auto& run : vanished->suspects) {
+        Task* task = findUnfinished(run.task);
+        if (task == nullptr)
+            continue;
+        task->unexplainedLosses -= std::min<std::uint32_t>(task->unexplainedLosses, 1);
+        markChanged(*find(run.task.job));
+        if (returned)
+            logSuspicion("returned", run, vanished->id, *task);
+    }
+    if (!crashed)
+        return;
+    logCrash("worker_crashed", vanished->id, vanished->suspects, 0);
+    const auto crashing = countCrashes(vanished->id, vanished->suspects);
+    failCrashingJobs({ crashing.begin(), crashing.end() });
+}
+
+void JobScheduler::noteSurvived(const TaskKey& key)
+{
+    Task* task = findUnfinished(key);
+    if (task == nullptr || task->unexplainedLosses == 0)
+        return;
+    task->unexplainedLosses = 0;
+    m_vanished.clear(key);
+    markChanged(*find(key.job));
+}
+
+void JobScheduler::forgetVanishedWorkers() { m_vanished.expire(m_runtime.now() - vanishedRetention); }
+
+std::set<JobId> JobScheduler::countCrashes(const WorkerId& worker, const std::vector<RunKey>& suspects)
+{
+    std::set<JobId> crashing;
+    for (const auto& run : likeliestCauses(suspects)) {
+        Task& task = *findUnfinished(run.task);
+        markChanged(*find(run.task.job));
+        if (++task.crashes >= m_settings.crashLimit)
+            crashing.insert(run.task.job);
+        logSuspicion("crashed", run, worker, task);
+    }
+    return crashing;
+}
+
+// Those under which the most workers have crashed or vanished already.
+std::vector<RunKey> JobScheduler::likeliestCauses(const std::vector<RunKey>& suspects)
 {
     std::vector<RunKey> result;
     std::uint32_t most = 0;
-    for (const auto& run : worker.crashSuspects.take(survivors)) {
-        Job* job = find(run.task.job);
-        const Task* task = job != nullptr && !isFinal(job->state) ? job->find(run.task) : nullptr;
-        if (task == nullptr || task->phase == TaskPhase::Done || task->crashes < most)
-            continue;
-        // The lease of a run that was lost before may have ended before the worker crashed.
-        if (confirmed && !worker.runs.contains(run.task))
+    for (const auto& run : suspects) {
+        const Task* task = findUnfinished(run.task);
+        if (task == nullptr || task->suspicions() < most)
             continue;
-        if (task->crashes > most)
+        if (task->suspicions() > most)
             result.clear();
-        most = task->crashes;
+        most = task->suspicions();
         result.push_back(run);
     }
     return result;
 }
 
+void JobScheduler::logCrash(
+    const char* event, const WorkerId& worker, const std::vector<RunKey>& suspects, std::size_t runs)
+{
+    const auto end = suspects.begin() + static_cast<std::ptrdiff_t>(std::min(suspects.size(), maxLoggedTasks));
+    const std::string tasks = absl::StrJoin(
+        suspects.begin(), end, ",", [](std::string* out, const RunKey& run) { out->append(describe(run.task)); });
+    m_log.record(
+        event, { { "worker", worker.value() }, { "runs", runs }, { "suspects", suspects.size() }, { "tasks", tasks } });
+}
+
+void JobScheduler::logSuspicion(const char* outcome, const RunKey& run, const WorkerId& worker, const Task& task)
+{
+    m_log.record("crash_suspected",
+        { { "task", describe(run.task) }, { "run", run.run }, { "worker", worker.value() }, { "outcome", outcome },
+            { "crashes", task.crashes }, { "unexplained", task.unexplainedLosses } });
+}
+
+Task* JobScheduler::findUnfinished(const TaskKey& key)
+{
+    Job* job = find(key.job);
+    Task* task = job != nullptr && !isFinal(job->state) ? job->find(key) : nullptr;
+    return task != nullptr && task->phase != TaskPhase::Done ? task : nullptr;
+}
+
 void JobScheduler::failCrashingJobs(const std::vector<JobId>& jobs)
 {
     for (const auto& id : jobs) {
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -52,6 +52,7 @@
     // Until this poll raised the fencing token, orders of earlier owners could reach a worker that had just restarted.
     if (first && worker->mayHaveEarlierRuns)
         worker->link->assumeLongestLease();
+    explainLosses(*worker, report);
     if (worker->awaitsReport)
         settleRestart(*worker, report);
     processEnds(*worker, report);
@@ -124,7 +125,7 @@
         Job* job = find(key.job);
         const Task* task = job != nullptr ? job->find(key) : nullptr;
         if (task != nullptr)
-            worker.crashSuspects.add({ key, run.run }, task->crashes > 0);
+            worker.crashSuspects.add({ key, run.run }, task->suspicions() > 0);
     }
 }
 
@@ -141,7 +142,7 @@
 
 void JobScheduler::endRunsExcept(Worker& worker, const absl::flat_hash_set<RunKey>& survivors)
 {
-    const auto crashing = recordCrash(worker, true, survivors);
+    const auto crashing = recordCrash(worker, survivors);
     std::vector<TaskKey> ended;
     for (const auto& [key, run] : worker.runs) {
         if (!survivors.contains({ key, run.run }))
@@ -274,7 +275,8 @@
             = task != nullptr && task->isAssigned() && task->run == running.run.run && task->worker == worker.record.id;
         if (!current)
             adopt(worker, running);
-        worker.crashSuspects.alive(running.run, report.clockMs);
+        if (worker.crashSuspects.alive(running.run, report.clockMs))
+            noteSurvived(key);
         if (const auto run = worker.runs.find(key); run != worker.runs.end() && run->second.run == running.run.run)
             run->second.listed = true;
         if (!current)
@@ -343,7 +345,7 @@
         return;
     }
     assignTask(*job, key, worker, running.run.run, TaskPhase::Running);
-    worker.crashSuspects.add(running.run, task->crashes > 0);
+    worker.crashSuspects.add(running.run, task->suspicions() > 0);
     task->confirmedAt = task->since;
     task->isFullRun = false;
     task->progress.reset();
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -86,7 +86,7 @@
     task.isFullRun = task.checkpoint.empty();
     task.progress.reset();
     task.progressPercent = 0;
-    worker.crashSuspects.add({ key, run }, task.crashes > 0);
+    worker.crashSuspects.add({ key, run }, task.suspicions() > 0);
     ++m_counters.starts;
     sendStart(key, run, worker.record.id, 1);
 }
@@ -186,8 +186,8 @@
         return;
     const TimePoint now = m_runtime.now();
     if (result.outcome == OrderOutcome::Done) {
-        if (result.clockMs)
-            worker->crashSuspects.alive({ key, run }, *result.clockMs);
+        if (result.clockMs && worker->crashSuspects.alive({ key, run }, *result.clockMs))
+            noteSurvived(key);
         task->phase = TaskPhase::Running;
         task->since = now;
         task->confirmedAt = now;
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -153,11 +153,13 @@
         if (now < end || (!worker.reported && m_host.ownershipConfirmedAt() < end))
             continue;
         forgetStrayRuns(worker);
+        const auto crashing = recordVanished(worker);
         if (!worker.runs.empty() || !worker.reported) {
             m_uncountedChanged = m_uncountedChanged || !worker.reported;
             worker.reported = true;
             markRunsLost(worker, "lease of an unreachable worker ended");
         }
+        failCrashingJobs(crashing);
         if (!worker.registered && now - worker.unregisteredSince > m_settings.unregisteredGracePeriod
             && now > end + workerRemovalDelay)
             expired.push_back(id);
@@ -191,7 +193,7 @@
     if (worker == nullptr)
         return;
     m_log.record("worker_lost", { { "worker", id.value() }, { "runs", worker->runs.size() }, { "reason", reason } });
-    const auto crashing = recordCrash(*worker, incarnationEnded);
+    const auto crashing = incarnationEnded ? recordCrash(*worker) : std::vector<JobId> {};
     markRunsLost(*worker, reason);
     forgetStrayRuns(*worker);
     if (!worker->reported) {
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -77,6 +77,8 @@
     std::optional<std::int64_t> extendLeaseForOrder();
     /** @brief Time at which all tasks on the worker have certainly ended, unless further orders reach it. */
     TimePoint leaseExpiry() const { return m_leaseExpiry; }
+    /** @brief When the worker last gave its clock; zero before that. */
+    TimePoint heardAt() const { return m_clockAt; }
     /**
      * @brief Records the worker's clock as given in the response to an order that was sent at this time.
      * @return false if the clock has gone back, so that another incarnation has answered.
--- a/src/lycheeledge/protocol/JobSerialization.h
+++ b/src/lycheeledge/protocol/JobSerialization.h
@@ -50,6 +50,11 @@
     archive(value.occurrence, value.step, value.index, value.crashes, value.interruptions);
 }
 
+template <typename Archive> void serialize(Archive& archive, CrashTally& value)
+{
+    archive(value.occurrence, value.step, value.index, value.crashes, value.unexplainedLosses, value.interruptions);
+}
+
 template <typename Archive> void serialize(Archive& archive, DoneTasks& value)
 {
     archive(value.occurrence, value.step, value.bits);
@@ -71,7 +76,8 @@
 template <typename Archive> void serialize(Archive& archive, ProgressRecord& value)
 {
     archive(value.state, value.account, value.queue, value.endedUnixMs, value.nextOccurrence, value.open);
-    bool hasDoneTasks = !value.doneTasks.empty();
+    bool hasCrashTallies = !value.crashTallies.empty();
+    bool hasDoneTasks = hasCrashTallies || !value.doneTasks.empty();
     bool hasPlacements = hasDoneTasks || !value.placements.empty();
     bool hasRunsAtEnd = hasPlacements || value.runsAtEnd != RunUsage {};
     bool hasCrashCounts = hasRunsAtEnd || !value.crashCounts.empty();
@@ -91,6 +97,10 @@
         hasDoneTasks = !archive.atEnd();
     if (hasDoneTasks)
         archive(value.doneTasks);
+    if constexpr (Archive::is_loading::value)
+        hasCrashTallies = !archive.atEnd();
+    if (hasCrashTallies)
+        archive(value.crashTallies);
 }
 
 // The capacities are in a record of their own.
--- a/test/protocol/StoredFormTest.cpp
+++ b/test/protocol/StoredFormTest.cpp
@@ -119,6 +119,7 @@
     jobs::ProgressRecord progress;
     progress.state = jobs::JobState::Running;
     progress.crashCounts = { { 1, 0, 4, 1, 2 }, { 1, 1, 0, 0, 3 } };
+    progress.crashTallies = { { 1, 0, 4, 1, 3, 2 } };
     const auto decoded = codec.decodeProgress(codec.encode(progress));
     REQUIRE(decoded.ok());
     CHECK(*decoded == progress);
