Ignore crashes that an earlier build may have counted in silence

Progress records of builds before this one hold crashes that were counted for workers out of reach.

Evidence: the new test restores such a record; before, the task had one crash. Now these counts are left out; interruptions were counted only for ended incarnations and are kept. A task that does crash its workers may be started once more after the upgrade.

--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -222,11 +222,10 @@
             ++step->done;
         }
     }
+    // Earlier builds counted workers out of reach among the crashes, but not among the interruptions.
     for (const auto& count : record.crashCounts) {
-        if (Task* task = find(TaskKey { id, count.occurrence, count.step, count.index })) {
-            task->crashes = count.crashes;
+        if (Task* task = find(TaskKey { id, count.occurrence, count.step, count.index }))
             task->interruptions = count.interruptions;
-        }
     }
     for (const auto& tally : record.crashTallies) {
         if (Task* task = find(TaskKey { id, tally.occurrence, tally.step, tally.index })) {
--- a/test/jobs/VanishedWorkerTest.cpp
+++ b/test/jobs/VanishedWorkerTest.cpp
@@ -175,3 +175,28 @@
     workers.expire(worker.leaseEnd + seconds(1));
     CHECK(workers.size() == 0);
 }
+
+TEST_CASE("a crash that an earlier build counted, when silence was enough, does not fail a job", "[crash][vanished]")
+{
+    Job job;
+    job.id = firstTask().job;
+    job.submission.spec = oneTask();
+    ProgressRecord record;
+    record.state = JobState::Running;
+    record.nextOccurrence = 1;
+    record.open = { { .occurrence = 0, .steps = { StepProgress {} } } };
+    record.crashCounts = { { .crashes = 1, .interruptions = 3 } };
+    job.restore(record, TimePoint());
+    CHECK(job.find(firstTask())->suspicions() == 0);
+    CHECK(job.find(firstTask())->interruptions == 3);
+
+    job.find(firstTask())->crashes = 1;
+    job.find(firstTask())->unexplainedLosses = 2;
+    Job next;
+    next.id = job.id;
+    next.submission = job.submission;
+    next.restore(job.progress(), TimePoint());
+    CHECK(next.find(firstTask())->crashes == 1);
+    CHECK(next.find(firstTask())->unexplainedLosses == 2);
+    CHECK(next.find(firstTask())->interruptions == 3);
+}
