--- a/test/protocol/StoredFormTest.cpp
+++ b/test/protocol/StoredFormTest.cpp
@@ -101,7 +101,7 @@
     const jobs::TaskProgress task { 2, false, { 1001, 1003 }, "checkpoint" };
     const jobs::StepProgress step { { 5 }, false, { task } };
     const jobs::ProgressRecord progress { jobs::JobState::Running, jobs::AccountId("account"), "queue", 11, 12,
-        { { 3, { step, { {}, true, {} } } } }, {}, {}, {}, {} };
+        { { 3, { step, { {}, true, {} } } } }, {}, {}, {}, {}, {} };
     checkForm(
         progress, codec.encode(progress), [&codec](const std::string& buf) { return codec.decodeProgress(buf); },
         "010107000000000000006163636f756e74050000000000000071756575650b000000000000000c00000001000000000000000300"
