Start tasks with one unexplained loss beside each other

Since silence counts as an unexplained loss, each task that had just started on a worker that was cut off started apart from all others, one on a worker at a time, until that one was cleared.

Only a crash, or a second loss without a run in between that lived on, keeps a task apart now: one loss says nothing of the task.

--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -56,6 +56,8 @@
     bool hasStarted() const { return run != 0 || !failedRuns.empty() || !checkpoint.empty(); }
     /** @brief Number of workers that the task may have crashed. */
     std::uint32_t suspicions() const { return crashes + unexplainedLosses; }
+    /** @brief Whether it starts apart from other such tasks. A partition may cost many tasks one loss each. */
+    bool startsApart() const { return crashes > 0 || unexplainedLosses > 1; }
     /** @brief Whether a long-running task is ready to serve its users. */
     bool isAvailable() const { return phase == TaskPhase::Running && progressPercent >= 100; }
     bool isAssigned() const
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -380,9 +380,9 @@
     std::size_t placed = 0;
     if (!queue->admission || hasUsableTicket(*step, reservationOf(spec))) {
         // Tasks under which a worker crashed start on one worker each, which tells the cause from the others.
-        const auto suspects = spec.gang ? due.end() : std::stable_partition(due.begin(), due.end(), [step](auto i) {
-            return step->tasks[i].suspicions() == 0;
-        });
+        const auto suspects = spec.gang
+            ? due.end()
+            : std::stable_partition(due.begin(), due.end(), [step](auto i) { return !step->tasks[i].startsApart(); });
         placed = placeTasks(job, key, *queue, { due.begin(), suspects });
         for (auto it = suspects; it != due.end(); ++it)
             placed += placeTasks(job, key, *queue, { *it });
@@ -404,7 +404,7 @@
     const StepSpec& spec = job.spec().steps[key.step];
     const auto goal = queue.isUrgent() ? PlacementGoal::Spread : PlacementGoal::Pack;
     auto workers = queue.admission ? candidatesWithTicket(job, key) : candidates(job, key);
-    if (!due.empty() && step.tasks[due.front()].suspicions() > 0 && !spec.gang)
+    if (!due.empty() && step.tasks[due.front()].startsApart() && !spec.gang)
         workers = apartFromSuspects(std::move(workers));
     Placement placement(spec, std::move(workers), goal);
     const auto start = [&](std::uint32_t index, std::size_t place, RunNumber run) {
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -125,7 +125,7 @@
         Job* job = find(key.job);
         const Task* task = job != nullptr ? job->find(key) : nullptr;
         if (task != nullptr)
-            worker.crashSuspects.add({ key, run.run }, task->suspicions() > 0);
+            worker.crashSuspects.add({ key, run.run }, task->startsApart());
     }
 }
 
@@ -345,7 +345,7 @@
         return;
     }
     assignTask(*job, key, worker, running.run.run, TaskPhase::Running);
-    worker.crashSuspects.add(running.run, task->suspicions() > 0);
+    worker.crashSuspects.add(running.run, task->startsApart());
     task->confirmedAt = task->since;
     task->isFullRun = false;
     task->progress.reset();
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -86,7 +86,7 @@
     task.isFullRun = task.checkpoint.empty();
     task.progress.reset();
     task.progressPercent = 0;
-    worker.crashSuspects.add({ key, run }, task.suspicions() > 0);
+    worker.crashSuspects.add({ key, run }, task.startsApart());
     ++m_counters.starts;
     sendStart(key, run, worker.record.id, 1);
 }
--- a/test/jobs/VanishedWorkerTest.cpp
+++ b/test/jobs/VanishedWorkerTest.cpp
@@ -150,6 +150,26 @@
     CHECK(cluster.workers.startsOf(firstTask()) <= 5);
 }
 
+TEST_CASE("tasks lost in a partition do not wait for one another before they start again", "[crash][vanished][load]")
+{
+    JobCluster cluster(1);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(600); };
+    addWorkers(cluster, 4);
+    JobSpec spec { .payload = {}, .steps = { simpleStep(16, 1000) } };
+    spec.steps[0].longRunning = true;
+    REQUIRE(cluster.submit("m0", "batch", 1, spec));
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 16; }, seconds(5)));
+    cluster.advance(afterStart);
+    int disconnected = 0;
+    for (const std::string worker : { "w0", "w1", "w2", "w3" }) {
+        if (cluster.workers.runsOn(worker) > 0 && ++disconnected <= 2)
+            cluster.workers.setDisconnected(worker, true);
+    }
+    REQUIRE(cluster.waitFor([&] { return cluster.log.counts["run_lost"] > 0; }, seconds(10)));
+    CHECK(cluster.waitFor([&] { return cluster.workers.running() == 16; }, milliseconds(500)));
+    CHECK(cluster.workers.violations().empty());
+}
+
 TEST_CASE("a worker out of sight counts as crashed only if its successor began within the lease", "[crash][vanished]")
 {
     const TimePoint heard { seconds(100) };
