Wait for all workers before a found run that failed starts again

A run that a new owner found made its task count as located, so that it waited for no other worker any more. That holds for runs, but not for ends: the last owner may have seen a failed run without storing it, and its worker lists that end once it is heard from. When the found run failed, the task started again with one attempt too few counted.

Other tasks wait, like those that were not found, until every worker has reported or its lease has ended.

--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -47,7 +47,8 @@
     int pacePercent = 100;
     bool isFullRun = false; ///< this owner started the run without a checkpoint, so that its run time can be measured
     int restarts = 0; ///< restarts because of too little progress
-    /// This owner has started or found a run of the task, so no run of an earlier owner exists elsewhere.
+    /// No run of an earlier owner exists elsewhere, nor an end that this owner has to count: it has started the task,
+    /// or found a run of it if it is long-running.
     bool isLocated = false;
     int progressPercent = 0; ///< as last reported; a long-running task is available at 100
     std::optional<ProgressSample> progress; ///< last sample of the run that was evaluated
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -104,7 +104,8 @@
     task.run = run;
     task.worker = worker.record.id;
     task.since = m_runtime.now();
-    task.isLocated = true;
+    // Another worker may list a failed run that counts as an attempt, which long-running tasks do not have.
+    task.isLocated = task.isLocated || phase == TaskPhase::Starting || spec.longRunning;
     ++step.assigned;
     reserve(worker, key,
         { .run = run,
--- a/test/jobs/UnexpectedEndsTest.cpp
+++ b/test/jobs/UnexpectedEndsTest.cpp
@@ -7,6 +7,7 @@
 using namespace lycheeledge;
 using namespace lycheeledge::jobs;
 using namespace lycheeledge::test;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 TEST_CASE("a task of an occurrence that is not yet due by the next owner's clock does not run again", "[takeover]")
@@ -70,3 +71,36 @@
     CHECK(cluster.waitForState(1, "batch", JobState::Failed, seconds(3)));
     CHECK(cluster.workers.starts().size() == 3);
 }
+
+TEST_CASE("a found run that fails does not start again while an earlier failure may be listed elsewhere", "[takeover]")
+{
+    JobCluster cluster(2);
+    cluster.workers.maxAttempts = 2;
+    auto configuration = simpleConfiguration();
+    configuration.queues[1].maxAttempts = 2;
+    cluster.setConfiguration(configuration);
+    addWorkers(cluster, 3);
+    const std::string owner = *cluster.owner();
+    const std::string next = owner == "m0" ? "m1" : "m0";
+    cluster.workers.runTime
+        = [&](const TaskKey&) { return cluster.workers.starts().empty() ? milliseconds(1500) : milliseconds(3500); };
+    cluster.workers.endOf = [](const TaskKey&, const std::string&) { return EndKind::Failed; };
+    REQUIRE(cluster.submit(owner, "batch", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    // The first failure is seen, but neither stored nor acknowledged, and its worker is silent for a while.
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.starts().size() == 1; }, seconds(2)));
+    const std::string first = cluster.workers.starts()[0].worker;
+    auto record = cluster.workers.record(first);
+    record.draining = true; // so that the task starts again elsewhere
+    cluster.registerWorker(record);
+    cluster.advance(seconds(1));
+    cluster.store.setFault(owner, FakeClusterStore::Fault::Silent);
+    REQUIRE(cluster.waitFor([&] { return cluster.workers.starts().size() == 2; }, seconds(3)));
+    REQUIRE(cluster.workers.starts()[1].worker != first);
+    cluster.workers.setDisconnected(first, true);
+    cluster.kill(owner);
+    cluster.runtime.after(seconds(4), [&] { cluster.workers.setDisconnected(first, false); });
+    REQUIRE(cluster.waitFor([&] { return cluster.log.counts["run_adopted"] == 1; }, seconds(4)));
+    CHECK(cluster.waitFor([&] { return cluster.state(next, "batch", 1) == JobState::Failed; }, seconds(30)));
+    CHECK(cluster.workers.starts().size() == 2);
+    CHECK(cluster.workers.violations().empty());
+}
