Don't replace an owner for a handover that it asked for before it restored its record

Callers saw calls refused and work held by a takeover right after an outage of the store, although the owner was alive and held the ownership again.

Cause: a member that a handover request reaches checks twice, 0.3 s apart, that the store answers it, and then ends the owner's lease if the epoch is still the same. An owner whose lease expired in the outage restores its record in the same epoch, between the two checks, so the member ended the new lease for a request of before. Class: a conclusion from a silence that was over.

Fix: both checks require the owner record that was known at the request. A restored one names another lease.

--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -113,14 +113,14 @@
     m_handoverRequestedAt = m_runtime.now();
     if (std::exchange(m_handoverEpoch, epoch) == epoch)
         return; // the check is in progress
-    checkForHandover(epoch, [this, epoch] {
-        m_runtime.after(m_settings.handover.memberCheckTime, [this, epoch] {
-            checkForHandover(epoch, [this, epoch] {
+    checkForHandover(*m_owner, [this, owner = *m_owner] {
+        m_runtime.after(m_settings.handover.memberCheckTime, [this, owner] {
+            checkForHandover(owner, [this, owner] {
                 m_handoverEpoch = 0;
                 if (m_runtime.now() - m_handoverRequestedAt >= m_settings.handover.requestValidity)
                     return;
-                endLeaseOf(*m_owner, "the owner asked for a handover");
-                m_listener->handoverDue(epoch);
+                endLeaseOf(owner, "the owner asked for a handover");
+                m_listener->handoverDue(owner.epoch);
             });
         });
     });
@@ -132,12 +132,13 @@
         dropOwnership("the store answers other members");
 }
 
-// Calls `done` if the store answers this process and the owner is still the one of this epoch.
-void OwnerLease::checkForHandover(Epoch epoch, const std::function<void()>& done)
+// Calls `done` if the store answers this process and the owner has not restored its record since, which shows that the
+// store answers it, too.
+void OwnerLease::checkForHandover(const OwnerRecord& owner, const std::function<void()>& done)
 {
     m_store.get(m_settings.ownerKey, m_settings.handover.memberCheckTime,
-        [this, epoch, done](const absl::StatusOr<StoreValue>& value) {
-            if (value.ok() && !m_epoch && m_owner && m_owner->epoch == epoch)
+        [this, owner, done](const absl::StatusOr<StoreValue>& value) {
+            if (value.ok() && !m_epoch && m_owner == owner)
                 done();
             else
                 m_handoverEpoch = 0;
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -127,7 +127,7 @@
     void updateOwner(const std::optional<StoreEntry>& entry);
     void endLeaseOfEarlierProcess();
     void endLeaseOf(const OwnerRecord& owner, const char* reason);
-    void checkForHandover(Epoch epoch, const std::function<void()>& done);
+    void checkForHandover(const OwnerRecord& owner, const std::function<void()>& done);
     void scheduleClaim();
     void claimOrWait();
     void claim();
--- /dev/null
+++ b/test/jobs/SilenceTest.cpp
@@ -0,0 +1,61 @@
+// Conclusions that must not be drawn from silence: owners, VMs and workers that are only out of reach or left out.
+
+#include "support/JobClusterHelpers.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace lycheeledge;
+using namespace lycheeledge::jobs;
+using namespace lycheeledge::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/** @brief Five members, with an owner after two takeovers, and a store that can fail. */
+struct OwnedCluster {
+    /** @param offset of the outages within the owner's renewals. */
+    explicit OwnedCluster(Duration offset)
+        : cluster(7)
+        , m_offset(offset)
+    {
+        addWorkers(cluster, 1);
+        for (int i = 0; i < 2; ++i) {
+            cluster.kill(*cluster.owner());
+            REQUIRE(cluster.waitFor([this] { return cluster.owner().has_value(); }, seconds(5)));
+            cluster.advance(seconds(1));
+        }
+        owner = *cluster.owner();
+        REQUIRE(isOwned());
+    }
+
+    /** @brief The store refuses all calls for longer than the owner's lease. */
+    void pauseStore()
+    {
+        cluster.advance(seconds(12) + m_offset);
+        cluster.store.setFault(FakeClusterStore::Fault::Refuse);
+        cluster.advance(milliseconds(3300));
+        cluster.store.setFault(FakeClusterStore::Fault::None);
+        cluster.advance(seconds(3));
+    }
+    bool isOwned() { return cluster.owner() == owner && cluster.member(owner).node.lease().epoch() == 201; }
+
+    JobCluster cluster;
+    std::string owner;
+
+private:
+    Duration m_offset;
+};
+
+} // namespace
+
+TEST_CASE("a handover that an owner asked for before it restored its record does not replace it", "[silence][takeover]")
+{
+    for (int i = 0; i < 40; ++i) {
+        OwnedCluster owned(milliseconds(9 * i));
+        owned.pauseStore();
+        CHECK(owned.isOwned());
+    }
+}
