Wait for an owner that restored its record although its lease was ended before

Callers saw a takeover after an outage of the store although the owner was alive.

Cause: a member that ends an owner's lease, taking its process for ended or on its request, does not wait for that owner to restore its record. It remembered this by epoch, but a living owner restores its record in the same epoch. From then on the member claimed at once after each later outage. Class: a lasting conclusion from silence.

Fix: remembered by lease. A restored record has another one and shows that the owner lives. A member still ends only one lease of an epoch.

--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -157,6 +157,7 @@
 {
     if (std::exchange(m_releasedEpoch, owner.epoch) == owner.epoch)
         return;
+    m_releasedLease = owner.lease;
     m_log.record("owner_lease_ending", { { "owner", owner.member }, { "epoch", owner.epoch }, { "reason", reason } });
     m_store.revokeLease(owner.lease, m_settings.callTimeout, [](const absl::Status&) {});
 }
@@ -221,7 +222,7 @@
     if (m_owner != owner) {
         m_owner = owner;
         if (owner)
-            m_lastOwnerEpoch = owner->epoch;
+            m_lastOwnerLease = owner->lease;
         m_log.record("owner_learned",
             { { "owner", owner ? owner->member : std::string("none") }, { "epoch", owner ? owner->epoch : 0 } });
         if (!self)
@@ -256,7 +257,7 @@
         return;
     }
     const ClaimSituation situation { .timeWithoutOwner = m_runtime.now() - m_withoutOwnerSince,
-        .ownerIsReachable = m_releasedEpoch != m_lastOwnerEpoch && m_listener->ownerIsReachable(),
+        .ownerIsReachable = m_releasedLease != m_lastOwnerLease && m_listener->ownerIsReachable(),
         .cpuShare = m_settings.cpuShare,
         .largestCpuShare = m_listener->largestCpuShare() };
     if (m_runtime.now() >= m_earliestClaim && shouldClaim(situation, m_settings.claim))
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -157,8 +157,10 @@
     std::optional<TimePoint> m_renewalSentAt; ///< of the renewal in progress
     Epoch m_handoverEpoch = 0; ///< epoch whose owner asked for a handover, while that is being checked
     TimePoint m_handoverRequestedAt; ///< time of the last request
-    Epoch m_releasedEpoch = 0; ///< its owner does not restore its record, so a claim does not wait for that
-    Epoch m_lastOwnerEpoch = 0; ///< of the last owner that was read
+    Epoch m_releasedEpoch = 0; ///< whose lease this member has ended
+    /// The lease that it ended. Its owner is not expected to restore the record, so a claim does not wait for that.
+    StoreLeaseId m_releasedLease = 0;
+    StoreLeaseId m_lastOwnerLease = 0; ///< of the last owner that was read
     std::set<std::string> m_earlierOwners;
     TimePoint m_earliestClaim; ///< no claim before this time, after a yield
     TimePoint m_withoutOwnerSince; ///< when the owner record was found to be absent
--- a/test/jobs/SilenceTest.cpp
+++ b/test/jobs/SilenceTest.cpp
@@ -59,3 +59,16 @@
         CHECK(owned.isOwned());
     }
 }
+
+TEST_CASE("a member that has ended a lease of a living owner still waits for it after an outage of the store",
+    "[silence][takeover]")
+{
+    for (int i = 0; i < 40; ++i) {
+        OwnedCluster owned(milliseconds(9 * i));
+        for (int outage = 1; outage <= 3; ++outage) {
+            owned.pauseStore();
+            CAPTURE(i, outage);
+            CHECK(owned.isOwned());
+        }
+    }
+}
