Don't take a VM in maintenance that the list leaves out for removed

Operators would see more VMs of a wave down at once than it allows (LIMIT).

Cause: a VM whose maintenance had begun counted as done as soon as a list left it out. Lists leave out entries that cannot be read. Another VM was then ordered while the first one was down.

Fix: such a VM counts as removed only if a list that was requested once its maintenance and the list's lag have passed still leaves it out.

Evidence: the test failed before, with 3 VMs down at once where 1 is allowed.

--- a/src/lycheeledge/jobs/MaintenanceCoordinator.cpp
+++ b/src/lycheeledge/jobs/MaintenanceCoordinator.cpp
@@ -216,7 +216,10 @@
             }
             // Earlier lists may show the VM as it was before its maintenance.
             const bool isBack = vm.state == VmState::Up && requestedAt >= vm.since + m_settings.listLag;
-            if (vm.phase == MaintenancePhase::Down && (isBack || !vm.listed)) {
+            // It may be down unlisted, too; one that was removed does not come back.
+            const bool isGone
+                = !vm.listed && requestedAt >= vm.since + m_settings.maintenanceDuration + m_settings.listLag;
+            if (vm.phase == MaintenancePhase::Down && (isBack || isGone)) {
                 m_workers.setMaintenance(vm.drainedWorker, false);
                 setPhase(vm, MaintenancePhase::Done);
             }
--- a/test/jobs/SilenceTest.cpp
+++ b/test/jobs/SilenceTest.cpp
@@ -72,3 +72,29 @@
         }
     }
 }
+
+TEST_CASE("a VM that the list leaves out while it is down does not let another one go down", "[silence][maintenance]")
+{
+    JobCluster cluster(1);
+    addWorkers(cluster, 3);
+    MaintenanceWave wave { .number = 1, .vms = {}, .duration = seconds(30), .maxDown = 1 };
+    for (const std::string n : { "0", "1", "2" }) {
+        cluster.vms.add("vm" + n, "w" + n);
+        wave.vms.emplace_back("vm" + n);
+    }
+    cluster.vms.wentDown
+        = [&cluster](const WorkerId& worker) { cluster.vms.unlisted.insert("vm" + worker.value().substr(1)); };
+    cluster.vms.cameBack = [&cluster](const VmId& vm) {
+        cluster.vms.unlisted.erase(vm.value());
+        return WorkerId("w" + vm.value().substr(2));
+    };
+    cluster.records.waves["wave-1"] = wave;
+    cluster.store.put(cluster.records.wavePrefix() + "1", "wave-1");
+    const auto isCompleted = [&] {
+        const auto state = cluster.store.entry(cluster.records.waveStateKey(1));
+        return state && state->value == "completed";
+    };
+    REQUIRE(cluster.waitFor(isCompleted, seconds(40)));
+    CHECK(cluster.vms.maintained() == 3);
+    CHECK(cluster.vms.mostDown() == 1);
+}
