Count the grace period of unregistered workers from when the registry is read

Callers saw tasks wait after an outage of the store although reachable workers had room.

Cause: a worker that was missing from the registry once counted as gone 3 s later, also if the registry could not be read meanwhile. Entries that an outage removes are back up to 2 s after it; with a second outage in between, all workers were excluded from placement right after it.

Fix: the time that counts ends at the last read, and begins anew after a gap of more than 2.5 s between reads, which one failed call does not cause.

Evidence: the test failed before: no start within 1.5 s of the store's return.

--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -359,6 +359,8 @@
     Epoch newFencingToken(const WorkerId& id);
     void connect(Worker& worker);
     void storeWorkerSet();
+    /** @brief Whether the worker has been missing from the registry for as long as the grace period. */
+    bool isUnregistered(const Worker& worker) const;
     /**
      * @brief Whether a worker is gone from the registry, does not respond, runs nothing, and lists no end that is not
      * stored. It may come back.
@@ -395,6 +397,7 @@
     std::size_t m_overdueRequests = 0; ///< pending admission requests made ahead of the scheduling order
     std::map<std::string, TimePoint> m_lastOverdueRequest; ///< by queue; the queues take turns
     WorkerTable m_workers;
+    TimePoint m_registryReadAt; ///< when the registry was last read
     absl::flat_hash_map<WorkerId, Epoch> m_fencingTokens; ///< last one of each worker, also of removed ones
     absl::flat_hash_set<WorkerId> m_storedWorkers; ///< workers in the stored set; only these receive orders
     bool m_workerSetWriting = false; ///< a write of the stored set is in progress
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -218,7 +218,7 @@
     if (worker.record.draining || worker.inMaintenance || !worker.reported || worker.awaitsReport || !worker.link
         || !worker.link->isReachable() || worker.link->isSuspect())
         return false;
-    if (!worker.registered && now - worker.unregisteredSince > m_settings.unregisteredGracePeriod)
+    if (isUnregistered(worker))
         return false;
     if (!worker.strayRuns.empty()) // they use an unknown amount of resources
         return false;
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -13,6 +13,8 @@
 
     // An unregistered, unreachable worker is removed this long after its lease, and so every run on it, has ended.
     constexpr Duration workerRemovalDelay = std::chrono::seconds(1);
+    // Longer than between two reads of the registry of which one call got no answer.
+    constexpr Duration maxRegistryGap = std::chrono::milliseconds(2500);
 
 } // namespace
 
@@ -23,6 +25,9 @@
     if (!m_running)
         return;
     m_pools.invalidate();
+    const TimePoint now = m_runtime.now();
+    // Registrations that an outage of the store has removed are restored some time after it.
+    const bool afterOutage = now - std::exchange(m_registryReadAt, now) > maxRegistryGap;
     absl::flat_hash_set<WorkerId> listed;
     bool mustStore = false;
     for (const auto& record : records) {
@@ -69,11 +74,12 @@
         }
     }
     for (auto& [id, worker] : m_workers.all()) {
-        if (worker.registered && !listed.contains(id)) {
-            worker.registered = false;
-            worker.unregisteredSince = m_runtime.now();
+        if (listed.contains(id))
+            continue;
+        if (worker.registered || afterOutage)
+            worker.unregisteredSince = now;
+        if (std::exchange(worker.registered, false))
             m_log.record("worker_unregistered", { { "worker", id.value() }, { "runs", worker.runs.size() } });
-        }
     }
     if (mustStore)
         storeWorkerSet();
@@ -130,6 +136,11 @@
     });
 }
 
+bool JobScheduler::isUnregistered(const Worker& worker) const
+{
+    return !worker.registered && m_registryReadAt - worker.unregisteredSince > m_settings.unregisteredGracePeriod;
+}
+
 bool JobScheduler::hasLeft(const Worker& worker)
 {
     // The next owner has to wait for a worker that lists ends which are not stored.
@@ -160,8 +171,7 @@
             markRunsLost(worker, "lease of an unreachable worker ended");
         }
         failCrashingJobs(crashing);
-        if (!worker.registered && now - worker.unregisteredSince > m_settings.unregisteredGracePeriod
-            && now > end + workerRemovalDelay)
+        if (isUnregistered(worker) && now > end + workerRemovalDelay)
             expired.push_back(id);
     }
     if (left)
--- a/test/jobs/SilenceTest.cpp
+++ b/test/jobs/SilenceTest.cpp
@@ -98,3 +98,24 @@
     CHECK(cluster.vms.maintained() == 3);
     CHECK(cluster.vms.mostDown() == 1);
 }
+
+TEST_CASE("workers that are not back in the registry right after a store outage still get tasks", "[silence]")
+{
+    // The registry was read between two outages, when no worker had registered again.
+    JobCluster cluster(1);
+    addWorkers(cluster, 3);
+    for (const std::string worker : { "w0", "w1", "w2" })
+        cluster.unregisterWorker(worker);
+    REQUIRE(cluster.waitFor([&] { return cluster.log.counts["worker_unregistered"] == 3; }, seconds(2)));
+    cluster.store.setFault(FakeClusterStore::Fault::Refuse);
+    cluster.advance(seconds(5));
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    REQUIRE(cluster.waitFor([&] { return cluster.log.counts["ownership_reclaimed"] > 0; }, seconds(1)));
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    CHECK(cluster.waitFor([&] { return !cluster.workers.starts().empty(); }, milliseconds(1500)));
+    // By then they would have registered again.
+    cluster.advance(seconds(4));
+    REQUIRE(cluster.submit("m0", "urgent", 2, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    cluster.advance(seconds(2));
+    CHECK(cluster.workers.starts().size() == 1);
+}
