--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -113,14 +113,14 @@
     m_handoverRequestedAt = m_runtime.now();
     if (std::exchange(m_handoverEpoch, epoch) == epoch)
         return; // the check is in progress
-    checkForHandover(epoch, [this, epoch] {
-        m_runtime.after(m_settings.handover.memberCheckTime, [this, epoch] {
-            checkForHandover(epoch, [this, epoch] {
+    checkForHandover(*m_owner, [this, owner = *m_owner] {
+        m_runtime.after(m_settings.handover.memberCheckTime, [this, owner] {
+            checkForHandover(owner, [this, owner] {
                 m_handoverEpoch = 0;
                 if (m_runtime.now() - m_handoverRequestedAt >= m_settings.handover.requestValidity)
                     return;
-                endLeaseOf(*m_owner, "the owner asked for a handover");
-                m_listener->handoverDue(epoch);
+                endLeaseOf(owner, "the owner asked for a handover");
+                m_listener->handoverDue(owner.epoch);
             });
         });
     });
@@ -132,12 +132,13 @@
         dropOwnership("the store answers other members");
 }
 
-// Calls `done` if the store answers this process and the owner is still the one of this epoch.
-void OwnerLease::checkForHandover(Epoch epoch, const std::function<void()>& done)
+// Calls `done` if the store answers this process and the owner has not restored its record since, which shows that the
+// store answers it, too.
+void OwnerLease::checkForHandover(const OwnerRecord& owner, const std::function<void()>& done)
 {
     m_store.get(m_settings.ownerKey, m_settings.handover.memberCheckTime,
-        [this, epoch, done](const absl::StatusOr<StoreValue>& value) {
-            if (value.ok() && !m_epoch && m_owner && m_owner->epoch == epoch)
+        [this, owner, done](const absl::StatusOr<StoreValue>& value) {
+            if (value.ok() && !m_epoch && m_owner == owner)
                 done();
             else
                 m_handoverEpoch = 0;
@@ -156,6 +157,7 @@
 {
     if (std::exchange(m_releasedEpoch, owner.epoch) == owner.epoch)
         return;
+    m_releasedLease = owner.lease;
     m_log.record("owner_lease_ending", { { "owner", owner.member }, { "epoch", owner.epoch }, { "reason", reason } });
     m_store.revokeLease(owner.lease, m_settings.callTimeout, [](const absl::Status&) {});
 }
@@ -220,7 +222,7 @@
     if (m_owner != owner) {
         m_owner = owner;
         if (owner)
-            m_lastOwnerEpoch = owner->epoch;
+            m_lastOwnerLease = owner->lease;
         m_log.record("owner_learned",
             { { "owner", owner ? owner->member : std::string("none") }, { "epoch", owner ? owner->epoch : 0 } });
         if (!self)
@@ -255,7 +257,7 @@
         return;
     }
     const ClaimSituation situation { .timeWithoutOwner = m_runtime.now() - m_withoutOwnerSince,
-        .ownerIsReachable = m_releasedEpoch != m_lastOwnerEpoch && m_listener->ownerIsReachable(),
+        .ownerIsReachable = m_releasedLease != m_lastOwnerLease && m_listener->ownerIsReachable(),
         .cpuShare = m_settings.cpuShare,
         .largestCpuShare = m_listener->largestCpuShare() };
     if (m_runtime.now() >= m_earliestClaim && shouldClaim(situation, m_settings.claim))
