Don't take a crash back when the incarnation after it is heard from

A restart that only the registry told of changed the incarnation of the worker at once. When its lease ended out of reach, the loss was noted under the new incarnation, and its first report took the loss back as if the worker had never crashed.

Evidence: in the new test the workers are back in the registry after 3 s and in reach after 15 s; without the change the job has not failed after 100 s and more than five starts. With it, the loss becomes a crash, as the next incarnation began in the lease.

--- a/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
@@ -51,7 +51,7 @@
         return {};
     VanishedWorker vanished { .id = worker.record.id,
         .address = worker.record.address,
-        .incarnationStartUnixMs = worker.record.incarnationStartUnixMs,
+        .incarnationStartUnixMs = worker.awaitsReport ? 0 : worker.record.incarnationStartUnixMs,
         .heardAt = worker.link->heardAt(),
         .leaseEnd = worker.link->grantedLeaseEnd(),
         .suspects = worker.crashSuspects.take(survivors) };
@@ -79,8 +79,8 @@
     const auto vanished = m_vanished.take(worker.record.id, worker.record.address);
     if (!vanished)
         return;
-    const bool returned
-        = vanished->id == worker.record.id && vanished->incarnationStartUnixMs == report.incarnationStartUnixMs;
+    const bool returned = vanished->id == worker.record.id && vanished->incarnationStartUnixMs != 0
+        && vanished->incarnationStartUnixMs == report.incarnationStartUnixMs;
     // The clock of an incarnation begins with it. A slow one tells of a later start.
     const TimePoint start = m_runtime.now() - std::chrono::milliseconds(report.clockMs);
     const bool crashed = !returned && crashedUnderRuns(*vanished, start);
--- a/src/lycheeledge/jobs/VanishedWorkers.h
+++ b/src/lycheeledge/jobs/VanishedWorkers.h
@@ -16,7 +16,7 @@
 struct VanishedWorker {
     WorkerId id;
     std::string address;
-    std::int64_t incarnationStartUnixMs = 0;
+    std::int64_t incarnationStartUnixMs = 0; ///< 0 if it is known to have ended
     TimePoint heardAt; ///< when it last responded
     TimePoint leaseEnd; ///< from which its runs may have ended without a crash
     std::vector<RunKey> suspects; ///< known to have run there, but not for long enough to be cleared
--- a/test/jobs/VanishedWorkerReviewTest.cpp
+++ b/test/jobs/VanishedWorkerReviewTest.cpp
@@ -45,6 +45,24 @@
 
 } // namespace
 
+TEST_CASE("a crash that only the registry tells of is not taken back when the next incarnation is heard from",
+    "[crash][vanished]")
+{
+    JobCluster cluster(1);
+    // Crashes, is back in the registry after 3 s, and in the owner's reach after 15 s.
+    afterEachStart(cluster, [&cluster](const std::string& worker) {
+        cluster.workers.restart(worker);
+        cluster.workers.setDisconnected(worker, true);
+        cluster.runtime.after(
+            seconds(3), [&cluster, worker] { cluster.registerWorker(cluster.workers.record(worker)); });
+        cluster.runtime.after(seconds(15), [&cluster, worker] { cluster.workers.setDisconnected(worker, false); });
+    });
+    addWorkers(cluster, 8);
+    REQUIRE(cluster.submit("m0", "urgent", 1, oneTask()));
+    CHECK(cluster.waitForState(1, "urgent", JobState::Failed, seconds(100)));
+    CHECK(cluster.workers.startsOf(firstTask()) <= allowedStarts);
+}
+
 TEST_CASE("a crash does not count against a run that had lapsed before, though the owner assumes the longest lease",
     "[crash][vanished]")
 {
