Forget crashes under a task once a run of it has been alive for long enough

Crashes added up over the life of a task.

Evidence: the new test; without the change the job fails at the second crash, although the task ran for 10 s before each. A task that crashes its workers when it starts never gets so far, and one that does it late still has the limit of five.

--- a/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
@@ -109,8 +109,9 @@
 void JobScheduler::noteSurvived(const TaskKey& key)
 {
     Task* task = findUnfinished(key);
-    if (task == nullptr || task->unexplainedLosses == 0)
+    if (task == nullptr || task->suspicions() == 0)
         return;
+    task->crashes = 0;
     task->unexplainedLosses = 0;
     m_vanished.clear(key);
     markChanged(*find(key.job));
--- a/test/jobs/VanishedWorkerReviewTest.cpp
+++ b/test/jobs/VanishedWorkerReviewTest.cpp
@@ -93,3 +93,23 @@
     CHECK(cluster.workers.starts()[0].leaseExpired);
     CHECK(cluster.workers.starts()[1].leaseExpired);
 }
+
+TEST_CASE("a long-running task does not fail for workers that crash just after takeovers", "[crash][takeover]")
+{
+    JobCluster cluster(4);
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(600); };
+    addWorkers(cluster, 6);
+    JobSpec spec = oneTask();
+    spec.steps[0].longRunning = true;
+    REQUIRE(cluster.submit("m0", "batch", 1, spec));
+    for (std::size_t i = 1; i <= 2; ++i) {
+        REQUIRE(cluster.waitFor([&] { return cluster.workers.running() == 1; }, seconds(20)));
+        cluster.advance(seconds(10));
+        cluster.kill(*cluster.owner());
+        REQUIRE(cluster.waitFor([&] { return cluster.log.counts["run_adopted"] == i; }, seconds(20)));
+        cluster.workers.crash(cluster.workers.starts().back().worker);
+    }
+    cluster.advance(seconds(20));
+    CHECK(cluster.log.counts["job_ended"] == 0);
+    CHECK(cluster.workers.running() == 1);
+}
