Show three ways in which a task that crashes its workers is started too often

Two takeovers that each hide a crash come on top of the limit of four losses (six starts). Starts that are never confirmed, and crashes later than 0.25 s after the start, are not counted if the worker is back only after the lease.

--- a/test/jobs/VanishedWorkerReviewTest.cpp
+++ b/test/jobs/VanishedWorkerReviewTest.cpp
@@ -113,3 +113,60 @@
     CHECK(cluster.log.counts["job_ended"] == 0);
     CHECK(cluster.workers.running() == 1);
 }
+
+TEST_CASE("a task that crashes workers which never come back is given up, across two takeovers",
+    "[crash][vanished][takeover][known-red]")
+{
+    const Duration killAfter = GENERATE(seconds(1), seconds(4));
+    const int firstKill = GENERATE(1, 2, 3);
+    JobCluster cluster(4);
+    cluster.workers.crashesWorker = [](const TaskKey&) { return true; };
+    cluster.workers.crashDowntime = seconds(600);
+    addWorkers(cluster, 12);
+    int starts = 0;
+    cluster.workers.startFault = [&](const std::string& worker) {
+        cluster.runtime.after(seconds(2), [&cluster, worker] { cluster.unregisterWorker(worker); });
+        ++starts;
+        if (starts == firstKill || starts == firstKill + 1) {
+            cluster.runtime.after(killAfter, [&cluster] {
+                if (const auto owner = cluster.owner())
+                    cluster.kill(*owner);
+            });
+        }
+        return FakeJobWorkers::OrderFault::None;
+    };
+    REQUIRE(cluster.submit("m3", "urgent", 1, oneTask()));
+    CHECK(cluster.waitFor([&] { return cluster.log.counts["job_ended"] > 0; }, seconds(200)));
+    cluster.advance(seconds(10));
+    CHECK(cluster.workers.startsOf(firstTask()) <= allowedStarts);
+}
+
+TEST_CASE("a task that crashes its workers before their answers arrive is given up", "[crash][vanished][known-red]")
+{
+    const Duration downtime = GENERATE(seconds(3), seconds(8), seconds(600));
+    JobCluster cluster(1);
+    cluster.workers.crashesWorker = [](const TaskKey&) { return true; };
+    cluster.workers.crashDowntime = downtime;
+    cluster.workers.startFault = [](const std::string&) { return FakeJobWorkers::OrderFault::AnswerLost; };
+    addWorkers(cluster, 12);
+    REQUIRE(cluster.submit("m0", "urgent", 1, oneTask()));
+    INFO("downtime " << downtime.count());
+    CHECK(cluster.waitForState(1, "urgent", JobState::Failed, seconds(120)));
+    CHECK(cluster.workers.startsOf(firstTask()) <= allowedStarts);
+}
+
+TEST_CASE("a task that crashes its workers late is given up if they come back after the lease",
+    "[crash][vanished][known-red]")
+{
+    const Duration downtime = GENERATE(seconds(3), seconds(8), seconds(600));
+    JobCluster cluster(1);
+    cluster.workers.crashesWorker = [](const TaskKey&) { return true; };
+    cluster.workers.crashDelay = seconds(2);
+    cluster.workers.crashDowntime = downtime;
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(3); };
+    addWorkers(cluster, 16);
+    REQUIRE(cluster.submit("m0", "batch", 1, oneTask()));
+    INFO("downtime " << downtime.count());
+    CHECK(cluster.waitForState(1, "batch", JobState::Failed, seconds(120)));
+    CHECK(cluster.workers.startsOf(firstTask()) <= allowedStarts);
+}
