--- a/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
@@ -24,6 +24,9 @@
 
 std::vector<JobId> JobScheduler::recordCrash(Worker& worker, const absl::flat_hash_set<RunKey>& survivors)
 {
+    // Its runs may have lapsed before.
+    if (m_runtime.now() > worker.link->grantedLeaseEnd())
+        return recordVanished(worker, survivors);
     const auto suspects = worker.crashSuspects.take(survivors);
     if (worker.record.draining || worker.inMaintenance || worker.restartWasPlanned)
         return {};
@@ -42,16 +45,16 @@
     return { crashing.begin(), crashing.end() };
 }
 
-std::vector<JobId> JobScheduler::recordVanished(Worker& worker)
+std::vector<JobId> JobScheduler::recordVanished(Worker& worker, const absl::flat_hash_set<RunKey>& survivors)
 {
     if (worker.crashSuspects.isEmpty())
         return {};
     VanishedWorker vanished { .id = worker.record.id,
         .address = worker.record.address,
-        .incarnationStartUnixMs = worker.record.incarnationStartUnixMs,
+        .incarnationStartUnixMs = worker.awaitsReport ? 0 : worker.record.incarnationStartUnixMs,
         .heardAt = worker.link->heardAt(),
-        .leaseEnd = worker.link->leaseExpiry(),
-        .suspects = worker.crashSuspects.take() };
+        .leaseEnd = worker.link->grantedLeaseEnd(),
+        .suspects = worker.crashSuspects.take(survivors) };
     if (worker.record.draining || worker.inMaintenance || worker.restartWasPlanned)
         return {};
     std::erase_if(vanished.suspects, [this](const RunKey& run) { return findUnfinished(run.task) == nullptr; });
@@ -76,8 +79,8 @@
     const auto vanished = m_vanished.take(worker.record.id, worker.record.address);
     if (!vanished)
         return;
-    const bool returned
-        = vanished->id == worker.record.id && vanished->incarnationStartUnixMs == report.incarnationStartUnixMs;
+    const bool returned = vanished->id == worker.record.id && vanished->incarnationStartUnixMs != 0
+        && vanished->incarnationStartUnixMs == report.incarnationStartUnixMs;
     // The clock of an incarnation begins with it. A slow one tells of a later start.
     const TimePoint start = m_runtime.now() - std::chrono::milliseconds(report.clockMs);
     const bool crashed = !returned && crashedUnderRuns(*vanished, start);
@@ -106,8 +109,9 @@
 void JobScheduler::noteSurvived(const TaskKey& key)
 {
     Task* task = findUnfinished(key);
-    if (task == nullptr || task->unexplainedLosses == 0)
+    if (task == nullptr || task->suspicions() == 0)
         return;
+    task->crashes = 0;
     task->unexplainedLosses = 0;
     m_vanished.clear(key);
     markChanged(*find(key.job));
