Let long-running steps ask for admission on relays of their own

Cause: urgent steps took every relay that got free, and the quarter of the relays for overdue steps, one of six, served the long-running and the batch queue in turn. A call takes 0.6 s, so the last of 12 long-running steps waited until 49 s for a ticket, on workers that were back at 30 s.

Overdue long-running steps may now also use up to half of the relays, the longest wait first. A third of the relays stays reserved for fast calls, and other overdue steps keep their quarter and their turns.

Evidence: the new test "long-running steps that lose their workers at once run again within 6 s in a backlog" fails with the old limits (longRunningRelays() returning 0) and passes now. "urgent steps get admission while many long-running steps wait for it" guards the other side; it passed before, too.

--- a/src/lycheeledge/jobs/AdmissionDispatcher.cpp
+++ b/src/lycheeledge/jobs/AdmissionDispatcher.cpp
@@ -15,6 +15,9 @@
     constexpr std::size_t reservedRelayDivisor = 3;
     // One in four relays may call for overdue steps, whatever else is waiting.
     constexpr std::size_t overdueRelayDivisor = 4;
+    // Half of the relays may call for overdue long-running steps: together with one in four for other steps, that
+    // leaves as many as are reserved for fast calls.
+    constexpr std::size_t longRunningRelayDivisor = 2;
     // Added to the service's own time: the round trip to a relay in another data centre and a call in progress there.
     constexpr Duration timeoutMargin = std::chrono::milliseconds(700);
 
@@ -44,6 +47,8 @@
     return std::max<std::size_t>(1, m_relays.size() / overdueRelayDivisor);
 }
 
+std::size_t AdmissionDispatcher::longRunningRelays() const { return m_relays.size() / longRunningRelayDivisor; }
+
 void AdmissionDispatcher::addRelay(RelayId relay)
 {
     m_relays[relay] = { .busy = false, .slow = false, .session = m_nextSession++, .idleSince = m_runtime.now() };
--- a/src/lycheeledge/jobs/AdmissionDispatcher.h
+++ b/src/lycheeledge/jobs/AdmissionDispatcher.h
@@ -73,6 +73,8 @@
     std::size_t inProgress() const;
     /** @brief Number of relays that calls for overdue steps may occupy at a time, so that no backlog starves a step. */
     std::size_t overdueRelays() const;
+    /** @brief Number of relays that further calls for overdue long-running steps may occupy at a time. */
+    std::size_t longRunningRelays() const;
     std::size_t relays() const { return m_relays.size(); }
 
 private:
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -75,7 +75,7 @@
     m_jobs.clear();
     m_readySteps.clear();
     m_upcomingSteps.clear();
-    m_overdueRequests = 0;
+    m_requestsAhead.clear();
     m_lastOverdueRequest.clear();
     m_workers.clear();
     m_pools.invalidate();
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -98,6 +98,13 @@
     bool operator==(const JobSchedulerCounters&) const = default;
 };
 
+/** @brief Why a step asks for admission. */
+enum class AdmissionReason : std::uint8_t {
+    SchedulingOrder,
+    Overdue,
+    LongRunning, ///< overdue, and has tasks that have to run all the time
+};
+
 /** @brief Services that the host process provides to the scheduler. */
 class JobSchedulerHost {
 public:
@@ -254,12 +261,14 @@
     void prefetchTickets();
     void markUpcomingSteps(const Job& job, const StepKey& placed);
     bool hasUsableTicket(const Step& step, const Resources& reservation) const;
-    /**
-     * @param overdue the request is made ahead of the scheduling order.
-     * @return whether a request was made.
-     */
-    bool requestAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy, bool overdue = false);
+    /** @return whether a request was made. */
+    bool requestAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy,
+        AdmissionReason reason = AdmissionReason::SchedulingOrder);
     void requestOverdueAdmissions();
+    /** @brief Whether one more request may be made ahead of the scheduling order. */
+    bool mayRequestAhead(AdmissionReason reason) const;
+    /** @brief Whether a waiting task of the step may run, except that there is no ticket for it. */
+    bool lacksTicket(Job& job, const StepKey& key);
     std::vector<WorkerId> selectAdmissionWorkers(Job& job, const StepKey& key, const AdmissionPolicy& policy);
     void handleAdmissionReply(const StepKey& key, const AdmissionPolicy& policy, const std::vector<WorkerId>& requested,
         const absl::StatusOr<std::vector<AdmissionGrant>>& grants);
@@ -392,7 +401,7 @@
     std::map<JobId, std::unique_ptr<Job>> m_jobs;
     std::set<StepKey> m_readySteps; ///< released steps with waiting tasks
     std::set<StepKey> m_upcomingSteps; ///< urgent steps whose predecessors' tasks are all running or done
-    std::size_t m_overdueRequests = 0; ///< pending admission requests made ahead of the scheduling order
+    std::map<AdmissionReason, std::size_t> m_requestsAhead; ///< pending ones made ahead of the scheduling order
     std::map<std::string, TimePoint> m_lastOverdueRequest; ///< by queue; the queues take turns
     WorkerTable m_workers;
     absl::flat_hash_map<WorkerId, Epoch> m_fencingTokens; ///< last one of each worker, also of removed ones
--- a/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
@@ -67,49 +67,66 @@
 // Answers a backlog of admission calls, for example while one client account sends many times its usual load: calls are
 // made in scheduling order, so without this a step of low priority would wait until the backlog has gone, although
 // there are workers for it. The queues take turns, and within a queue the oldest step comes first. Long-running tasks
-// have to run all the time, so each of them counts; of other steps, those of which no task runs.
+// have to run all the time, so each of them counts; of other steps, those of which no task runs. After the loss of many
+// workers, turns are too few for the long-running steps, so that they also have relays of their own.
 void JobScheduler::requestOverdueAdmissions()
 {
-    const std::size_t limit = m_admission.overdueRelays();
-    if (m_overdueRequests >= limit)
+    if (!mayRequestAhead(AdmissionReason::Overdue) && !mayRequestAhead(AdmissionReason::LongRunning))
         return;
     const TimePoint now = m_runtime.now();
     std::vector<std::tuple<TimePoint, TimePoint, StepKey>> overdue;
+    std::vector<std::pair<TimePoint, StepKey>> longRunning;
     for (const auto& key : m_readySteps) {
-        Job& job = *m_jobs.at(key.job);
-        const Step& step = *job.find(key);
-        const bool longRunning = job.spec().steps[key.step].longRunning;
-        const TimePoint since = longRunning ? step.waitingSince() : step.releasedAt;
-        if ((step.assigned == 0 || longRunning) && !step.admission.requestPending
-            && now - since > m_settings.overdueAfter && now >= step.admission.nextRequestAt)
-            overdue.emplace_back(m_lastOverdueRequest[job.submission.queue], since, key);
+        const Job& job = *m_jobs.at(key.job);
+        const Step& step = job.open.at(key.occurrence).steps[key.step];
+        const bool lasts = job.spec().steps[key.step].longRunning;
+        const TimePoint since = lasts ? step.waitingSince() : step.releasedAt;
+        if ((step.assigned > 0 && !lasts) || step.admission.requestPending || now - since <= m_settings.overdueAfter
+            || now < step.admission.nextRequestAt)
+            continue;
+        overdue.emplace_back(m_lastOverdueRequest[job.submission.queue], since, key);
+        if (lasts)
+            longRunning.emplace_back(since, key);
     }
-    std::sort(overdue.begin(), overdue.end());
-    for (const auto& [lastRequest, since, key] : overdue) {
+    const auto request = [this](const StepKey& key, AdmissionReason reason) {
         Job& job = *m_jobs.at(key.job);
         const QueuePolicy* queue = queueOf(job);
-        const Step& step = *job.find(key);
-        const StepSpec& spec = job.spec().steps[key.step];
-        const auto mayRun = [this, &job, &step, stepKey = key] {
-            for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-                if (step.tasks[i].phase == TaskPhase::Waiting
-                    && mayStart(job, { stepKey.job, stepKey.occurrence, stepKey.step, i }))
-                    return true;
-            }
-            return false;
-        };
-        if (queue == nullptr || !queue->admission || !withinLimit(job, spec, 1)
-            || hasUsableTicket(step, reservationOf(spec)) || !mayRun())
-            continue;
-        if (!requestAdmission(job, key, *queue->admission, true))
-            continue;
-        m_lastOverdueRequest[queue->name] = now;
-        if (m_overdueRequests >= limit)
-            return;
+        return queue != nullptr && queue->admission && m_admission.hasFreeRelay(*queue->admission)
+            && lacksTicket(job, key) && requestAdmission(job, key, *queue->admission, reason);
+    };
+    std::sort(longRunning.begin(), longRunning.end());
+    for (auto it = longRunning.begin(); it != longRunning.end() && mayRequestAhead(AdmissionReason::LongRunning); ++it)
+        request(it->second, AdmissionReason::LongRunning);
+    std::sort(overdue.begin(), overdue.end());
+    for (auto it = overdue.begin(); it != overdue.end() && mayRequestAhead(AdmissionReason::Overdue); ++it) {
+        const StepKey& key = std::get<StepKey>(*it);
+        if (request(key, AdmissionReason::Overdue))
+            m_lastOverdueRequest[m_jobs.at(key.job)->submission.queue] = now;
+    }
+}
+
+bool JobScheduler::mayRequestAhead(AdmissionReason reason) const
+{
+    const std::size_t limit
+        = reason == AdmissionReason::LongRunning ? m_admission.longRunningRelays() : m_admission.overdueRelays();
+    const auto pending = m_requestsAhead.find(reason);
+    return pending == m_requestsAhead.end() ? limit > 0 : pending->second < limit;
+}
+
+bool JobScheduler::lacksTicket(Job& job, const StepKey& key)
+{
+    const Step& step = *job.find(key);
+    const StepSpec& spec = job.spec().steps[key.step];
+    if (!withinLimit(job, spec, 1) || hasUsableTicket(step, reservationOf(spec)))
+        return false;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        if (step.tasks[i].phase == TaskPhase::Waiting && mayStart(job, { key.job, key.occurrence, key.step, i }))
+            return true;
     }
+    return false;
 }
 
-bool JobScheduler::requestAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy, bool overdue)
+bool JobScheduler::requestAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy, AdmissionReason reason)
 {
     Step& step = *job.find(key);
     if (step.admission.requestPending || m_runtime.now() < step.admission.nextRequestAt
@@ -119,9 +136,9 @@
     if (workers.empty())
         return false;
     step.admission.requestPending = true;
-    m_overdueRequests += overdue ? 1 : 0;
-    m_admission.call({ key, workers }, policy, [this, key, policy, workers, overdue](const auto& grants) {
-        m_overdueRequests -= overdue ? 1 : 0;
+    ++m_requestsAhead[reason];
+    m_admission.call({ key, workers }, policy, [this, key, policy, workers, reason](const auto& grants) {
+        --m_requestsAhead[reason];
         handleAdmissionReply(key, policy, workers, grants);
     });
     return true;
--- a/test/jobs/AdmissionBacklogTest.cpp
+++ b/test/jobs/AdmissionBacklogTest.cpp
@@ -82,6 +82,67 @@
     CHECK(cluster.workers.violations().empty());
 }
 
+TEST_CASE("long-running steps that lose their workers at once run again within 6 s in a backlog", "[jobs][load]")
+{
+    // Guards against one call at a time for them, in turn with overdue steps of other queues.
+    constexpr std::uint64_t services = 16;
+    constexpr std::uint64_t firstService = 5000;
+    JobCluster cluster(6);
+    auto configuration = simpleConfiguration();
+    configuration.queues[0].admission
+        = AdmissionPolicy { milliseconds(15), std::chrono::microseconds(220), seconds(2) };
+    configuration.queues[1].admission = AdmissionPolicy { milliseconds(400), milliseconds(6), seconds(2) };
+    auto lasting = configuration.queues[1];
+    lasting.name = "lasting";
+    lasting.prefix = "/lasting/";
+    lasting.priority = 1;
+    configuration.queues.push_back(lasting);
+    cluster.setConfiguration(configuration);
+    cluster.workers.runTime
+        = [](const TaskKey& task) { return task.job.value() >= jobName(firstService) ? seconds(600) : seconds(1); };
+    addWorkers(cluster, 40);
+    auto step = simpleStep(2, 1000);
+    step.longRunning = true;
+    for (std::uint64_t n = 0; n < services; ++n)
+        REQUIRE(cluster.submit("m0", "lasting", firstService + n, { .payload = {}, .steps = { step } }));
+    const auto runningServices = [&] {
+        const auto& starts = cluster.workers.starts();
+        return std::count_if(starts.begin(), starts.end(),
+            [](const auto& it) { return it.run.task.job.value() >= jobName(firstService) && !it.endedAt; });
+    };
+    REQUIRE(cluster.waitFor([&] { return runningServices() == 2 * services; }, seconds(15)));
+    cluster.advance(seconds(3)); // the tickets run out
+    cluster.admission.answerTime = milliseconds(580);
+    for (std::uint64_t n = 1; n <= 400; ++n)
+        REQUIRE(cluster.submit("m0", "urgent", n, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    for (std::uint64_t n = 401; n <= 440; ++n)
+        REQUIRE(cluster.submit("m0", "batch", n, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    for (int i = 0; i < 40; ++i)
+        cluster.workers.restart("w" + std::to_string(i));
+    REQUIRE(runningServices() == 0);
+    CHECK(cluster.waitFor([&] { return runningServices() == 2 * services; }, seconds(6)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("urgent steps get admission while many long-running steps wait for it", "[jobs][load]")
+{
+    // Guards against long-running steps that take all relays.
+    JobCluster cluster(6);
+    limitAdmission(cluster);
+    addWorkers(cluster, 40);
+    cluster.admission.answerTime = milliseconds(580);
+    cluster.workers.runTime
+        = [](const TaskKey& task) { return task.job == JobId(jobName(500)) ? milliseconds(500) : seconds(600); };
+    auto step = simpleStep(1, 1000);
+    step.longRunning = true;
+    for (std::uint64_t n = 1; n <= 100; ++n)
+        REQUIRE(cluster.submit("m0", "batch", n, { .payload = {}, .steps = { step } }));
+    cluster.advance(seconds(3)); // all of them are overdue
+    REQUIRE(cluster.submit("m0", "urgent", 500, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    CHECK(cluster.waitFor([&] { return cluster.workers.startsOf(taskOf(500, 0, 0)) > 0; }, milliseconds(700)));
+    CHECK(cluster.workers.violations().empty());
+}
+
 TEST_CASE("steps whose result has expired start in the order of their age", "[jobs][load]")
 {
     const TimePoint now(seconds(100));
