Let leases end with the time in which their owner may send orders

The next owner cannot know that a removed VM has stopped, and counted 8 s of its orders and the lease of 5.6 s that the last of them may have granted.

An owner now grants no lease beyond 8 s after its last confirmation, on a worker clock that is 2% slow. It was confirmed last before the claim of the next owner: renewals need the owner record, commits the head record. So a run with a stored placement has ended 8 s after the claim, and the next owner waits 8.5 s for it. Runs without a placement may be held by a worker that restarted unnoticed, which reads a lease on an earlier clock; they wait as before.

Price: an outage of the whole store of more than about 6 s ends the running tasks, which outlived 13 s without confirmation before.

--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -35,8 +35,10 @@
     m_epoch = epoch;
     m_running = true;
     m_beginTime = m_runtime.now();
-    m_placedRunsExpiry = m_beginTime + m_settings.previousOwnerTimeout + leaseOf(m_settings.link.lease);
-    m_unlocatedRunsExpiry = std::max(m_placedRunsExpiry, m_beginTime + longestLease());
+    // Earlier owners were last confirmed before the claim, and grant no lease beyond the timeout after that.
+    const TimePoint ordersEnd = m_beginTime + m_settings.previousOwnerTimeout;
+    m_placedRunsExpiry = ordersEnd + m_settings.startTimeout;
+    m_unlocatedRunsExpiry = std::max(ordersEnd + leaseOf(m_settings.link.lease), m_beginTime + longestLease());
     m_unreportedLossAt = {};
     m_vanished.reset();
     tick();
@@ -51,11 +53,13 @@
 
 void JobScheduler::earlierOwnersStopped()
 {
-    const TimePoint end = m_runtime.now() + leaseOf(m_settings.link.lease);
-    if (!m_running || end >= m_placedRunsExpiry)
+    const TimePoint now = m_runtime.now();
+    const TimePoint placedEnd = std::min(m_placedRunsExpiry, now + leaseOf(m_settings.link.lease));
+    const TimePoint unlocatedEnd = std::min(m_unlocatedRunsExpiry, now + longestLease());
+    if (!m_running || (placedEnd == m_placedRunsExpiry && unlocatedEnd == m_unlocatedRunsExpiry))
         return;
-    m_placedRunsExpiry = end;
-    m_unlocatedRunsExpiry = std::min(m_unlocatedRunsExpiry, m_runtime.now() + longestLease());
+    m_placedRunsExpiry = placedEnd;
+    m_unlocatedRunsExpiry = unlocatedEnd;
     m_log.record("earlier_owners_stopped",
         { { "epoch", m_epoch },
             { "leases_end_ms", std::chrono::duration<double, std::milli>(longestLease()).count() } });
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -45,8 +45,9 @@
     Duration orderRetryDelay = std::chrono::milliseconds(150);
     /// Time from a confirmed stop until the run has ended (bound set by the platform).
     Duration taskStopLimit = std::chrono::milliseconds(200);
-    Duration
-        previousOwnerTimeout {}; ///< how long an earlier owner may still send orders; derived from the lease settings
+    /// How long an earlier owner may still send orders, and how long the leases that it grants last; derived from the
+    /// lease settings.
+    Duration previousOwnerTimeout {};
     /// How long finished jobs are kept (the platform requires 120 s).
     Duration statusRetention = std::chrono::seconds(130);
     /// How long unregistered workers are still used: registrations lost in a store outage are restored within 2 s.
@@ -105,6 +106,8 @@
 
     /** @brief Whether this process still holds ownership and may send orders. */
     virtual bool maySendOrders() const = 0;
+    /** @brief Until when it may send orders unless the ownership is confirmed again. */
+    virtual TimePoint ordersEnd() const = 0;
     /** @brief Whether it may also start tasks. */
     virtual bool mayStartTasks() const = 0;
     /** @brief Until this time, no other process has certainly owned the jobs since this one does. */
@@ -386,7 +389,8 @@
     TimePoint m_beginTime;
     /// Until this time, runs from before the takeover may still exist on workers that have not reported.
     TimePoint m_unlocatedRunsExpiry;
-    /// The same for runs with a stored placement, which started before their worker could have restarted unnoticed.
+    /// The same for runs with a stored placement. Their worker has not restarted since it gave its clock, so that it
+    /// holds no longer lease than the earlier owners meant to grant.
     TimePoint m_placedRunsExpiry;
     TimePoint m_unreportedLossAt; ///< when a worker was last found to have left before it had reported
     std::map<JobId, std::unique_ptr<Job>> m_jobs;
--- a/src/lycheeledge/jobs/JobSchedulerPlacements.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPlacements.cpp
@@ -3,7 +3,7 @@
 // A worker that is silent after a takeover may run any task that was not found elsewhere, and may hold the longest
 // lease of the platform: if it had restarted just before, the earlier owner's last orders named a time of its old
 // clock. Long-running tasks must not wait that long. Their placements are stored, so only the worker of a task matters,
-// and only the lease that owners grant.
+// and only the lease that owners grant, which ends with the time for which they were confirmed.
 
 #include "JobScheduler.h"
 
--- a/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerWorkers.cpp
@@ -93,7 +93,7 @@
     worker.link = std::make_unique<WorkerLink>(
         m_runtime, m_port, static_cast<WorkerLinkListener&>(*this),
         WorkerTarget { worker.record.id, worker.record.address, worker.record.dataCentre }, worker.fencingToken,
-        [this] { return m_host.maySendOrders(); }, m_settings.link);
+        [this] { return m_host.ordersEnd(); }, m_settings.link);
     worker.link->begin();
 }
 
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -77,11 +77,13 @@
 
 void OwnerLease::start() { readOwner(); }
 
-bool OwnerLease::maySendOrders() const
+TimePoint OwnerLease::ordersEnd() const
 {
-    return m_epoch && m_runtime.now() - m_confirmedAt < m_settings.confirmationLimit;
+    return m_epoch ? m_confirmedAt + m_settings.confirmationLimit : TimePoint();
 }
 
+bool OwnerLease::maySendOrders() const { return m_runtime.now() < ordersEnd(); }
+
 bool OwnerLease::mayStartTasks() const
 {
     // After a freeze, this may be asked before noteRunning() is called.
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -47,8 +47,9 @@
     ClaimSettings claim;
     HandoverSettings handover;
     double cpuShare = 1; ///< of this VM, in cores
-    /// An owner whose ownership has not been confirmed for this long stops sending orders. Must exceed the store
-    /// outages that an owner should survive. A new owner waits this long where it cannot fence workers.
+    /// An owner whose ownership has not been confirmed for this long stops sending orders, and the leases that it has
+    /// granted end. Must exceed the store outages that an owner should survive, by 2.5 s for renewals and polls. A new
+    /// owner waits this long where it cannot fence workers.
     Duration confirmationLimit = std::chrono::milliseconds(8000);
     /// A process that did not run for this long may have been replaced meanwhile. Less than `timeToLive` without
     /// `renewInterval`, after which the lease may have ended.
@@ -107,6 +108,9 @@
 
     bool isOwner() const { return m_epoch.has_value(); }
     Epoch epoch() const { return m_epoch.value_or(0); }
+    /** @brief Until when this process may send orders unless it is confirmed again. No lease that it grants lasts
+     * longer. */
+    TimePoint ordersEnd() const;
     /** @brief Whether this process is the owner and was confirmed recently enough to send orders. */
     bool maySendOrders() const;
     /**
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -75,6 +75,7 @@
 
     // JobSchedulerHost
     bool maySendOrders() const override { return m_lease.maySendOrders(); }
+    TimePoint ordersEnd() const override { return m_lease.ordersEnd(); }
     bool mayStartTasks() const override { return m_lease.mayStartTasks(); }
     TimePoint ownershipConfirmedAt() const override { return m_lease.confirmedAt(); }
     void fenced() override;
--- a/src/lycheeledge/jobs/WorkerLink.cpp
+++ b/src/lycheeledge/jobs/WorkerLink.cpp
@@ -26,13 +26,13 @@
 } // namespace
 
 WorkerLink::WorkerLink(Runtime& runtime, WorkerPort& port, WorkerLinkListener& listener, WorkerTarget target,
-    Epoch fencingToken, std::function<bool()> ordersAllowed, WorkerLinkSettings settings)
+    Epoch fencingToken, std::function<TimePoint()> ordersEnd, WorkerLinkSettings settings)
     : m_runtime(runtime)
     , m_port(port)
     , m_listener(listener)
     , m_target(std::move(target))
     , m_fencingToken(fencingToken)
-    , m_ordersAllowed(std::move(ordersAllowed))
+    , m_ordersEnd(std::move(ordersEnd))
     , m_settings(settings)
 {
 }
@@ -99,12 +99,22 @@
     return std::chrono::duration_cast<Duration>(workerTime / (1 - m_settings.clockSlowdown));
 }
 
+bool WorkerLink::isLeaseLimited() const { return m_ordersEnd() < m_runtime.now() + longestTime(m_settings.lease); }
+
+Duration WorkerLink::shortestTime(Duration time) const
+{
+    return std::chrono::duration_cast<Duration>(time * (1 - m_settings.clockSlowdown));
+}
+
 std::optional<std::int64_t> WorkerLink::extendLeaseForOrder()
 {
     if (!m_clockMs)
         return std::nullopt;
-    const Duration sinceClock = m_runtime.now() - m_clockAt;
-    const Duration length = sinceClock + m_settings.lease;
+    const TimePoint now = m_runtime.now();
+    const Duration length
+        = std::min<Duration>(now - m_clockAt + m_settings.lease, shortestTime(m_ordersEnd() - m_clockAt));
+    if (length <= now - m_clockAt)
+        return std::nullopt;
     m_leaseExpiry = std::max(m_leaseExpiry, m_clockAt + longestTime(length));
     return *m_clockMs + toMilliseconds(length);
 }
@@ -144,7 +154,7 @@
         m_runtime.cancel(*m_timer);
         m_timer.reset();
     }
-    if (!m_ordersAllowed()) {
+    if (m_runtime.now() >= m_ordersEnd()) {
         schedulePoll(m_settings.retryPause);
         return;
     }
@@ -157,9 +167,10 @@
             request.acknowledged = m_acknowledgedEnd;
         request.leaseUntilMs = extendLeaseForOrder();
     }
-    // A worker with unacknowledged ends responds immediately, so polls that wait would become a busy loop.
+    // A worker with unacknowledged ends responds immediately, so polls that wait would become a busy loop. A limited
+    // lease is extended soon after the next confirmation of the ownership.
     if (m_reachable && m_failures == 0 && m_clockMs && m_acknowledgedEnd >= m_lastListedEnd)
-        request.wait = m_settings.pollWait;
+        request.wait = isLeaseLimited() ? m_settings.retryPause : m_settings.pollWait;
     const std::uint64_t attempt = ++m_attempt;
     const TimePoint sentAt = m_runtime.now();
     m_polling = true;
--- a/src/lycheeledge/jobs/WorkerLink.h
+++ b/src/lycheeledge/jobs/WorkerLink.h
@@ -47,10 +47,10 @@
 public:
     /**
      * @param fencingToken of the polls.
-     * @param ordersAllowed returns whether this process may still act as the owner.
+     * @param ordersEnd returns until when this process may act as the owner, as far as is known. No lease lasts longer.
      */
     WorkerLink(Runtime& runtime, WorkerPort& port, WorkerLinkListener& listener, WorkerTarget target,
-        Epoch fencingToken, std::function<bool()> ordersAllowed, WorkerLinkSettings settings = {});
+        Epoch fencingToken, std::function<TimePoint()> ordersEnd, WorkerLinkSettings settings = {});
     ~WorkerLink();
     WorkerLink(const WorkerLink&) = delete;
     WorkerLink& operator=(const WorkerLink&) = delete;
@@ -73,7 +73,10 @@
      * an earlier incarnation, which may be far ahead of its own.
      */
     void assumeLongestLease();
-    /** @brief End of the lease for an order sent now, on the worker's clock; `nullopt` until its clock is known. */
+    /**
+     * @brief End of the lease for an order sent now, on the worker's clock; `nullopt` until its clock is known, and if
+     * the lease would be over.
+     */
     std::optional<std::int64_t> extendLeaseForOrder();
     /** @brief Time at which all tasks on the worker have certainly ended, unless further orders reach it. */
     TimePoint leaseExpiry() const { return m_leaseExpiry; }
@@ -105,6 +108,10 @@
     void schedulePoll(Duration delay);
     void setReachable(bool reachable);
     Duration longestTime(Duration workerTime) const;
+    /** @brief Longest time on the worker's clock that certainly passes within `time`. */
+    Duration shortestTime(Duration time) const;
+    /** @brief Whether the ownership has not been confirmed for so long that a lease granted now ends early. */
+    bool isLeaseLimited() const;
     void setClock(std::int64_t clockMs);
 
     Runtime& m_runtime;
@@ -112,7 +119,7 @@
     WorkerLinkListener& m_listener;
     WorkerTarget m_target;
     Epoch m_fencingToken;
-    std::function<bool()> m_ordersAllowed;
+    std::function<TimePoint()> m_ordersEnd;
     WorkerLinkSettings m_settings;
     std::uint64_t m_attempt = 0; ///< number of the poll in progress; responses to earlier polls are ignored
     std::uint64_t m_acknowledgedEnd = 0;
--- a/test/jobs/PlacementTest.cpp
+++ b/test/jobs/PlacementTest.cpp
@@ -28,6 +28,12 @@
         cluster.addWorker("w3", 8000);
         cluster.advance(seconds(1));
     }
+    /** @brief First start of a task that does not fail. */
+    RecordedStart startOfOther() const
+    {
+        const auto& starts = cluster.workers.starts();
+        return *std::find_if(starts.begin(), starts.end(), [this](const auto& it) { return it.run.task != failing; });
+    }
     void lose(const std::string& worker)
     {
         cluster.workers.restart(worker);
@@ -68,3 +74,48 @@
     CHECK(cluster.waitFor([&] { return cluster.workers.startsOf(job.failing) == 2; }, seconds(5)));
     CHECK(cluster.workers.violations().empty());
 }
+
+TEST_CASE(
+    "a long-running task of a lost worker does not wait for a lost owner's orders and another lease", "[takeover]")
+{
+    LongRunningJob job(2);
+    JobCluster& cluster = job.cluster;
+    const RecordedStart lost = job.startOfOther();
+    job.lose(lost.worker);
+    cluster.kill(*cluster.owner());
+    REQUIRE(cluster.waitFor([&] { return cluster.owner().has_value(); }, seconds(3)));
+    CHECK(cluster.waitFor([&] { return cluster.workers.startsOf(lost.run.task) == 2; }, seconds(9)));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("a long-running task does not start beside the run that a cut-off owner keeps alive", "[takeover]")
+{
+    LongRunningJob job(2);
+    JobCluster& cluster = job.cluster;
+    const RecordedStart kept = job.startOfOther();
+    const std::string first = *cluster.owner();
+    const std::string second = first == "m0" ? "m1" : "m0";
+    cluster.member(first).workers.isCutOff = [&kept](const std::string& id) { return id != kept.worker; };
+    cluster.member(second).workers.isCutOff = [&kept](const std::string& id) { return id == kept.worker; };
+    cluster.setCutOff(first, true);
+    REQUIRE(cluster.waitFor([&] { return hasOtherOwner(cluster, first); }, seconds(5)));
+    CHECK(cluster.waitFor([&] { return cluster.workers.startsOf(kept.run.task) == 2; }, seconds(9)));
+    cluster.advance(seconds(5));
+    CHECK(cluster.workers.violations().empty());
+}
+
+TEST_CASE("running tasks survive an outage of the store in which the owner's lease ends", "[takeover]")
+{
+    const auto fault = GENERATE(FakeClusterStore::Fault::Silent, FakeClusterStore::Fault::Refuse);
+    LongRunningJob job(2);
+    JobCluster& cluster = job.cluster;
+    cluster.workers.runTime = [](const TaskKey&) { return seconds(600); };
+    const RecordedStart first = job.startOfOther();
+    cluster.store.setFault(fault);
+    cluster.advance(seconds(5));
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    cluster.advance(seconds(5));
+    CHECK(cluster.workers.startsOf(first.run.task) == 1);
+    CHECK(cluster.log.counts["ownership_gained"] == 1);
+    CHECK(cluster.workers.violations().empty());
+}
