--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -77,10 +77,7 @@
 
 void OwnerLease::start() { readOwner(); }
 
-TimePoint OwnerLease::ordersEnd() const
-{
-    return m_epoch ? m_confirmedAt + m_settings.confirmationLimit : TimePoint();
-}
+TimePoint OwnerLease::ordersEnd() const { return m_epoch ? m_confirmedAt + m_settings.confirmationLimit : TimePoint(); }
 
 bool OwnerLease::maySendOrders() const { return m_runtime.now() < ordersEnd(); }
 
