Count a loss for tasks that a crash was not counted against

A crash counted only against the suspects under which the most workers had crashed before.

The other suspects of a crash have an unexplained loss now, which they lose once a run of theirs lives on, and the job fails at the third in a row, as for silent workers. So the number of starts is bounded under one owner, whoever takes the blame. A task that only started beside the cause fails wrongly if that happens three times in a row; the platform allows that after two crashes.

Evidence: the new test has one worker and eight tasks that crash it, without the limit on interruptions; before, the task is started 9 times, now at most 3.

--- a/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerCrashes.cpp
@@ -121,13 +121,18 @@
 
 std::set<JobId> JobScheduler::countCrashes(const WorkerId& worker, const std::vector<RunKey>& suspects)
 {
+    const auto causes = likeliestCauses(suspects);
     std::set<JobId> crashing;
-    for (const auto& run : likeliestCauses(suspects)) {
-        Task& task = *findUnfinished(run.task);
+    for (const auto& run : suspects) {
+        Task* task = findUnfinished(run.task);
+        if (task == nullptr)
+            continue;
+        const bool isLikely = std::find(causes.begin(), causes.end(), run) != causes.end();
+        ++(isLikely ? task->crashes : task->unexplainedLosses);
         markChanged(*find(run.task.job));
-        if (++task.crashes >= m_settings.crashLimit)
+        if (task->crashes >= m_settings.crashLimit || task->suspicions() >= m_settings.suspicionLimit)
             crashing.insert(run.task.job);
-        logSuspicion("crashed", run, worker, task);
+        logSuspicion(isLikely ? "crashed" : "beside", run, worker, *task);
     }
     return crashing;
 }
--- a/test/jobs/CrashTest.cpp
+++ b/test/jobs/CrashTest.cpp
@@ -183,3 +183,21 @@
     CHECK_FALSE(suspects.hasRepeated());
     CHECK(suspects.take().empty());
 }
+
+TEST_CASE("a task that crashes its workers is given up although others take the blame for its crashes", "[crash]")
+{
+    // The others have crashed a worker before, and start beside the task, one at a time.
+    JobCluster cluster(0);
+    cluster.settings.scheduler.interruptionLimit = 100;
+    cluster.startMember("m0");
+    constexpr std::uint64_t others = 8;
+    makeDeadly(cluster, others + 1);
+    addWorkers(cluster, 1);
+    cluster.submissions.specs["body"] = urgentJob(1);
+    for (std::uint64_t n = 2; n <= others + 1; ++n)
+        (void)cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(n), "body");
+    REQUIRE(cluster.waitFor([&] { return cluster.log.counts["worker_crashed"] > 0; }, seconds(10)));
+    REQUIRE(cluster.submit("m0", "urgent", 1, urgentJob(1)));
+    CHECK(cluster.waitForState(1, "urgent", JobState::Failed, seconds(120)));
+    CHECK(cluster.workers.startsOf(taskOf(1, 0)) <= 3);
+}
