--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -12,8 +12,8 @@
 {
     using namespace standins;
     const std::map<std::string, int (*)(Record&, bool)> cases { { "gang-on-cut-executor", &gangOnCutExecutor },
-        { "executors-crash", &executorsCrash }, { "refused-after-takeover", &refusedAfterTakeover },
-        { "key-after-store-outage", &keyAfterStoreOutage }, { "cancel-at-frozen-machine", &cancelAtFrozenMachine } };
+        { "refused-after-takeover", &refusedAfterTakeover }, { "key-after-store-outage", &keyAfterStoreOutage },
+        { "cancel-at-frozen-machine", &cancelAtFrozenMachine } };
     const auto it = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (it == cases.end()) {
         std::cerr << "usage: cases NAME RECORD\n";
