--- a/review/standins-2/Cases.cpp
+++ b/review/standins-2/Cases.cpp
@@ -142,40 +142,44 @@
     return broken > 0 ? 1 : 0;
 }
 
-// A key is taken away, and the store falls silent for 4.9 s right after it has confirmed that.
-int keyAfterStoreOutage(Record& record, bool trouble)
+// One of two machines is removed. The store turns the other away for 9 s, and a key is taken away at once.
+int keyWhileTurnedAway(Record& record, bool trouble)
 {
-    static Platform platform(record, 3, 2);
+    static Platform platform(record, 2, 2);
     if (!platform.start({ { "tenant-a", { "key-a-1", "key-a-2" } } }))
         return 2;
     sleepMs(2000);
-    Submission submission { .id = "00000000000000d1", .spec = encodeWork({ .taskMs = 60000 }) };
+    Submission submission { .id = "00000000000000d1", .spec = encodeWork({ .taskMs = 60000 }), .step = {} };
     submission.step = { .count = 1, .estRuntimeMs = 60000 };
-    const int status = platform.submit(0, submission, "key-a-1").status;
-    record.line("submitted: " + std::to_string(status));
+    const int leader = platform.entries.lastWriter();
+    if (leader < 0)
+        return 2;
+    const int status = platform.submit(leader, submission, "key-a-1").status;
+    record.line("POST " + submission.id + " with key-a-1 to " + platform.entries.name(leader) + " is answered "
+        + std::to_string(status));
     if (status != 200)
         return 2;
-    sleepMs(3000);
-    const std::vector<Tenant> after { { "tenant-a", { "key-a-2" } } };
-    const std::int64_t confirmedAt = steadyMs();
     if (trouble)
-        platform.store.putAndFallSilent("op/config", platform.configuration(after));
-    else
-        platform.configure(after);
-    record.line("key-a-1 is taken away" + std::string(trouble ? ", the store falls silent" : ""));
+        platform.entries.remove(1 - leader);
+    sleepMs(5000);
+    platform.store.setSilent(trouble);
+    platform.configure({ { "tenant-a", { "key-a-2" } } });
+    const std::int64_t confirmedAt = steadyMs();
+    record.line("key-a-1 is taken away" + std::string(trouble ? ", the store turns the machine away" : ""));
     std::thread end([&] {
-        sleepMs(4900);
+        sleepMs(9000);
         platform.store.setSilent(false);
-        record.line("the store answers again");
+        record.line("the store answers the machine again");
     });
-    sleepMs(confirmedAt + 5020 - steadyMs());
+    sleepMs(confirmedAt + 5050 - steadyMs()); // revokeMs, and a little more
     int broken = 0;
-    for (int n = 0; steadyMs() < confirmedAt + 12000; ++n) {
+    while (steadyMs() < confirmedAt + 12000) {
         const std::int64_t sentAfter = steadyMs() - confirmedAt;
-        const int answer = platform.submit(n % 3, submission, "key-a-1").status;
-        record.line("sent " + std::to_string(sentAfter) + " ms after the confirmation: " + std::to_string(answer));
+        const int answer = platform.submit(leader, submission, "key-a-1").status;
+        record.line("POST with key-a-1, sent " + std::to_string(sentAfter) + " ms after the confirmation, is answered "
+            + std::to_string(answer));
         broken += answer == 200 ? 1 : 0;
-        sleepMs(40);
+        sleepMs(200);
     }
     end.join();
     record.line("calls with key-a-1 that ran: " + std::to_string(broken));
--- a/review/standins-2/Entries.cpp
+++ b/review/standins-2/Entries.cpp
@@ -148,7 +148,7 @@
                 m_record.line(
                     machine.name + ": process ended " + (machine.killed ? "(killed), " : "BY ITSELF, ") + how);
             }
-            if (machine.process < 0 && steadyMs() >= machine.startAtMs)
+            if (machine.process < 0 && !machine.removed && steadyMs() >= machine.startAtMs)
                 spawn(machine);
         }
     }
@@ -186,6 +186,13 @@
     m_record.line(it.name + ": killed");
 }
 
+void Entries::remove(int machine)
+{
+    kill(machine);
+    const std::lock_guard lock(m_mutex);
+    m_machines[static_cast<std::size_t>(machine)].removed = true;
+}
+
 void Entries::freeze(int machine, bool isFrozen)
 {
     const std::lock_guard lock(m_mutex);
--- a/review/standins-2/Entries.h
+++ b/review/standins-2/Entries.h
@@ -24,6 +24,7 @@
     int count() const { return static_cast<int>(m_machines.size()); }
     const std::string& name(int machine) const { return m_machines[static_cast<std::size_t>(machine)].name; }
     void kill(int machine);
+    void remove(int machine); ///< for good
     void freeze(int machine, bool isFrozen);
     /** @brief The machine that last wrote to the store under a condition, or -1. */
     int lastWriter();
@@ -42,6 +43,7 @@
         std::string settings; ///< file
         pid_t process = -1;
         bool killed = false;
+        bool removed = false;
         int ownEnds = 0;
         std::int64_t startAtMs = 0;
     };
--- a/review/standins-2/Platform.h
+++ b/review/standins-2/Platform.h
@@ -157,7 +157,7 @@
 // Cases. Each returns 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 int gangOnCutExecutor(Record& record, bool trouble);
 int refusedAfterTakeover(Record& record, bool trouble);
-int keyAfterStoreOutage(Record& record, bool trouble);
+int keyWhileTurnedAway(Record& record, bool trouble);
 int cancelAtFrozenMachine(Record& record, bool trouble);
 
 } // namespace standins
--- a/review/standins-2/Store.cpp
+++ b/review/standins-2/Store.cpp
@@ -89,25 +89,16 @@
 }
 
 void Store::put(const std::string& key, const std::string& value)
-{
-    const std::lock_guard lock(m_mutex);
-    if (!m_silent)
-        write(key, encodeBase64(value), 0, ++m_rev);
-    m_changed.notify_all();
-}
-
-void Store::putAndFallSilent(const std::string& key, const std::string& value)
 {
     const std::lock_guard lock(m_mutex);
     write(key, encodeBase64(value), 0, ++m_rev);
-    m_silent = true;
     m_changed.notify_all();
 }
 
 void Store::remove(const std::string& key)
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_silent && m_items.contains(key))
+    if (m_items.contains(key))
         erase(key, ++m_rev);
     m_changed.notify_all();
 }
@@ -138,17 +129,11 @@
     m_events.push_back({ key, { .value = {}, .rev = rev }, true });
 }
 
-// Leases pause while the store is down.
 void Store::endLeases()
 {
     const std::lock_guard lock(m_mutex);
     const std::int64_t now = steadyMs();
-    static std::int64_t last = now;
-    const std::int64_t passed = now - last;
-    last = now;
     for (auto it = m_leases.begin(); it != m_leases.end();) {
-        if (m_silent)
-            it->second.endMs += passed;
         if (now < it->second.endMs) {
             ++it;
             continue;
--- a/review/standins-2/Store.h
+++ b/review/standins-2/Store.h
@@ -19,11 +19,10 @@
 
     bool open() { return m_server.listenOn("127.0.0.1"); }
     std::uint16_t port() const { return m_server.port(); }
-    /** @brief Writes an item on behalf of the operator or an executor. Nothing happens while the store is silent. */
+    /** @brief Writes an item on behalf of the operator or an executor, which the store always serves. */
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
-    /** @brief As put(), and the store goes silent at the moment at which it has confirmed the change. */
-    void putAndFallSilent(const std::string& key, const std::string& value);
+    /** @brief Whether the store turns away the machines of the system, by giving them no answer. */
     void setSilent(bool silent);
     /** @brief The text of the values of the last transaction, which names the machine that wrote it. */
     std::string lastTransaction();
@@ -64,7 +63,7 @@
     std::uint64_t m_rev = 100;
     std::uint64_t m_nextLease = 77000;
     std::string m_lastTransaction;
-    bool m_silent = false;
+    bool m_silent = false; ///< towards the machines of the system
 };
 
 std::string encodeBase64(const std::string& text);
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -12,7 +12,7 @@
 {
     using namespace standins;
     const std::map<std::string, int (*)(Record&, bool)> cases { { "gang-on-cut-executor", &gangOnCutExecutor },
-        { "refused-after-takeover", &refusedAfterTakeover }, { "key-after-store-outage", &keyAfterStoreOutage },
+        { "refused-after-takeover", &refusedAfterTakeover }, { "key-while-turned-away", &keyWhileTurnedAway },
         { "cancel-at-frozen-machine", &cancelAtFrozenMachine } };
     const auto it = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (it == cases.end()) {
