Erase occurrences that are done where nothing refers to them

Cause: releaseSteps() erased an occurrence in the middle of unassignTask(), taskLost(), taskDone(), processEnd() and handleStartReply(), which hold its steps and tasks. unassignTask() then read the erased step and put it among the ready ones; the next pass found no such occurrence, and map::at threw.

"a recurring job goes on after a gang is done while the worker of a member is out of reach" failed before the change with "unexpected exception: map::at".

Change: releaseSteps() erases nothing. eraseDoneOccurrences() does, at the beginning of tick(), where nothing is held. This covers all callers above instead of the reported path alone. detectMissingRuns() collects the runs, so that it looks none up after taskLost() has released others; that was found by reading and has no failing test.

--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <algorithm>
 #include <limits>
 #include <map>
 #include <optional>
@@ -127,9 +128,14 @@
     std::vector<Step> steps;
     TimePoint releasedAt;
     TimePoint objective; ///< time by which its last task should have ended
+
+    bool isDone() const
+    {
+        return std::all_of(steps.begin(), steps.end(), [](const Step& step) { return step.isDone(); });
+    }
 };
 
-/** @brief State of one job. Tasks exist only for released, unfinished occurrences. */
+/** @brief State of one job. Tasks exist from the release of their occurrence until a while after its end. */
 struct Job {
     JobId id;
     SubmissionRecord submission; ///< the spec is dropped once the state is final
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -92,6 +92,7 @@
     m_uncountedChanged = false;
     m_heldBackAccounts.clear();
     m_finishedJobs.clear();
+    m_jobsWithDoneOccurrences.clear();
     m_scheduledJobs.clear();
     m_quarantine = FailureQuarantine();
     m_speeds = WorkerSpeeds();
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -219,7 +219,10 @@
     void tick();
     /** @param released number of occurrences that an earlier owner has released, if known. */
     void releaseDueOccurrences(Job& job, std::uint32_t released = 0);
+    /** @brief Releases steps and completes the job if all is done. Steps and tasks stay valid. */
     void releaseSteps(Job& job);
+    /** @brief Steps and tasks of occurrences that are done become invalid. */
+    void eraseDoneOccurrences();
     void refreshReady(const StepKey& key, const Job& job, const Step& step);
     StepUrgency urgencyOf(const Job& job, const StepKey& key);
     void scheduleStep(Job& job, const StepKey& key);
@@ -424,6 +427,7 @@
     FailureQuarantine m_quarantine;
     WorkerSpeeds m_speeds;
     std::set<std::pair<std::int64_t, JobId>> m_finishedJobs; ///< ordered by end time
+    std::set<JobId> m_jobsWithDoneOccurrences; ///< to be erased
     absl::flat_hash_set<JobId> m_scheduledJobs; ///< jobs with occurrences that are not yet due
     PoolIndex m_pools;
     std::size_t m_scanOffset = 0; ///< where the next search for workers in a large pool begins
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -3,6 +3,7 @@
 #include "JobScheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lycheeledge::jobs {
@@ -61,6 +62,7 @@
     m_tickTimer = m_runtime.after(m_settings.tickInterval, [this] { tick(); });
     if (!m_recovered)
         return;
+    eraseDoneOccurrences();
     for (auto it = m_scheduledJobs.begin(); it != m_scheduledJobs.end();) {
         Job* job = find(*it++);
         if (job != nullptr)
@@ -133,21 +135,30 @@
             refreshReady({ job.id, n, i }, job, step);
         }
     }
+    const auto isDone = [](const auto& it) { return it.second.isDone(); };
+    if (isFinal(job.state) || std::none_of(job.open.begin(), job.open.end(), isDone))
+        return;
+    m_jobsWithDoneOccurrences.insert(job.id);
     const bool allReleased = job.nextOccurrence >= job.spec().occurrenceCount();
-    for (auto it = job.open.begin(); it != job.open.end();) {
-        const auto& steps = it->second.steps;
-        const bool done = std::all_of(steps.begin(), steps.end(), [](const Step& step) { return step.isDone(); });
-        // The last occurrence is kept until the job reaches its final state.
-        if (done && (!allReleased || job.open.size() > 1))
-            it = job.open.erase(it);
-        else if (done && isFinal(job.state))
-            return;
-        else if (done) {
-            finish(job, JobState::Completed, "all tasks done");
-            markChanged(job);
-            return;
-        } else
-            ++it;
+    if (allReleased && std::all_of(job.open.begin(), job.open.end(), isDone)) {
+        finish(job, JobState::Completed, "all tasks done");
+        markChanged(job);
+    }
+}
+
+// The callers of releaseSteps() hold references to steps and tasks, so it erases no occurrence itself.
+void JobScheduler::eraseDoneOccurrences()
+{
+    for (const auto& id : std::exchange(m_jobsWithDoneOccurrences, {})) {
+        Job* job = find(id);
+        if (job == nullptr)
+            continue;
+        // The last occurrence is kept until the job is erased.
+        const bool allReleased = job->nextOccurrence >= job->spec().occurrenceCount();
+        for (auto it = job->open.begin(); it != job->open.end();) {
+            const bool isErasable = it->second.isDone() && (job->open.size() > 1 || !allReleased);
+            it = isErasable ? job->open.erase(it) : std::next(it);
+        }
     }
 }
 
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -360,7 +360,7 @@
 
 void JobScheduler::detectMissingRuns(Worker& worker, const absl::flat_hash_set<RunKey>& listed, TimePoint sentAt)
 {
-    std::vector<TaskKey> gone;
+    std::vector<RunKey> gone;
     for (const auto& [key, run] : worker.runs) {
         if (listed.contains({ key, run.run }))
             continue;
@@ -371,11 +371,11 @@
         // A confirmed stop takes effect within taskStopLimit, a confirmed start immediately.
         const Duration delay = task->phase == TaskPhase::Stopping ? m_settings.taskStopLimit : Duration::zero();
         if (task->phase != TaskPhase::Starting && task->confirmedAt + delay < sentAt)
-            gone.push_back(key);
+            gone.push_back({ key, run.run });
     }
-    for (const auto& key : gone) {
-        worker.crashSuspects.clear({ key, worker.runs.at(key).run });
-        taskLost(key, "run missing from the worker's report");
+    for (const auto& run : gone) {
+        worker.crashSuspects.clear(run);
+        taskLost(run.task, "run missing from the worker's report");
     }
     for (auto it = worker.strayRuns.begin(); it != worker.strayRuns.end();) {
         const auto stray = it++;
