Accept known jobs again only while the key is known to be valid

The platform allows 5 s.

Cause: handle() exempted all submissions from the check of the configuration's age, since their commit requires the configuration. submit() answers a known job from memory, and joins calls for a job that is being stored to a commit that may have been applied before the key was withdrawn; neither has a commit of its own.

Two new tests in JobServiceTest failed before the change, each with 200 in the place of 504: "a known job is not accepted again under a key that may have been withdrawn" and "a job that is being stored is not accepted again under a key that may have been withdrawn".

Change: submissions of known jobs need a configuration that was confirmed within keyFreshness, as reads and cancellations do. Without one they are answered as unknown at once; 503 would say that the job never runs. New jobs are handled as before.

--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -78,8 +78,7 @@
         return;
     }
     const std::string name = call.path.substr(queue->prefix.size());
-    // Submissions are exempt: their commit requires the configuration revision that they were checked against.
-    if (!queue->openToAll && call.verb != CallVerb::Submit && !isConfirmedWithin(m_settings.keyFreshness)) {
+    if (call.verb != CallVerb::Submit && !isKeyConfirmed(*queue)) {
         refuseUnconfirmed(queue->name, reply);
         return;
     }
@@ -98,6 +97,11 @@
         cancel(call, JobId(name), std::move(reply));
 }
 
+bool JobService::isKeyConfirmed(const QueuePolicy& queue) const
+{
+    return queue.openToAll || isConfirmedWithin(m_settings.keyFreshness);
+}
+
 bool JobService::isConfirmedWithin(Duration limit) const { return m_runtime.now() - m_confirmedAt <= limit; }
 
 void JobService::refuseUnconfirmed(const std::string& queue, const Reply& reply)
@@ -132,14 +136,9 @@
 {
     ++m_counters.submissions;
     const TimePoint deadline = replyDeadline(call, m_runtime.now());
-    if (const auto it = m_pending.find(id); it != m_pending.end()) {
-        ++m_counters.repeated;
-        it->second.replies.push_back(std::move(reply));
-        return;
-    }
     if (m_scheduler.job(id) != nullptr) {
         ++m_counters.repeated;
-        reply({ .kind = ReplyKind::Accepted, .reason = {} });
+        repeat(queue, id, std::move(reply));
         return;
     }
     if (m_ledger.isStalled()) {
@@ -173,6 +172,23 @@
     });
 }
 
+// The commit of a new job requires the configuration that its call was checked against. A call for a job that was
+// submitted before has no commit of its own.
+void JobService::repeat(const QueuePolicy& queue, const JobId& id, Reply reply)
+{
+    if (!isKeyConfirmed(queue)) {
+        ++m_counters.unknown;
+        m_log.record("job_unknown", { { "job", id.value() }, { "reason", "configuration not confirmed" } });
+        // The job may run, so the call must not be refused.
+        reply({ .kind = ReplyKind::Unknown, .reason = "the configuration cannot be confirmed now" });
+        return;
+    }
+    if (const auto it = m_pending.find(id); it != m_pending.end())
+        it->second.replies.push_back(std::move(reply));
+    else
+        reply({ .kind = ReplyKind::Accepted, .reason = {} });
+}
+
 void JobService::acceptSubmission(const JobId& id)
 {
     ++m_counters.accepted;
--- a/src/lycheeledge/jobs/JobService.h
+++ b/src/lycheeledge/jobs/JobService.h
@@ -14,8 +14,9 @@
 namespace lycheeledge::jobs {
 
 struct JobServiceSettings {
-    /// Calls with a key are refused when the configuration has not been confirmed for this long, because the key may
-    /// have been withdrawn meanwhile.
+    /// Calls with a key are not carried out when the configuration has not been confirmed for this long, because the
+    /// key may have been withdrawn meanwhile. Submissions of new jobs are exempt: their commit requires the current
+    /// configuration.
     Duration keyFreshness = std::chrono::milliseconds(4300);
     /// Calls for an unknown queue, or with an unknown key, are refused for a later attempt instead of denied when the
     /// configuration has not been confirmed for this long, because the queue or the key may have been added meanwhile.
@@ -28,7 +29,7 @@
     std::uint64_t accepted = 0;
     std::uint64_t repeated = 0; ///< submissions of known jobs
     std::uint64_t refused = 0;
-    std::uint64_t unknown = 0; ///< submissions whose outcome was not known by the client's deadline
+    std::uint64_t unknown = 0; ///< submissions that were answered as unknown
     std::uint64_t unauthorized = 0;
     std::uint64_t malformed = 0;
     std::uint64_t reads = 0;
@@ -82,7 +83,11 @@
 
     void submit(
         const ClientCall& call, const QueuePolicy& queue, const AccountId& account, const JobId& id, Reply reply);
+    /** @brief Answers a submission of a job that is stored or being stored. */
+    void repeat(const QueuePolicy& queue, const JobId& id, Reply reply);
     void cancel(const ClientCall& call, const JobId& id, Reply reply);
+    /** @brief Whether a key that the configuration has for the queue may still be accepted. */
+    bool isKeyConfirmed(const QueuePolicy& queue) const;
     bool isConfirmedWithin(Duration limit) const;
     void refuseUnconfirmed(const std::string& queue, const Reply& reply);
     void read(const QueuePolicy& queue, const std::string& name, const Reply& reply);
--- a/test/jobs/JobServiceTest.cpp
+++ b/test/jobs/JobServiceTest.cpp
@@ -18,6 +18,14 @@
     return *reply;
 }
 
+void withdrawKey(JobCluster& cluster)
+{
+    auto configuration = simpleConfiguration();
+    configuration.version = 2;
+    configuration.accounts[0].keys = { "key-2" };
+    cluster.setConfiguration(configuration);
+}
+
 } // namespace
 
 TEST_CASE("a repeated submission creates only one job", "[service]")
@@ -55,10 +63,7 @@
     cluster.advance(seconds(2));
     cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(1, 1000) } };
     // The member has not yet received the new configuration when the call arrives.
-    auto configuration = simpleConfiguration();
-    configuration.version = 2;
-    configuration.accounts[0].keys = { "key-2" };
-    cluster.setConfiguration(configuration);
+    withdrawKey(cluster);
     const auto reply = replyOf(cluster, cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(1), "x"));
     REQUIRE(reply.has_value());
     CHECK(reply->kind == ReplyKind::Unauthorized);
@@ -80,6 +85,48 @@
     CHECK(replyOf(cluster, cluster.call("m0", CallVerb::Read, "/urgent/" + jobName(1)))->kind == ReplyKind::Refused);
 }
 
+// Guards against the acceptance of a withdrawn key by an owner that answers from its memory.
+TEST_CASE("a known job is not accepted again under a key that may have been withdrawn", "[service]")
+{
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    const auto replyToRepetition = [&] {
+        return replyOf(cluster, cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(1), "body-1"))->kind;
+    };
+    cluster.store.setFault(FakeClusterStore::Fault::Silent);
+    withdrawKey(cluster);
+    cluster.advance(seconds(3));
+    CHECK(replyToRepetition() == ReplyKind::Accepted);
+    cluster.advance(seconds(2)); // a withdrawn key may be accepted for at most 5 s
+    // Not refused, which would say that the job does not run.
+    CHECK(replyToRepetition() == ReplyKind::Unknown);
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    cluster.advance(seconds(1));
+    CHECK(replyToRepetition() == ReplyKind::Unauthorized);
+}
+
+// The same for a job whose commit was applied, but not confirmed to the owner.
+TEST_CASE("a job that is being stored is not accepted again under a key that may have been withdrawn", "[service]")
+{
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    cluster.submissions.specs["x"] = { .payload = {}, .steps = { simpleStep(1, 1000) } };
+    const std::string path = "/urgent/" + jobName(1);
+    cluster.store.setFault(FakeClusterStore::Fault::LoseAnswers);
+    const auto first = cluster.call("m0", CallVerb::Submit, path, "x");
+    REQUIRE(cluster.waitFor([&] { return cluster.store.count("lycheeledge/submission/") == 1; }, seconds(1)));
+    cluster.store.setFault(FakeClusterStore::Fault::Silent);
+    withdrawKey(cluster);
+    cluster.advance(milliseconds(5500));
+    const auto repeated = cluster.call("m0", CallVerb::Submit, path, "x");
+    cluster.store.setFault(FakeClusterStore::Fault::None);
+    CHECK(replyOf(cluster, first)->kind == ReplyKind::Unknown);
+    CHECK(replyOf(cluster, repeated)->kind == ReplyKind::Unknown);
+}
+
 TEST_CASE("an owner denies no queue or key by a configuration that it cannot confirm", "[service]")
 {
     // The store turns the owner away while an operator adds a queue and a key, and no member takes over.
