Answer as unknown what a further owner rejects of a call sent before

Cause: a lost owner may have stored a submission whose answer never arrived. Its call is sent again to the next owner, handled by the member that becomes the owner, or handed back by an owner that is replaced. On each path it was judged as a new call, by the keys and queues of today. Only "unknown" is always true of it.

Both "a submission that the lost owner has stored is not rejected by the next one" and "a submission that an owner has stored before it resigned is not rejected by the next one" failed before the change: 401, or 404 for a removed queue, in the place of 504.

Change: calls that an owner has received are marked, and a later rejection of one is answered as unknown. Reads are left out. The messages between members stay the same. The table of the answers is in the postmortem.

Measured: test_jobs passes (202 test cases).

--- a/src/lycheeledge/jobs/ClientCall.h
+++ b/src/lycheeledge/jobs/ClientCall.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -71,6 +72,37 @@
     bool operator==(const ClientReply&) const = default;
 };
 
+using ReplyHandler = std::function<void(ClientReply)>;
+
+/** @brief Whether the reply says that the call has not been carried out and will not be. */
+inline bool isRejection(const ClientReply& reply)
+{
+    switch (reply.kind) {
+    case ReplyKind::NoSuchQueue:
+    case ReplyKind::Unauthorized:
+    case ReplyKind::BadRequest:
+    case ReplyKind::Refused:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/**
+ * @brief Handler for the replies of a further owner to a call that an earlier one may have carried out. Whatever the
+ * further owner knows of the key, the queue or the store, a rejection by it is no statement about the earlier owner.
+ */
+inline ReplyHandler withoutRejections(CallVerb verb, ReplyHandler reply)
+{
+    if (verb == CallVerb::Read)
+        return reply;
+    return [reply = std::move(reply)](ClientReply given) {
+        if (isRejection(given))
+            given = { .kind = ReplyKind::Unknown, .reason = "may have been carried out before: " + given.reason };
+        reply(std::move(given));
+    };
+}
+
 /** @brief Decodes the body of a submission. */
 class SubmissionCodec {
 public:
--- a/src/lycheeledge/jobs/EntryNode.cpp
+++ b/src/lycheeledge/jobs/EntryNode.cpp
@@ -192,7 +192,7 @@
     m_admissionRequests.clear();
     m_link.setOwner(m_lease.owner());
     for (auto& call : unfinished)
-        m_link.addCall(std::move(call.call), call.deadline, std::move(call.reply));
+        m_link.addCall(std::move(call));
 }
 
 void EntryNode::ownerChanged(const std::optional<OwnerRecord>& owner)
@@ -228,6 +228,8 @@
     sendOwnerStatusToAll();
     for (auto& call : m_link.takeCalls()) {
         const ClientCall waiting = withRemainingTimeout(std::move(call.call), call.deadline, m_runtime.now());
+        if (call.mayHaveRun)
+            call.reply = withoutRejections(waiting.verb, std::move(call.reply));
         m_session.handle(waiting, std::move(call.reply));
     }
 }
--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -248,7 +248,7 @@
     }
     const std::uint64_t n = ++m_nextCancel;
     const TimePoint deadline = replyDeadline(call, m_runtime.now());
-    m_cancels[n] = { call, deadline, std::move(reply) };
+    m_cancels[n] = { call, deadline, std::move(reply), true };
     const auto answer = [this, n](const ClientReply& result) {
         auto node = m_cancels.extract(n);
         if (!node.empty())
@@ -265,7 +265,7 @@
     std::vector<UnfinishedCall> result;
     for (auto& [id, pending] : std::exchange(m_pending, {})) {
         for (auto& reply : pending.replies)
-            result.push_back({ pending.call, pending.deadline, std::move(reply) });
+            result.push_back({ pending.call, pending.deadline, std::move(reply), true });
     }
     for (auto& [n, cancel] : std::exchange(m_cancels, {}))
         result.push_back(std::move(cancel));
--- a/src/lycheeledge/jobs/JobService.h
+++ b/src/lycheeledge/jobs/JobService.h
@@ -40,7 +40,7 @@
 
 class JobService {
 public:
-    using Reply = std::function<void(ClientReply)>;
+    using Reply = ReplyHandler;
 
     struct Ports {
         Runtime& runtime;
@@ -66,6 +66,7 @@
         ClientCall call;
         TimePoint deadline;
         Reply reply;
+        bool mayHaveRun = false; ///< an owner has received it
     };
 
     /** @brief Called when the ownership ends. @return calls in progress, to be forwarded to the next owner. */
--- a/src/lycheeledge/jobs/OwnerLink.cpp
+++ b/src/lycheeledge/jobs/OwnerLink.cpp
@@ -85,18 +85,18 @@
         reply({ .kind = ReplyKind::Refused, .retryAfterS = m_settings.retryAfterS, .reason = "no owner is known" });
         return;
     }
-    addCall(call, replyDeadline(call, m_runtime.now()), std::move(reply));
+    addCall({ call, replyDeadline(call, m_runtime.now()), std::move(reply) });
 }
 
-void OwnerLink::addCall(ClientCall call, TimePoint deadline, Reply reply)
+void OwnerLink::addCall(JobService::UnfinishedCall call)
 {
     const std::uint64_t id = ++m_nextCall;
-    m_calls[id] = { std::move(call), deadline, std::move(reply) };
-    m_runtime.after(deadline - m_runtime.now(), [this, id] {
+    m_runtime.after(call.deadline - m_runtime.now(), [this, id] {
         auto node = m_calls.extract(id);
         if (!node.empty())
             node.mapped().reply({ .kind = ReplyKind::Unknown, .reason = "no owner answered in time" });
     });
+    m_calls[id] = std::move(call);
     if (isReady())
         sendCall(id);
 }
@@ -124,7 +124,9 @@
 
 void OwnerLink::sendCall(std::uint64_t id)
 {
-    const auto& waiting = m_calls[id];
+    auto& waiting = m_calls[id];
+    if (std::exchange(waiting.mayHaveRun, true))
+        waiting.reply = withoutRejections(waiting.call.verb, std::move(waiting.reply));
     m_port.send(
         *m_connection, CallMessage { id, withRemainingTimeout(waiting.call, waiting.deadline, m_runtime.now()) });
 }
--- a/src/lycheeledge/jobs/OwnerLink.h
+++ b/src/lycheeledge/jobs/OwnerLink.h
@@ -38,7 +38,7 @@
 
 class OwnerLink {
 public:
-    using Reply = std::function<void(ClientReply)>;
+    using Reply = ReplyHandler;
 
     /** @param handshake first message on each connection; identifies this process. */
     OwnerLink(Runtime& runtime, MemberPort& port, AdmissionPort& admission, WorkerRelay& relay, EventLog& log,
@@ -50,8 +50,8 @@
     /**
      * @brief Forwards a call, or refuses it immediately if no owner is connected.
      *
-     * If the owner is lost, its calls are forwarded to the next owner. The lost owner may have executed them, but all
-     * calls are idempotent.
+     * If the owner is lost, its calls are forwarded to the next owner. The lost owner may have carried them out: all
+     * calls are idempotent, and a rejection by the next owner is answered as unknown.
      */
     void forward(const ClientCall& call, Reply reply);
     bool isReady() const { return m_connection && m_active && !m_ended; }
@@ -66,7 +66,7 @@
      *
      * Used for new calls and for calls that this process could not finish as the owner.
      */
-    void addCall(ClientCall call, TimePoint deadline, Reply reply);
+    void addCall(JobService::UnfinishedCall call);
     /** @brief Removes and returns the calls in progress, for this process to handle as the new owner. */
     std::vector<JobService::UnfinishedCall> takeCalls();
     /** @brief Tells the owner that the store answers this process. Does nothing if no owner is connected. */
