Say that a job is unknown only once the ownership is confirmed

Cause: cancel() and read() answered "no such job" from memory as long as the process took itself for the owner. Nothing showed that no other process had taken over, and accepted the job, when the call arrived. Starts have such a check for freezes only; an owner that is cut off is not frozen.

Change: a call for an unknown job waits for a confirmation of the ownership that was sent after it arrived, a renewal of the lease or a commit. If the ownership ends first, the call goes to the next owner.

--- a/src/lycheeledge/jobs/EntryNode.h
+++ b/src/lycheeledge/jobs/EntryNode.h
@@ -81,6 +81,7 @@
     // OwnerLeaseListener
     void ownershipGained(Epoch epoch, const std::string& headValue, Revision headRevision) override;
     void ownershipLost(const char* reason) override;
+    void ownershipConfirmed() override { m_session.ownershipConfirmed(); }
     void ownerChanged(const std::optional<OwnerRecord>& owner) override;
     void handoverDue(Epoch epoch) override;
     bool ownerIsReachable() const override { return m_link.ownerIsReachable(); }
--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -83,7 +83,7 @@
         return;
     }
     if (call.verb == CallVerb::Read) {
-        read(*queue, name, reply);
+        read(call, *queue, name, std::move(reply));
         return;
     }
     if (!isJobId(name)) {
@@ -113,7 +113,7 @@
     reply(refusal("the configuration cannot be confirmed now", 1));
 }
 
-void JobService::read(const QueuePolicy& queue, const std::string& name, const Reply& reply)
+void JobService::read(const ClientCall& call, const QueuePolicy& queue, const std::string& name, Reply reply)
 {
     ++m_counters.reads;
     if (name.empty()) {
@@ -122,7 +122,7 @@
     }
     const Job* job = m_scheduler.job(JobId(name));
     if (job == nullptr || !job->accepted) {
-        reply(failure(ReplyKind::NoSuchJob, "no such job"));
+        answerAbsentJob(call, std::move(reply));
         return;
     }
     JobState state = job->storedState;
@@ -243,10 +243,10 @@
     ++m_counters.cancels;
     const Job* job = m_scheduler.job(id);
     if (job == nullptr) {
-        reply(failure(ReplyKind::NoSuchJob, "no such job"));
+        answerAbsentJob(call, std::move(reply));
         return;
     }
-    const std::uint64_t n = ++m_nextCancel;
+    const std::uint64_t n = ++m_nextCall;
     const TimePoint deadline = replyDeadline(call, m_runtime.now());
     m_cancels[n] = { call, deadline, std::move(reply), true };
     const auto answer = [this, n](const ClientReply& result) {
@@ -259,6 +259,29 @@
         [answer] { answer({ .kind = ReplyKind::Unknown, .reason = "not stored in time" }); });
 }
 
+// Another owner may have taken over, and accepted the job, until the ownership is confirmed by a call to the store that
+// was sent after this call arrived. If another one has, the call goes to it.
+void JobService::answerAbsentJob(const ClientCall& call, Reply reply)
+{
+    const TimePoint now = m_runtime.now();
+    const TimePoint deadline = replyDeadline(call, now);
+    const std::uint64_t n = ++m_nextCall;
+    m_absentJobCalls[n] = { { call, deadline, std::move(reply) }, now };
+    m_runtime.after(deadline - now, [this, n] {
+        auto node = m_absentJobCalls.extract(n);
+        if (!node.empty())
+            node.mapped().call.reply({ .kind = ReplyKind::Unknown, .reason = "the ownership cannot be confirmed now" });
+    });
+}
+
+void JobService::ownershipConfirmed()
+{
+    while (!m_absentJobCalls.empty() && m_absentJobCalls.begin()->second.arrivedAt <= m_host.ownershipConfirmedAt()) {
+        const auto node = m_absentJobCalls.extract(m_absentJobCalls.begin());
+        node.mapped().call.reply(failure(ReplyKind::NoSuchJob, "no such job"));
+    }
+}
+
 std::vector<JobService::UnfinishedCall> JobService::end()
 {
     m_configuration.reset();
@@ -269,6 +292,8 @@
     }
     for (auto& [n, cancel] : std::exchange(m_cancels, {}))
         result.push_back(std::move(cancel));
+    for (auto& [n, absent] : std::exchange(m_absentJobCalls, {}))
+        result.push_back(std::move(absent.call));
     return result;
 }
 
--- a/src/lycheeledge/jobs/JobService.h
+++ b/src/lycheeledge/jobs/JobService.h
@@ -57,6 +57,8 @@
     void setConfiguration(std::shared_ptr<const ClusterConfiguration> configuration);
     /** @brief The configuration was current at `sentAt`, when a call that the store answered was sent. */
     void configurationConfirmed(TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); }
+    /** @brief The ownership was confirmed up to JobSchedulerHost::ownershipConfirmedAt(). */
+    void ownershipConfirmed();
     /** @brief Handles a call. `reply` is called once, unless end() returns it. */
     void handle(const ClientCall& call, Reply reply);
     /** @brief Withdraws and refuses submissions that were not stored and will not be. */
@@ -81,17 +83,23 @@
         std::vector<Reply> replies;
         TimePoint deadline;
     };
+    struct AbsentJobCall {
+        UnfinishedCall call;
+        TimePoint arrivedAt;
+    };
 
     void submit(
         const ClientCall& call, const QueuePolicy& queue, const AccountId& account, const JobId& id, Reply reply);
     /** @brief Answers a submission of a job that is stored or being stored. */
     void repeat(const QueuePolicy& queue, const JobId& id, Reply reply);
     void cancel(const ClientCall& call, const JobId& id, Reply reply);
+    /** @brief Answers a call for a job that this owner does not know, once it is certain that no next owner does. */
+    void answerAbsentJob(const ClientCall& call, Reply reply);
     /** @brief Whether a key that the configuration has for the queue may still be accepted. */
     bool isKeyConfirmed(const QueuePolicy& queue) const;
     bool isConfirmedWithin(Duration limit) const;
     void refuseUnconfirmed(const std::string& queue, const Reply& reply);
-    void read(const QueuePolicy& queue, const std::string& name, const Reply& reply);
+    void read(const ClientCall& call, const QueuePolicy& queue, const std::string& name, Reply reply);
     void acceptSubmission(const JobId& id);
     void resolve(const JobId& id, const ClientReply& reply);
     void recheckPending();
@@ -109,7 +117,9 @@
     TimePoint m_confirmedAt;
     std::map<JobId, Pending> m_pending; ///< submissions that are not stored yet
     std::map<std::uint64_t, UnfinishedCall> m_cancels; ///< cancellations that are not stored yet
-    std::uint64_t m_nextCancel = 0;
+    /// Calls for unknown jobs that arrived after the last confirmation of the ownership, in order of arrival.
+    std::map<std::uint64_t, AbsentJobCall> m_absentJobCalls;
+    std::uint64_t m_nextCall = 0; ///< key in `m_cancels` and `m_absentJobCalls`
     JobServiceCounters m_counters;
 };
 
--- a/src/lycheeledge/jobs/OwnerLease.cpp
+++ b/src/lycheeledge/jobs/OwnerLease.cpp
@@ -94,7 +94,13 @@
         m_wokeAt = now;
 }
 
-void OwnerLease::confirmed(TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); }
+void OwnerLease::confirmed(TimePoint sentAt)
+{
+    if (sentAt <= m_confirmedAt)
+        return;
+    m_confirmedAt = sentAt;
+    m_listener->ownershipConfirmed();
+}
 
 bool OwnerLease::needsHandover() const
 {
--- a/src/lycheeledge/jobs/OwnerLease.h
+++ b/src/lycheeledge/jobs/OwnerLease.h
@@ -63,6 +63,8 @@
     /** @param headValue written to the head records by the claim. @param headRevision of those records. */
     virtual void ownershipGained(Epoch epoch, const std::string& headValue, Revision headRevision) = 0;
     virtual void ownershipLost(const char* reason) = 0;
+    /** @brief OwnerLease::confirmedAt() has advanced. */
+    virtual void ownershipConfirmed() = 0;
     /** @brief The known owner changed. @param owner another member, or empty if none is known. */
     virtual void ownerChanged(const std::optional<OwnerRecord>& owner) = 0;
     /** @brief The store answers this process, and the owner of this epoch asked for a handover. */
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -52,6 +52,7 @@
     /** @brief Handles a client's call, or refuses it while the session is not active. */
     void handle(const ClientCall& call, JobService::Reply reply);
     bool isActive() const { return m_activated; }
+    void ownershipConfirmed() { m_service.ownershipConfirmed(); }
     void earlierOwnersStopped() { m_scheduler.earlierOwnersStopped(); }
     /** @brief Calls `done` when all changes are stored. */
     void flush(std::function<void()> done) { m_ledger.whenFlushed(std::move(done)); }
