Don't refuse submissions of known jobs under an unconfirmed configuration

Callers saw: a submission, sent again under a key or for a queue that the configuration does not have, was answered with 503 while the configuration could not be confirmed. 503 says that the job never runs, but it did.

Cause: refuseUnconfirmed() refused all calls alike.

Evidence: "a submission of a known job is not refused because the configuration is not confirmed" failed before the change, with 503 in the place of 504 for the withdrawn key and for the unknown queue.

Change: such submissions are answered as unknown, like those under a key that may have been withdrawn. 401 and 404 under a fresh configuration stay.

--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -63,12 +63,12 @@
         if (isConfirmedWithin(m_settings.denialFreshness))
             reply(failure(ReplyKind::NoSuchQueue, "no queue has this host and path"));
         else
-            refuseUnconfirmed("", reply);
+            refuseUnconfirmed(call, "", reply);
         return;
     }
     const auto account = accountOf(call, *queue);
     if (!account && !isConfirmedWithin(m_settings.denialFreshness)) {
-        refuseUnconfirmed(queue->name, reply);
+        refuseUnconfirmed(call, queue->name, reply);
         return;
     }
     if (!account) {
@@ -79,7 +79,7 @@
     }
     const std::string name = call.path.substr(queue->prefix.size());
     if (call.verb != CallVerb::Submit && !isKeyConfirmed(*queue)) {
-        refuseUnconfirmed(queue->name, reply);
+        refuseUnconfirmed(call, queue->name, reply);
         return;
     }
     if (call.verb == CallVerb::Read) {
@@ -104,8 +104,14 @@
 
 bool JobService::isConfirmedWithin(Duration limit) const { return m_runtime.now() - m_confirmedAt <= limit; }
 
-void JobService::refuseUnconfirmed(const std::string& queue, const Reply& reply)
+void JobService::refuseUnconfirmed(const ClientCall& call, const std::string& queue, const Reply& reply)
 {
+    // Whatever the prefix of the queue, the path ends with the job id.
+    const JobId id(call.path.substr(call.path.size() - std::min(call.path.size(), jobIdDigits)));
+    if (call.verb == CallVerb::Submit && m_scheduler.job(id) != nullptr) {
+        answerUnconfirmed(id, reply);
+        return;
+    }
     ++m_counters.refused;
     m_log.record("call_refused",
         { { "queue", queue }, { "reason", "configuration not confirmed" }, { "version", m_configuration->version },
@@ -113,6 +119,13 @@
     reply(refusal("the configuration cannot be confirmed now", 1));
 }
 
+void JobService::answerUnconfirmed(const JobId& id, const Reply& reply)
+{
+    ++m_counters.unknown;
+    m_log.record("job_unknown", { { "job", id.value() }, { "reason", "configuration not confirmed" } });
+    reply({ .kind = ReplyKind::Unknown, .reason = "the configuration cannot be confirmed now" });
+}
+
 void JobService::read(const ClientCall& call, const QueuePolicy& queue, const std::string& name, Reply reply)
 {
     ++m_counters.reads;
@@ -177,10 +190,7 @@
 void JobService::repeat(const QueuePolicy& queue, const JobId& id, Reply reply)
 {
     if (!isKeyConfirmed(queue)) {
-        ++m_counters.unknown;
-        m_log.record("job_unknown", { { "job", id.value() }, { "reason", "configuration not confirmed" } });
-        // The job may run, so the call must not be refused.
-        reply({ .kind = ReplyKind::Unknown, .reason = "the configuration cannot be confirmed now" });
+        answerUnconfirmed(id, reply);
         return;
     }
     if (const auto it = m_pending.find(id); it != m_pending.end())
--- a/src/lycheeledge/jobs/JobService.h
+++ b/src/lycheeledge/jobs/JobService.h
@@ -98,7 +98,10 @@
     /** @brief Whether a key that the configuration has for the queue may still be accepted. */
     bool isKeyConfirmed(const QueuePolicy& queue) const;
     bool isConfirmedWithin(Duration limit) const;
-    void refuseUnconfirmed(const std::string& queue, const Reply& reply);
+    /** @brief Refuses a call for a later attempt; answers as unknown if it submits a job that is known. */
+    void refuseUnconfirmed(const ClientCall& call, const std::string& queue, const Reply& reply);
+    /** @brief For a submission of a job that may run, so that it must not be refused. */
+    void answerUnconfirmed(const JobId& id, const Reply& reply);
     void read(const ClientCall& call, const QueuePolicy& queue, const std::string& name, Reply reply);
     void acceptSubmission(const JobId& id);
     void resolve(const JobId& id, const ClientReply& reply);
--- a/test/jobs/JobServiceTest.cpp
+++ b/test/jobs/JobServiceTest.cpp
@@ -107,6 +107,24 @@
     CHECK(replyToRepetition() == ReplyKind::Unauthorized);
 }
 
+// Guards against a refusal, which says that the job never runs.
+TEST_CASE("a submission of a known job is not refused because the configuration is not confirmed", "[service]")
+{
+    JobCluster cluster(1);
+    cluster.addWorker("w0", 8000);
+    cluster.advance(seconds(2));
+    REQUIRE(cluster.submit("m0", "urgent", 1, { .payload = {}, .steps = { simpleStep(1, 1000) } }));
+    withdrawKey(cluster);
+    cluster.advance(milliseconds(100));
+    cluster.store.setFault(FakeClusterStore::Fault::Silent);
+    cluster.advance(seconds(2));
+    const auto replyTo = [&](const std::string& path) {
+        return replyOf(cluster, cluster.call("m0", CallVerb::Submit, path + jobName(1), "body-1"))->kind;
+    };
+    CHECK(replyTo("/urgent/") == ReplyKind::Unknown);
+    CHECK(replyTo("/removed/") == ReplyKind::Unknown);
+}
+
 // The same for a job whose commit was applied, but not confirmed to the owner.
 TEST_CASE("a job that is being stored is not accepted again under a key that may have been withdrawn", "[service]")
 {
