--- a/test/jobs/JobServiceTest.cpp
+++ b/test/jobs/JobServiceTest.cpp
@@ -1,6 +1,6 @@
 // Replies to client calls: acceptance, repeated submissions, keys, refusals.
 
-#include "support/JobCluster.h"
+#include "support/JobClusterHelpers.h"
 
 #include <catch2/catch.hpp>
 
@@ -18,14 +18,6 @@
     return *reply;
 }
 
-void withdrawKey(JobCluster& cluster)
-{
-    auto configuration = simpleConfiguration();
-    configuration.version = 2;
-    configuration.accounts[0].keys = { "key-2" };
-    cluster.setConfiguration(configuration);
-}
-
 } // namespace
 
 TEST_CASE("a repeated submission creates only one job", "[service]")
--- a/test/jobs/ResentCallTest.cpp
+++ b/test/jobs/ResentCallTest.cpp
@@ -33,13 +33,6 @@
         REQUIRE(cluster.waitFor([&] { return cluster.store.count("lycheeledge/submission/") == 1; }, seconds(1)));
         REQUIRE_FALSE(reply->has_value());
     }
-    void withdrawKey()
-    {
-        auto configuration = simpleConfiguration();
-        configuration.version = 2;
-        configuration.accounts[0].keys = { "key-2" };
-        cluster.setConfiguration(configuration);
-    }
     void removeQueue()
     {
         auto configuration = simpleConfiguration();
@@ -78,7 +71,7 @@
         if (dropsQueue)
             lost.removeQueue();
         else
-            lost.withdrawKey();
+            withdrawKey(lost.cluster);
         CHECK(lost.replyKind() == ReplyKind::Unknown);
         if (!dropsQueue)
             CHECK(lost.isStarted());
@@ -92,7 +85,7 @@
     LostOwner lost;
     lost.submit(lost.owner);
     lost.cluster.member(lost.owner).node.resign([] {});
-    lost.withdrawKey();
+    withdrawKey(lost.cluster);
     CHECK(lost.replyKind() == ReplyKind::Unknown);
     CHECK(lost.isStarted());
 }
@@ -102,7 +95,7 @@
 {
     LostOwner lost;
     lost.cluster.kill(lost.owner);
-    lost.withdrawKey();
+    withdrawKey(lost.cluster);
     REQUIRE(lost.cluster.waitFor([&] { return hasOtherOwner(lost.cluster, lost.owner); }, seconds(5)));
     lost.reply = lost.cluster.call(*lost.cluster.owner(), CallVerb::Submit, "/urgent/" + jobName(1), "x");
     CHECK(lost.replyKind() == ReplyKind::Unauthorized);
--- a/test/support/JobClusterHelpers.h
+++ b/test/support/JobClusterHelpers.h
@@ -16,6 +16,15 @@
     cluster.advance(std::chrono::seconds(2));
 }
 
+/** @brief Gives "account-1" another key, "key-2", in the place of "key-1". */
+inline void withdrawKey(JobCluster& cluster)
+{
+    auto configuration = simpleConfiguration();
+    configuration.version = 2;
+    configuration.accounts[0].keys = { "key-2" };
+    cluster.setConfiguration(configuration);
+}
+
 /** @brief Whether a member other than `gone` owns the jobs. */
 inline bool hasOtherOwner(JobCluster& cluster, const std::string& gone)
 {
