Read the names of data centres and the limit of evacuations from the settings

Operators request the evacuation of a data centre by a key in the store, which no process reads. The settings file lists the valid names (zones.NAME) and the limit (bounds.evacuateMs); both are optional. PlatformRecords gets the prefix of the keys. The tests of the settings and the prefix are compiled but were not run with this commit.

--- a/src/lycheeledge/jobs/ClusterStore.h
+++ b/src/lycheeledge/jobs/ClusterStore.h
@@ -105,6 +105,9 @@
     virtual std::string wavePrefix() const = 0;
     /** @brief Errors: `INVALID_ARGUMENT` for a malformed record. */
     virtual absl::StatusOr<MaintenanceWave> wave(const StoreEntry& entry) const = 0;
+    /** @brief Prefix of operators' requests to evacuate a data centre, whose name follows; starts with
+     * operatorPrefix(). */
+    virtual std::string evacuationPrefix() const = 0;
     /** @brief Key under which the state of a wave is reported. */
     virtual std::string waveStateKey(std::uint64_t wave) const = 0;
     /** @brief Reported state of a wave that is in progress or completed. */
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -232,3 +232,11 @@
     CHECK(records.waveState(false) == R"({"state":"running"})");
     CHECK(records.waveState(true) == R"({"state":"completed"})");
 }
+
+TEST_CASE("requests to evacuate a data centre are within the operators' records", "[platform]")
+{
+    // The owner's watch has the prefix of all operators' records, and would miss others.
+    const StoreRecords records;
+    CHECK(records.evacuationPrefix() == "op/evacuate/");
+    CHECK(records.evacuationPrefix().starts_with(records.operatorPrefix()));
+}
--- a/test/platform/SettingsTest.cpp
+++ b/test/platform/SettingsTest.cpp
@@ -50,6 +50,19 @@
         == "bounds.graceS must be a number that is not negative");
 }
 
+TEST_CASE("data centres and the limit of evacuations are read where the file has them", "[settings]")
+{
+    const auto without = parsePlatformSettings(completeSettings);
+    CHECK(without->dataCentres.empty());
+    CHECK(without->evacuationLimit == std::nullopt);
+    const auto with
+        = parsePlatformSettings(completeSettings + "zones.south=east\nzones.north=east\nbounds.evacuateMs=5000\n");
+    CHECK(with->dataCentres == std::vector<std::string> { "north", "south" });
+    CHECK(with->evacuationLimit == milliseconds(5000));
+    CHECK(parsePlatformSettings(completeSettings + "bounds.evacuateMs=-1\n").status().message()
+        == "bounds.evacuateMs must be a number that is not negative");
+}
+
 TEST_CASE("a missing settings file is an error", "[settings]")
 {
     CHECK(readPlatformSettings("no-such-file").status().code() == absl::StatusCode::kNotFound);
--- a/test/support/JobCluster.h
+++ b/test/support/JobCluster.h
@@ -69,6 +69,7 @@
             return absl::InvalidArgumentError("unreadable");
         return it->second;
     }
+    std::string evacuationPrefix() const override { return "operator/evacuate/"; }
     std::string waveStateKey(std::uint64_t wave) const override { return "state/" + std::to_string(wave); }
     std::string waveState(bool completed) const override { return completed ? "completed" : "running"; }
     absl::StatusOr<jobs::WorkerRecord> worker(const StoreEntry& entry) const override
