Start no task in a data centre that operators have asked to evacuate

The owner now reads the list of the requests before it becomes active and follows the watch of the operators' records. Workers in such a data centre are no candidates for tasks or admission requests, unanswered start orders are not repeated there, and tickets for them do not keep a step from asking for others. Where a limit is set, nothing starts while the store confirms the ownership but the operators' records cannot be read. A configuration that is removed while the watch restarts no longer ends the watch.

--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -235,6 +235,12 @@
     setGauge("lycheeledge_commits_total", "Commits to the store.", static_cast<double>(session.ledger().commits()));
     setGauge("lycheeledge_admission_questions_total", "Questions to the admission service.",
         static_cast<double>(counters.admissionCalls));
+    setGauge("lycheeledge_evacuated_data_centres", "Data centres under evacuation, as this owner knows.",
+        static_cast<double>(session.evacuations().size()));
+    setGauge("lycheeledge_evacuated_runs", "Runs that remain in data centres under evacuation.",
+        static_cast<double>(session.evacuatedRuns()));
+    setGauge("lycheeledge_starts_withheld", "1 while no task starts because the operators' requests are not known.",
+        session.startsWithheld() ? 1 : 0);
     const auto& relayed = m_node.relayedWorkers().counters();
     const auto& relay = m_node.workerRelay();
     setGauge("lycheeledge_worker_calls_relayed_total", "Calls to workers that this owner made through members.",
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -118,6 +118,8 @@
     virtual TimePoint ordersEnd() const = 0;
     /** @brief Whether it may also start tasks. */
     virtual bool mayStartTasks() const = 0;
+    /** @brief Whether an operator has asked that no task start in this data centre. */
+    virtual bool isEvacuated(const std::string& dataCentre) const = 0;
     /** @brief Until this time, no other process has certainly owned the jobs since this one does. */
     virtual TimePoint ownershipConfirmedAt() const = 0;
     /** @brief Called when a worker has rejected an order because it has accepted a higher epoch. */
@@ -236,6 +238,11 @@
     /** @brief Whether the owner can know how the last run of a waiting task ended. */
     bool isEndKnown(const Task& task) const { return task.lostAt <= m_host.ownershipConfirmedAt(); }
     bool isPlaceable(const Worker& worker) const;
+    /** @brief Whether a start order may be sent to the worker now, the repetition of an unanswered one included. */
+    bool maySendStart(const Worker& worker) const
+    {
+        return m_host.mayStartTasks() && !m_host.isEvacuated(worker.record.dataCentre);
+    }
     /** @brief Workers of the queue's pool on which a task of the step may run now. */
     std::vector<PlacementCandidate> candidates(Job& job, const StepKey& key);
     /** @brief The same, for workers for which the step has a ticket. */
--- a/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
@@ -22,7 +22,7 @@
     return std::any_of(step.admission.tickets.begin(), step.admission.tickets.end(), [&](const auto& it) {
         const auto worker = m_workers.all().find(it.first);
         return it.second.expiry >= minExpiry && worker != m_workers.all().end()
-            && reservation.fitsIn(worker->second.free());
+            && !m_host.isEvacuated(worker->second.record.dataCentre) && reservation.fitsIn(worker->second.free());
     });
 }
 
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -229,7 +229,7 @@
     if (worker.record.draining || worker.inMaintenance || !worker.reported || worker.awaitsReport || !worker.link
         || !worker.link->isReachable() || worker.link->isSuspect())
         return false;
-    if (isUnregistered(worker))
+    if (isUnregistered(worker) || m_host.isEvacuated(worker.record.dataCentre))
         return false;
     if (!worker.strayRuns.empty()) // they use an unknown amount of resources
         return false;
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -137,7 +137,7 @@
     const Epoch fencingToken = worker->fencingToken;
     const TimePoint sentAt = m_runtime.now();
     const auto lease = worker->link->extendLeaseForOrder();
-    if (!lease || !m_host.mayStartTasks()) {
+    if (!lease || !maySendStart(*worker)) {
         // An unsent first attempt means that no run exists; after a second one, a run of the first may exist.
         if (attempt > 1)
             stopTask(*job, key, "no response to start order");
--- a/src/lycheeledge/jobs/OwnerSession.cpp
+++ b/src/lycheeledge/jobs/OwnerSession.cpp
@@ -9,6 +9,13 @@
 
 namespace lycheeledge::jobs {
 
+namespace {
+
+    // Starts wait for the answer, while repeated calls during a failing read of the evacuations stay few.
+    constexpr Duration staleWatchWait = std::chrono::milliseconds(50);
+
+} // namespace
+
 OwnerSession::OwnerSession(Ports ports, JobSchedulerSettings scheduler, JobServiceSettings service,
     LedgerSettings ledger, MaintenanceSettings maintenance, OwnerSessionSettings settings)
     : m_runtime(ports.runtime)
@@ -19,12 +26,14 @@
     , m_lease(ports.lease)
     , m_unixMs(std::move(ports.unixMs))
     , m_onActivated(std::move(ports.activated))
-    , m_settings(settings)
+    , m_settings(std::move(settings))
     , m_ledger(m_runtime, m_store, m_codec, m_log, m_records.configurationKey(), ledger)
     , m_scheduler({ m_runtime, ports.workers, ports.admission, m_ledger, m_log, *this }, scheduler)
     , m_service({ m_runtime, m_scheduler, m_ledger, ports.submissions, m_log, *this }, service)
     , m_maintenance(
           { m_runtime, ports.vms, m_store, m_records, m_scheduler, m_log }, std::move(ports.member), maintenance)
+    , m_evacuations(m_settings.dataCentres)
+    , m_operatorView(m_settings.evacuationLimit)
 {
     m_ledger.setSource(this);
 }
@@ -40,12 +49,14 @@
     m_ledger.open(headValue, headRevision);
     m_scheduler.begin(epoch);
     m_maintenance.begin(epoch);
-    m_missingReads = 6;
+    m_headRevision = headRevision;
+    m_missingReads = 7;
     const auto complete = [this] {
         --m_missingReads;
         finishRecoveryIfComplete();
     };
     readConfiguration();
+    readEvacuations();
     readPages(m_ledger.keys().submissionPrefix, m_submissions, complete);
     readPages(m_ledger.keys().progressPrefix, m_progress, complete);
     readPages(m_records.workerPrefix(), m_registry, complete);
@@ -68,6 +79,11 @@
     m_workerSet.clear();
     m_workerCapacities.clear();
     m_watchingOperator = false;
+    m_evacuations.clear();
+    m_evacuationRead.reset();
+    m_evacuationsKnown = false;
+    m_operatorView.reset();
+    m_startsWithheld = false;
     return unfinished;
 }
 
@@ -90,28 +106,35 @@
         [this, sentAt, session = SessionToken(m_sessionToken)](const absl::StatusOr<StoreValue>& value) {
             if (session.expired())
                 return;
-            if (!value.ok() || !value->entry) {
+            // A configuration that was removed stays in force, and the watch goes on.
+            if (!value.ok() || (!value->entry && !m_configuration)) {
                 if (!value.ok())
                     m_log.record("store_unreachable",
                         { { "call", "read_configuration" }, { "error", value.status().message() } });
                 retryLater([this] { readConfiguration(); });
                 return;
             }
-            applyConfiguration(*value->entry);
+            if (value->entry)
+                applyConfiguration(*value->entry);
             m_service.configurationConfirmed(sentAt);
-            if (!std::exchange(m_watchingOperator, true)) {
+            const bool isFirst = !std::exchange(m_watchingOperator, true);
+            if (isFirst) {
                 --m_missingReads;
                 finishRecoveryIfComplete();
-            }
+            } else
+                readEvacuations();
             readWaves(); // the watch below starts after this revision and misses waves written before
-            watchOperator(value->asOf);
+            // The first list of evacuations was requested together with the configuration, after the claim, and may be
+            // of a lower revision than this.
+            watchOperator(isFirst ? std::min(m_headRevision, value->asOf) : value->asOf);
         });
 }
 
 void OwnerSession::watchOperator(Revision after)
 {
     const TimePoint sentAt = m_runtime.now();
-    m_store.watch(m_records.operatorPrefix(), after, m_settings.operatorWatchWait, m_settings.callTimeout,
+    const Duration wait = isViewStale() ? staleWatchWait : m_operatorView.watchWait(m_settings.operatorWatchWait);
+    m_store.watch(m_records.operatorPrefix(), after, wait, m_settings.callTimeout,
         [this, sentAt, after, session = SessionToken(m_sessionToken)](const absl::StatusOr<StoreEvents>& events) {
             if (session.expired())
                 return;
@@ -121,6 +144,8 @@
                 return;
             }
             for (const auto& event : events->events) {
+                if (event.key.starts_with(m_records.evacuationPrefix()))
+                    applyEvacuation(event);
                 if (!event.value)
                     continue;
                 const StoreEntry entry { event.key, *event.value, event.revision };
@@ -131,6 +156,7 @@
             }
             m_service.configurationConfirmed(sentAt);
             m_lease.storeAnswered(sentAt);
+            operatorsSeen(sentAt);
             watchOperator(std::max(after, events->asOf));
         });
 }
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -5,9 +5,12 @@
 #include "JobScheduler.h"
 #include "JobService.h"
 #include "OwnerLease.h"
+#include "evacuation/Evacuations.h"
+#include "evacuation/OperatorView.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +25,9 @@
     Duration maxRegistryInterval = std::chrono::milliseconds(1500);
     Duration callTimeout = std::chrono::milliseconds(900);
     Duration retryPause = std::chrono::milliseconds(100);
+    /// Time after the acknowledgement of a request from which on no task starts in the data centre; empty: no limit.
+    std::optional<Duration> evacuationLimit;
+    std::vector<std::string> dataCentres; ///< that operators may evacuate; empty: any
 };
 
 class OwnerSession final : public LedgerSource, public JobSchedulerHost {
@@ -52,7 +58,11 @@
     /** @brief Handles a client's call, or refuses it while the session is not active. */
     void handle(const ClientCall& call, JobService::Reply reply);
     bool isActive() const { return m_activated; }
-    void ownershipConfirmed() { m_service.ownershipConfirmed(); }
+    void ownershipConfirmed()
+    {
+        noteStaleView();
+        m_service.ownershipConfirmed();
+    }
     void earlierOwnersStopped() { m_scheduler.earlierOwnersStopped(); }
     /** @brief Calls `done` when all changes are stored. */
     void flush(std::function<void()> done) { m_ledger.whenFlushed(std::move(done)); }
@@ -60,6 +70,11 @@
     const JobScheduler& scheduler() const { return m_scheduler; }
     const JobService& service() const { return m_service; }
     const JobLedger& ledger() const { return m_ledger; }
+    const Evacuations& evacuations() const { return m_evacuations; }
+    /** @brief Number of runs that remain in data centres under evacuation. */
+    std::size_t evacuatedRuns() const;
+    /** @brief Whether no task starts because the operators' records are not known recently enough. */
+    bool startsWithheld() const { return m_startsWithheld; }
     std::int64_t configurationVersion() const { return m_configuration ? m_configuration->version : 0; }
 
     // LedgerSource
@@ -77,7 +92,8 @@
     // JobSchedulerHost
     bool maySendOrders() const override { return m_lease.maySendOrders(); }
     TimePoint ordersEnd() const override { return m_lease.ordersEnd(); }
-    bool mayStartTasks() const override { return m_lease.mayStartTasks(); }
+    bool mayStartTasks() const override { return m_lease.mayStartTasks() && !isViewStale(); }
+    bool isEvacuated(const std::string& dataCentre) const override { return m_evacuations.contains(dataCentre); }
     TimePoint ownershipConfirmedAt() const override { return m_lease.confirmedAt(); }
     void fenced() override;
     std::int64_t unixMs() const override { return m_unixMs(); }
@@ -91,6 +107,21 @@
     void applyConfiguration(const StoreEntry& entry);
     void readWaves();
     void applyWave(const StoreEntry& entry);
+    // Evacuations (OwnerSessionEvacuation.cpp)
+    /** @brief Reads the list of evacuations, once more if it is being read: that list may lack later requests. */
+    void readEvacuations();
+    void readEvacuationPage(const std::string& after);
+    void finishEvacuationRead();
+    void applyEvacuation(const StoreEvent& event);
+    void logUnreadableEvacuation(const std::string& key);
+    void logEvacuation(const EvacuationChange& change);
+    std::size_t runsIn(const std::string& dataCentre) const;
+    /** @brief The watch was answered, so no change before this time is missing unless the list is still to be read. */
+    void operatorsSeen(TimePoint sentAt);
+    bool isViewStale() const { return m_operatorView.isStale(m_runtime.now(), m_lease.confirmedAt()); }
+    /** @brief Logs the start and the end of a stale view. */
+    void noteStaleView();
+
     void readPages(const std::string& prefix, std::vector<StoreEntry>& into, std::function<void()> done,
         const std::string& after = {});
     void readRecord(const std::string& key, std::string& into, std::function<void()> done);
@@ -128,6 +159,19 @@
     std::string m_workerCapacities;
     std::vector<StoreEntry> m_waves;
     bool m_watchingOperator = false;
+    Revision m_headRevision = 0; ///< of this owner's claim
+    /** @brief A list of evacuations that is being read. */
+    struct EvacuationRead {
+        TimePoint sentAt; ///< of the call for the first page
+        Revision asOf = 0; ///< lowest one of the pages
+        std::vector<StoreEntry> entries;
+        bool repeat = false; ///< the watch has restarted since
+    };
+    Evacuations m_evacuations;
+    std::optional<EvacuationRead> m_evacuationRead;
+    bool m_evacuationsKnown = false; ///< a list has been read
+    OperatorView m_operatorView;
+    bool m_startsWithheld = false; ///< logged as such
     absl::flat_hash_set<std::string> m_loggedUnreadable; ///< registry keys already logged as unreadable
 };
 
--- a/test/support/FakeClusterStore.h
+++ b/test/support/FakeClusterStore.h
@@ -37,6 +37,8 @@
     void setLatency(Duration latency) { m_latency = latency; }
     Duration executionDelay = std::chrono::seconds(3); ///< execution delay of Fault::ExecuteLate
     std::size_t maxValueBytes = 1 << 20; ///< commits with a longer value are refused
+    std::string silentWatch; ///< prefix of watches that are not answered; empty: none
+    std::string silentList; ///< prefix of lists that are not answered; empty: none
     std::string answeredWatch; ///< prefix of watches that are answered whatever the fault; empty: none
 
     Revision put(const std::string& key, const std::string& value)
@@ -50,6 +52,8 @@
         return it == m_items.end() ? std::nullopt : std::optional(it->second.entry);
     }
     void erase(const std::string& key) { writeNewRevision(key, std::nullopt, 0); }
+    /** @brief Watches that have not received the changes up to now end with OUT_OF_RANGE. */
+    void dropHistory() { m_historyFrom = m_revision; }
     std::size_t count(const std::string& prefix) const
     {
         return static_cast<std::size_t>(std::count_if(
@@ -145,6 +149,7 @@
     Fault m_fault = Fault::None;
     std::map<std::string, Fault> m_faults;
     Revision m_revision = 1;
+    Revision m_historyFrom = 0; ///< changes up to this revision are no longer in the history
     std::map<std::string, Item> m_items;
     std::vector<jobs::StoreEvent> m_history;
     std::map<StoreLeaseId, Lease> m_leases;
@@ -172,6 +177,11 @@
     void list(
         const std::string& prefix, const std::string& after, Duration timeout, Callback<jobs::StorePage> done) override
     {
+        if (!m_store.silentList.empty() && prefix == m_store.silentList) {
+            m_store.m_runtime.after(
+                timeout, [done = onProcess(std::move(done))] { done(absl::DeadlineExceededError("no answer")); });
+            return;
+        }
         call<jobs::StorePage>(timeout, std::move(done), [this, prefix, after]() -> absl::StatusOr<jobs::StorePage> {
             constexpr std::size_t pageSize = 100;
             jobs::StorePage page { .asOf = m_store.m_revision, .entries = {} };
@@ -283,11 +293,15 @@
             runtime.after(m_store.m_latency, [done] { done(absl::UnavailableError("refused")); });
             return;
         }
-        if (fault == Fault::Silent) {
+        if (fault == Fault::Silent || (!m_store.silentWatch.empty() && prefix == m_store.silentWatch)) {
             runtime.after(timeout, [done] { done(absl::DeadlineExceededError("no answer")); });
             return;
         }
         m_store.expireLeases();
+        if (after < m_store.m_historyFrom) {
+            runtime.after(m_store.m_latency, [done] { done(absl::OutOfRangeError("history is gone")); });
+            return;
+        }
         jobs::StoreEvents events { .asOf = m_store.m_revision, .events = {} };
         for (const auto& event : m_store.m_history) {
             if (event.revision > after && event.key.starts_with(prefix))
