--- a/src/lycheeledge/jobs/ClusterConfiguration.h
+++ b/src/lycheeledge/jobs/ClusterConfiguration.h
@@ -47,6 +47,7 @@
     std::vector<std::string> keys;
     double weight = 1; ///< relative share when the fleet is full
     Resources upperLimit; ///< 0 means no limit for a resource
+    std::optional<double> submissionsPerSecond; ///< rate that it is entitled to (see SubmissionRate); empty: any
 
     bool operator==(const ClientAccount&) const = default;
 };
--- a/src/lycheeledge/jobs/JobRecord.h
+++ b/src/lycheeledge/jobs/JobRecord.h
@@ -25,6 +25,7 @@
     std::string queue;
     JobSpec spec;
     std::int64_t acceptedUnixMs = 0;
+    bool beyondRate = false; ///< beyond the rate that its account was entitled to; omitted in the encoding if false
 
     bool operator==(const SubmissionRecord&) const = default;
 };
--- a/src/lycheeledge/jobs/StepOrder.cpp
+++ b/src/lycheeledge/jobs/StepOrder.cpp
@@ -17,7 +17,7 @@
             position = {};
         else if (late)
             position = TimePoint() + it.remaining;
-        return std::tuple(it.priority, expired, overShare, late, position, it.releaseOrder);
+        return std::tuple(it.beyondRate, it.priority, expired, overShare, late, position, it.releaseOrder);
     };
     return sortKey(a) < sortKey(b);
 }
--- a/src/lycheeledge/jobs/StepOrder.h
+++ b/src/lycheeledge/jobs/StepOrder.h
@@ -1,5 +1,6 @@
 // Scheduling order of waiting steps on a full fleet.
 //
+// Steps of submissions beyond the rate of their account (SubmissionRate) come after all others, whatever their queue.
 // Queues are ordered by priority, urgent queues first. Within a priority, steps whose result can no longer be of use to
 // the caller come last. The next criteria are: client accounts below their share before others, then steps that can
 // still meet their objective before late ones. Steps in time are ordered by objective, late ones by the least remaining
@@ -15,6 +16,7 @@
 
 /** @brief Properties that determine the position of a step in the scheduling order. */
 struct StepUrgency {
+    bool beyondRate = false; ///< submitted beyond the rate of its account; never set for long-running tasks
     std::uint32_t priority = 0; ///< of its queue; 0 comes first
     double accountShare = 0; ///< dominant share of the account's running tasks, divided by its weight
     TimePoint objective; ///< time by which its job should be done
@@ -33,7 +35,7 @@
     virtual bool before(const StepUrgency& a, const StepUrgency& b, TimePoint now) const = 0;
 };
 
-/** @brief Orders steps by priority, usefulness of the result, fair share and objective. */
+/** @brief Orders steps by submission rate, priority, usefulness of the result, fair share and objective. */
 class ObjectiveOrder final : public StepOrder {
 public:
     /** @param fairShare accounts whose share exceeds this value come after the others. */
--- a/src/lycheeledge/protocol/JobSerialization.h
+++ b/src/lycheeledge/protocol/JobSerialization.h
@@ -25,9 +25,15 @@
     archive(value.payload, value.steps, value.repetitions, value.firstDueUnixMs, value.intervalMs);
 }
 
+// The flag is omitted if it is false, so that such records keep the form that earlier builds read and write.
 template <typename Archive> void serialize(Archive& archive, SubmissionRecord& value)
 {
     archive(value.account, value.queue, value.spec, value.acceptedUnixMs);
+    bool hasFlag = value.beyondRate;
+    if constexpr (Archive::is_loading::value)
+        hasFlag = !archive.atEnd();
+    if (hasFlag)
+        archive(value.beyondRate);
 }
 
 template <typename Archive> void serialize(Archive& archive, TaskProgress& value)
