Schedule submissions beyond the rate of their account last

An account that submitted eight times its rate to an urgent queue delayed batch jobs of another account, which was within its rate, until its own backlog had gone.

The scheduler takes a token when it takes a submission in, stores the verdict with it, and passes it to ObjectiveOrder; long-running steps are exempt. A dropped submission returns its token. After a takeover the buckets are rebuilt from the accept times. job_accepted tells the verdict.

--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -96,6 +96,7 @@
     m_scheduledJobs.clear();
     m_quarantine = FailureQuarantine();
     m_speeds = WorkerSpeeds();
+    m_submissionRate.clear();
 }
 
 void JobScheduler::recover(
@@ -105,8 +106,10 @@
     job->id = id;
     job->accepted = true;
     const bool hasSubmission = submission.has_value();
-    if (hasSubmission)
+    if (hasSubmission) {
         job->submission = *std::move(submission);
+        recoverRate(job->submission);
+    }
     if (progress) {
         if (!hasSubmission) {
             job->submission.account = progress->account;
@@ -160,6 +163,7 @@
 {
     m_recovered = true;
     m_uncountedChanged = true;
+    retainRates();
     m_log.record("scheduler_recovered",
         { { "epoch", m_epoch }, { "jobs", m_jobs.size() }, { "workers", m_workers.all().size() } });
     requestPass();
@@ -168,6 +172,7 @@
 void JobScheduler::setConfiguration(std::shared_ptr<const ClusterConfiguration> configuration)
 {
     m_configuration = std::move(configuration);
+    retainRates();
     requestPass();
 }
 
@@ -176,6 +181,7 @@
     auto job = std::make_unique<Job>();
     job->id = id;
     job->submission = std::move(submission);
+    job->submission.beyondRate = takeFromRate(job->submission.account);
     Job& added = *(m_jobs[id] = std::move(job));
     markChanged(added, std::move(stored));
 }
@@ -183,8 +189,11 @@
 void JobScheduler::withdraw(const JobId& id)
 {
     const auto it = m_jobs.find(id);
-    if (it != m_jobs.end() && !it->second->accepted)
-        m_jobs.erase(it);
+    if (it == m_jobs.end() || it->second->accepted)
+        return;
+    if (const auto& submission = it->second->submission; !submission.beyondRate)
+        m_submissionRate.putBack(submission.account);
+    m_jobs.erase(it);
 }
 
 void JobScheduler::cancel(const JobId& id, std::function<void()> stored)
@@ -224,9 +233,11 @@
         return;
     if (change.submission) {
         job->accepted = true;
+        if (job->submission.beyondRate)
+            ++m_counters.submissionsBeyondRate;
         m_log.record("job_accepted",
             { { "job", id.value() }, { "account", job->submission.account.value() }, { "queue", job->submission.queue },
-                { "steps", job->spec().steps.size() } });
+                { "steps", job->spec().steps.size() }, { "beyond_rate", job->submission.beyondRate } });
         releaseDueOccurrences(*job);
     }
     if (change.progress) {
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -16,6 +16,7 @@
 #include "UncountedUsage.h"
 #include "VanishedWorkers.h"
 #include "WorkerTable.h"
+#include "overload/SubmissionRate.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -93,6 +94,7 @@
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0;
     std::uint64_t jobsCancelled = 0;
+    std::uint64_t submissionsBeyondRate = 0; ///< stored submissions beyond the rate of their account
     LatencyHistogram completionTimes; ///< of completed, non-recurring jobs, measured from acceptance
     LatencyHistogram admissionTimes; ///< of steps, from release to the first grant
     LatencyHistogram placementTimes; ///< of steps, from the first grant until all tasks have a worker
@@ -168,7 +170,10 @@
     /** @brief Replaces the registered workers. */
     void setWorkers(const std::vector<WorkerRecord>& records);
 
-    /** @brief Adds a submission. `stored` is called once it is stored. The job must not exist. */
+    /**
+     * @brief Adds a submission. `stored` is called once it is stored. The job must not exist. Sets
+     * SubmissionRecord::beyondRate, which uses up a part of the account's rate.
+     */
     void submit(const JobId& id, SubmissionRecord submission, std::function<void()> stored);
     /** @brief Drops a submission that is not stored and will never be. */
     void withdraw(const JobId& id);
@@ -199,6 +204,8 @@
     /** @brief Reserved CPU as a percentage of the registered workers' capacity. */
     int reservedCpuPercent() const;
     Resources usage(const AccountId& account) const;
+    /** @brief Whether a submission of the account would be beyond its rate now. Uses up nothing. */
+    bool isRateExceeded(const AccountId& account);
 
 private:
     // WorkerLinkListener
@@ -264,6 +271,14 @@
     /** @brief Notes which placements are in a record that is being stored, or has been stored. */
     static void notePlacements(Job& job, const ProgressRecord& record, bool isStored);
 
+    // Submission rates (JobSchedulerRates.cpp)
+    /** @brief Uses up a part of the account's rate. @return whether the submission is beyond it. */
+    bool takeFromRate(const AccountId& account);
+    /** @brief Counts a submission that an earlier owner accepted against the rate of its account. */
+    void recoverRate(const SubmissionRecord& submission);
+    /** @brief Forgets accounts that are not configured or have no rate. */
+    void retainRates();
+
     // Admission (JobSchedulerAdmission.cpp)
     void prefetchTickets();
     void markUpcomingSteps(const Job& job, const StepKey& placed);
@@ -426,6 +441,7 @@
     VanishedWorkers m_vanished; ///< since this owner took over
     FailureQuarantine m_quarantine;
     WorkerSpeeds m_speeds;
+    SubmissionRate m_submissionRate;
     std::set<std::pair<std::int64_t, JobId>> m_finishedJobs; ///< ordered by end time
     std::set<JobId> m_jobsWithDoneOccurrences; ///< to be erased
     absl::flat_hash_set<JobId> m_scheduledJobs; ///< jobs with occurrences that are not yet due
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -174,6 +174,7 @@
 {
     StepUrgency result;
     const QueuePolicy* queue = queueOf(job);
+    result.beyondRate = job.submission.beyondRate && !job.spec().steps[key.step].longRunning;
     result.priority = queue != nullptr ? queue->priority : 0;
     const ClientAccount* account = m_configuration ? m_configuration->account(job.submission.account) : nullptr;
     if (account != nullptr && queue != nullptr && account->weight > 0)
