Prefer steps within the rate for overdue admission requests

Overdue steps ask for admission ahead of the scheduling order, the oldest step of a queue first. Older steps beyond the rate of their account would therefore go before steps within the rate.

The flag is now the first criterion; long-running steps are exempt.

--- a/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
@@ -66,15 +66,17 @@
 
 // Answers a backlog of admission calls, for example while one client account sends many times its usual load: calls are
 // made in scheduling order, so without this a step of low priority would wait until the backlog has gone, although
-// there are workers for it. The queues take turns, and within a queue the oldest step comes first. Long-running tasks
-// have to run all the time, so each of them counts; of other steps, those of which no task runs. After the loss of many
-// workers, turns are too few for the long-running steps, so that they also have relays of their own.
+// there are workers for it. Steps within the rate of their account come first. The queues take turns, and within a
+// queue the oldest step comes first. Long-running tasks have to run all the time, so each of them counts; of other
+// steps, those of which no task runs. After the loss of many workers, turns are too few for the long-running steps, so
+// that they also have relays of their own.
 void JobScheduler::requestOverdueAdmissions()
 {
     if (!mayRequestAhead(AdmissionReason::Overdue) && !mayRequestAhead(AdmissionReason::LongRunning))
         return;
     const TimePoint now = m_runtime.now();
-    std::vector<std::tuple<TimePoint, TimePoint, StepKey>> overdue;
+    // Whether beyond the rate, last turn of the queue, and since when the step waits.
+    std::vector<std::tuple<bool, TimePoint, TimePoint, StepKey>> overdue;
     std::vector<std::pair<TimePoint, StepKey>> longRunning;
     for (const auto& key : m_readySteps) {
         const Job& job = *m_jobs.at(key.job);
@@ -84,7 +86,8 @@
         if ((step.assigned > 0 && !lasts) || step.admission.requestPending || now - since <= m_settings.overdueAfter
             || now < step.admission.nextRequestAt)
             continue;
-        overdue.emplace_back(m_lastOverdueRequest[job.submission.queue], since, key);
+        overdue.emplace_back(
+            job.submission.beyondRate && !lasts, m_lastOverdueRequest[job.submission.queue], since, key);
         if (lasts)
             longRunning.emplace_back(since, key);
     }
