--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -232,6 +232,8 @@
     setGauge("lycheeledge_jobs_completed_total", "Completed jobs.", static_cast<double>(counters.jobsCompleted));
     setGauge("lycheeledge_jobs_failed_total", "Failed jobs.", static_cast<double>(counters.jobsFailed));
     setGauge("lycheeledge_jobs_refused_total", "Refused submissions.", static_cast<double>(calls.refused));
+    setGauge("lycheeledge_submissions_beyond_rate_total", "Accepted submissions beyond the rate of their account.",
+        static_cast<double>(counters.submissionsBeyondRate));
     setGauge("lycheeledge_commits_total", "Commits to the store.", static_cast<double>(session.ledger().commits()));
     setGauge("lycheeledge_admission_questions_total", "Questions to the admission service.",
         static_cast<double>(counters.admissionCalls));
