--- a/test/jobs/EvacuationTest.cpp
+++ b/test/jobs/EvacuationTest.cpp
@@ -224,6 +224,20 @@
     CHECK(region.startsInAfter("north", seconds(3)) > 0);
 }
 
+TEST_CASE("a request is obeyed after the configuration was removed and the watch has restarted", "[evacuation]")
+{
+    // Guards against an owner that waits for a configuration and follows the operators' records no more.
+    Region region(1);
+    region.submitLoad();
+    region.cluster.store.erase(region.cluster.records.configurationKey());
+    region.cluster.store.dropHistory();
+    region.cluster.advance(seconds(1));
+    region.request("north");
+    region.cluster.advance(calm);
+    CHECK(region.startsInAfter("north", seconds(6)) == 0);
+    CHECK(region.startsInAfter("south", seconds(1)) > 0);
+}
+
 TEST_CASE("starts are withheld while the list that replaces a lost history is not answered", "[evacuation]")
 {
     // Guards against answers of the new watch that make a view recent which lacks the request.
