Refuse submissions that would end too late to be of use

Under overload every submission was accepted and most jobs ended after three times their objective. The owner now predicts the end of a submission from the load of its pool, which it rebuilds at most every 100 ms, and refuses the submission with a Retry-After before anything is stored.

--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -232,6 +232,13 @@
     setGauge("lycheeledge_jobs_completed_total", "Completed jobs.", static_cast<double>(counters.jobsCompleted));
     setGauge("lycheeledge_jobs_failed_total", "Failed jobs.", static_cast<double>(counters.jobsFailed));
     setGauge("lycheeledge_jobs_refused_total", "Refused submissions.", static_cast<double>(calls.refused));
+    setGauge("lycheeledge_jobs_refused_by_prediction_total", "Submissions refused because they would end too late.",
+        static_cast<double>(calls.refusedByPrediction));
+    for (const auto& [queue, wait] : session.scheduler().predictedWaits())
+        m_metrics
+            .gauge("lycheeledge_predicted_wait_seconds", "Wait predicted for the last submission to a queue.",
+                { { "queue", queue } })
+            .set(std::chrono::duration<double>(wait).count());
     setGauge("lycheeledge_commits_total", "Commits to the store.", static_cast<double>(session.ledger().commits()));
     setGauge("lycheeledge_admission_questions_total", "Questions to the admission service.",
         static_cast<double>(counters.admissionCalls));
--- a/src/lycheeledge/jobs/ClusterConfiguration.cpp
+++ b/src/lycheeledge/jobs/ClusterConfiguration.cpp
@@ -3,6 +3,7 @@
 #include "ClusterConfiguration.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace lycheeledge::jobs {
 
@@ -16,6 +17,13 @@
 
 } // namespace
 
+Duration objectiveOf(const JobSpec& spec, const QueuePolicy& queue)
+{
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    const Milliseconds stretched = queue.objectiveFactor * Milliseconds(estimatedCriticalPath(spec));
+    return std::chrono::duration_cast<Duration>(stretched) + queue.latencyObjective;
+}
+
 const QueuePolicy* ClusterConfiguration::queueOf(std::string_view host, std::string_view path) const
 {
     const QueuePolicy* best = nullptr;
--- a/src/lycheeledge/jobs/ClusterConfiguration.h
+++ b/src/lycheeledge/jobs/ClusterConfiguration.h
@@ -42,6 +42,9 @@
     bool isUrgent() const { return priority == 0; }
 };
 
+/** @brief Time from the release of a job until its objective: its stretched critical path and the queue's latency. */
+Duration objectiveOf(const JobSpec& spec, const QueuePolicy& queue);
+
 struct ClientAccount {
     AccountId id;
     std::vector<std::string> keys;
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -77,6 +77,7 @@
     }
     m_admission.clear();
     m_jobs.clear();
+    m_unstoredJobs.clear();
     m_readySteps.clear();
     m_upcomingSteps.clear();
     m_requestsAhead.clear();
@@ -96,6 +97,10 @@
     m_scheduledJobs.clear();
     m_quarantine = FailureQuarantine();
     m_speeds = WorkerSpeeds();
+    m_runTimes = RunTimeRatios();
+    m_loads.clear();
+    m_loadsBuiltAt = {};
+    m_predictedWaits.clear();
 }
 
 void JobScheduler::recover(
@@ -159,6 +164,7 @@
 void JobScheduler::activate()
 {
     m_recovered = true;
+    m_activatedAt = m_runtime.now();
     m_uncountedChanged = true;
     m_log.record("scheduler_recovered",
         { { "epoch", m_epoch }, { "jobs", m_jobs.size() }, { "workers", m_workers.all().size() } });
@@ -177,14 +183,17 @@
     job->id = id;
     job->submission = std::move(submission);
     Job& added = *(m_jobs[id] = std::move(job));
+    m_unstoredJobs.insert(id);
     markChanged(added, std::move(stored));
 }
 
 void JobScheduler::withdraw(const JobId& id)
 {
     const auto it = m_jobs.find(id);
-    if (it != m_jobs.end() && !it->second->accepted)
-        m_jobs.erase(it);
+    if (it == m_jobs.end() || it->second->accepted)
+        return;
+    m_unstoredJobs.erase(id);
+    m_jobs.erase(it);
 }
 
 void JobScheduler::cancel(const JobId& id, std::function<void()> stored)
@@ -222,6 +231,7 @@
     Job* job = find(id);
     if (job == nullptr)
         return;
+    m_unstoredJobs.erase(id);
     if (change.submission) {
         job->accepted = true;
         m_log.record("job_accepted",
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -16,6 +16,8 @@
 #include "UncountedUsage.h"
 #include "VanishedWorkers.h"
 #include "WorkerTable.h"
+#include "overload/RunTimeRatios.h"
+#include "overload/SubmissionGate.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -75,6 +77,11 @@
     std::size_t maxValueBytes = std::size_t { 1 } << 20;
     /// A step of which no task runs this long after its release asks for admission ahead of the scheduling order.
     Duration overdueAfter = std::chrono::seconds(1);
+    /// Submissions are predicted from a load of at most this age: building it takes a walk over all ready steps and
+    /// workers, and the smallest owners have a tenth of a core.
+    Duration loadLifetime = std::chrono::milliseconds(100);
+    /// After a takeover, submissions are not predicted for this long, because workers report one after another.
+    Duration predictionDelay = std::chrono::seconds(3);
 };
 
 /** @brief Counters since the start of the process. */
@@ -170,6 +177,13 @@
 
     /** @brief Adds a submission. `stored` is called once it is stored. The job must not exist. */
     void submit(const JobId& id, SubmissionRecord submission, std::function<void()> stored);
+    /**
+     * @brief Predicts whether a job that is submitted now would end in time. An accepted one counts as load at once;
+     * it is expected to be submitted next.
+     * @param random uniformly distributed.
+     */
+    GateDecision evaluate(
+        const QueuePolicy& queue, const AccountId& account, const JobSpec& spec, std::uint64_t random);
     /** @brief Drops a submission that is not stored and will never be. */
     void withdraw(const JobId& id);
     /** @brief Cancels a job. `stored` is called once the cancellation is stored. */
@@ -199,6 +213,8 @@
     /** @brief Reserved CPU as a percentage of the registered workers' capacity. */
     int reservedCpuPercent() const;
     Resources usage(const AccountId& account) const;
+    /** @brief Wait until the first task that was last predicted for each queue. */
+    const std::map<std::string, Duration>& predictedWaits() const { return m_predictedWaits; }
 
 private:
     // WorkerLinkListener
@@ -280,6 +296,22 @@
     void handleAdmissionReply(const StepKey& key, const AdmissionPolicy& policy, const std::vector<WorkerId>& requested,
         const absl::StatusOr<std::vector<AdmissionGrant>>& grants);
 
+    // Load (JobSchedulerLoad.cpp)
+    /** @brief Expected run time of a task, by measured runs of its image. */
+    Duration expectedRunTime(const QueuePolicy& queue, const StepSpec& spec) const;
+    void recordRunTime(const Job& job, const StepSpec& spec, const MeasuredRun& run);
+    /** @brief Load of a pool, of at most the lifetime's age. */
+    PoolLoad& currentLoad(const std::string& pool);
+    void rebuildLoads();
+    /** @brief Whether tasks can be expected to start on a worker within a second. */
+    bool countsAsCapacity(const Worker& worker) const;
+    void addWorkers(PoolLoad& load, const Pool& pool);
+    void addRuns(const Worker& worker);
+    void addWaitingWork(const Job& job, const Occurrence& occurrence);
+    /** @brief A job as if it were submitted now. */
+    SubmittedWork submittedWork(const QueuePolicy& queue, const AccountId& account, const JobSpec& spec) const;
+    AccountBounds boundsOf(const AccountId& id) const;
+
     // Runs (JobSchedulerRuns.cpp)
     RunNumber nextRun(const Step& step, const Task& task, bool gang) const;
     void startTask(Job& job, const TaskKey& key, Worker& worker, RunNumber run);
@@ -408,6 +440,7 @@
     TimePoint m_placedRunsExpiry;
     TimePoint m_unreportedLossAt; ///< when a worker was last found to have left before it had reported
     std::map<JobId, std::unique_ptr<Job>> m_jobs;
+    std::set<JobId> m_unstoredJobs; ///< submissions that are being stored
     std::set<StepKey> m_readySteps; ///< released steps with waiting tasks
     std::set<StepKey> m_upcomingSteps; ///< urgent steps whose predecessors' tasks are all running or done
     std::map<AdmissionReason, std::size_t> m_requestsAhead; ///< pending ones made ahead of the scheduling order
@@ -426,6 +459,11 @@
     VanishedWorkers m_vanished; ///< since this owner took over
     FailureQuarantine m_quarantine;
     WorkerSpeeds m_speeds;
+    RunTimeRatios m_runTimes;
+    TimePoint m_activatedAt;
+    std::map<std::string, PoolLoad> m_loads; ///< by pool; a cache
+    TimePoint m_loadsBuiltAt; ///< zero: not built
+    std::map<std::string, Duration> m_predictedWaits; ///< by queue
     std::set<std::pair<std::int64_t, JobId>> m_finishedJobs; ///< ordered by end time
     std::set<JobId> m_jobsWithDoneOccurrences; ///< to be erased
     absl::flat_hash_set<JobId> m_scheduledJobs; ///< jobs with occurrences that are not yet due
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-    // By the users' statement, a result has some value up to this multiple of the objective.
-    constexpr int resultExpiryFactor = 3;
     // Pools up to this size are searched as a whole.
     constexpr std::size_t largePool = 512;
     // Several times the number of workers that an admission call names or a step usually needs.
@@ -21,13 +19,6 @@
     constexpr std::size_t emptyOccurrenceBytes = 12;
     constexpr std::size_t emptyStepBytes = 33;
 
-    Duration milliseconds(double n)
-    {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(n));
-    }
-
-    double toMs(Duration value) { return std::chrono::duration<double, std::milli>(value).count(); }
-
     /** @brief Whether an account may use this much. A limit of 0 means no limit. */
     bool isWithin(const Resources& usage, const Resources& limit)
     {
@@ -86,9 +77,7 @@
     if (isFinal(job.state))
         return;
     const QueuePolicy* queue = queueOf(job);
-    const double objectiveFactor = queue != nullptr ? queue->objectiveFactor : 1;
-    const Duration latency = queue != nullptr ? queue->latencyObjective : Duration::zero();
-    const auto length = milliseconds(objectiveFactor * toMs(estimatedCriticalPath(job.spec()))) + latency;
+    const Duration length = objectiveOf(job.spec(), queue != nullptr ? *queue : QueuePolicy());
     for (auto& [n, occurrence] : job.open) {
         if (occurrence.objective == TimePoint())
             occurrence.objective = occurrence.releasedAt + length;
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -230,8 +230,11 @@
     const bool finished = end.kind == EndKind::Done && !isFinal(job->state) && !job->spec().steps[key.step].longRunning;
     if (finished) {
         markStarted(*job);
-        if (current && task->isFullRun && !job->spec().steps[key.step].gang)
-            job->find(stepOf(key))->measured.push_back({ worker.record.id, worker.record.kind, now - task->since });
+        if (current && task->isFullRun && !job->spec().steps[key.step].gang) {
+            const MeasuredRun measured { worker.record.id, worker.record.kind, now - task->since };
+            job->find(stepOf(key))->measured.push_back(measured);
+            recordRunTime(*job, job->spec().steps[key.step], measured);
+        }
         if (!current && task->isAssigned()) {
             // Another run of the task exists; its resources stay reserved until it has ended.
             task->doneWhenRunEnds = true;
--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -167,6 +167,8 @@
         reply(failure(ReplyKind::BadRequest, std::string(spec.status().message())));
         return;
     }
+    if (refuseUnservable(queue, account, id, *spec, reply))
+        return;
     m_pending[id] = { .call = call, .replies = {}, .deadline = deadline };
     m_pending[id].replies.push_back(std::move(reply));
     m_scheduler.submit(id,
@@ -185,6 +187,26 @@
     });
 }
 
+// Only while the ownership is certain: otherwise another owner may know the job by now.
+bool JobService::refuseUnservable(
+    const QueuePolicy& queue, const AccountId& account, const JobId& id, const JobSpec& spec, const Reply& reply)
+{
+    if (!m_settings.refusesUnservable || !m_host.mayStartTasks())
+        return false;
+    const auto refused = m_scheduler.evaluate(queue, account, spec, m_runtime.random()).refusal;
+    if (!refused)
+        return false;
+    const auto toMs = [](Duration value) { return std::chrono::duration<double, std::milli>(value).count(); };
+    ++m_counters.refused;
+    ++m_counters.refusedByPrediction;
+    m_log.record("job_refused",
+        { { "job", id.value() }, { "queue", queue.name }, { "account", account.value() },
+            { "reason", "it would end too late" }, { "predicted_ms", toMs(refused->predicted) },
+            { "useful_ms", toMs(refused->useful) }, { "retry_after_s", refused->retryAfterS } });
+    reply(refusal("the cluster cannot serve the job in time", refused->retryAfterS));
+    return true;
+}
+
 // The commit of a new job requires the configuration that its call was checked against. A call for a job that was
 // submitted before has no commit of its own.
 void JobService::repeat(const QueuePolicy& queue, const JobId& id, Reply reply)
--- a/src/lycheeledge/jobs/StepOrder.h
+++ b/src/lycheeledge/jobs/StepOrder.h
@@ -13,6 +13,9 @@
 
 namespace lycheeledge::jobs {
 
+/// By the users' statement, a result has some value up to this multiple of the objective.
+inline constexpr int resultExpiryFactor = 3;
+
 /** @brief Properties that determine the position of a step in the scheduling order. */
 struct StepUrgency {
     std::uint32_t priority = 0; ///< of its queue; 0 comes first
