--- a/test/support/LoadPlay.h
+++ b/test/support/LoadPlay.h
@@ -20,13 +20,14 @@
     Duration interval {}; ///< between submissions
     Duration length {}; ///< from the first to the last submission
     std::uint64_t firstJob = 1;
+    bool retries = false; ///< submits a refused job again after its Retry-After, once
 };
 
 struct LoadOutcome {
     std::size_t submitted = 0;
     std::size_t refused = 0;
     std::size_t unknown = 0;
-    std::size_t useful = 0; ///< completed before their result expired
+    std::size_t useful = 0; ///< completed before their result expired, from their last submission
     std::size_t failed = 0; ///< accepted or unknown, and not completed before that
     std::uint32_t shortestRetryS = 0;
     std::uint32_t longestRetryS = 0;
@@ -59,6 +60,7 @@
             }
             m_cluster.advance(step);
             noteCompletions();
+            retryRefused();
         }
     }
 
@@ -106,6 +108,8 @@
         TimePoint at;
         std::shared_ptr<std::optional<jobs::ClientReply>> reply;
         std::optional<TimePoint> completedAt;
+        Load load;
+        bool isRetried = false;
     };
 
     void submit(const Load& load, std::uint64_t job)
@@ -114,9 +118,25 @@
         m_cluster.submissions.specs[body] = load.spec;
         const auto reply = m_cluster.call(m_cluster.memberNames().front(), jobs::CallVerb::Submit,
             "/" + load.queue + "/" + jobName(job), body, load.key);
-        m_submissions[job] = { load.queue, m_cluster.runtime.now(), reply, std::nullopt };
+        m_submissions[job] = { load.queue, m_cluster.runtime.now(), reply, std::nullopt, load, false };
         m_open.push_back(job);
     }
+    void retryRefused()
+    {
+        std::vector<std::uint64_t> due;
+        for (const auto& [job, it] : m_submissions) {
+            const auto& reply = *it.reply;
+            if (it.load.retries && !it.isRetried && reply.has_value() && reply->kind == jobs::ReplyKind::Refused
+                && m_cluster.runtime.now() - it.at >= std::chrono::seconds(reply->retryAfterS))
+                due.push_back(job);
+        }
+        for (const auto job : due) {
+            std::erase(m_open, job);
+            const Load load = m_submissions[job].load;
+            submit(load, job);
+            m_submissions[job].isRetried = true;
+        }
+    }
     void noteCompletions()
     {
         const auto owner = m_cluster.owner();
