Test that work without a time of use is not refused

A gate that evaluated known, long-running or later jobs, or queues without an objective, would refuse work that may run already or has no time by which it must end. The test submits each of them while ordinary jobs are refused.

--- a/test/jobs/overload/OverloadTest.cpp
+++ b/test/jobs/overload/OverloadTest.cpp
@@ -292,3 +292,38 @@
         CHECK((*reply)->kind != ReplyKind::Refused);
     }
 }
+
+TEST_CASE("known, long-running and later jobs and queues without an objective are not refused", "[jobs][overload]")
+{
+    // Guards against refusals of work that has no time of use, or may run already.
+    JobCluster cluster(1);
+    restartRefusing(cluster);
+    auto configuration = simpleConfiguration();
+    configuration.queues.push_back(configuration.queues[0]);
+    configuration.queues.back().name = "open-ended";
+    configuration.queues.back().prefix = "/open-ended/";
+    configuration.queues.back().latencyObjective = Duration::zero();
+    cluster.setConfiguration(configuration);
+    addWorkers(cluster, 2);
+    cluster.advance(seconds(4));
+    LoadPlay play(cluster, usefulTime);
+    const Load load = twoStepLoad(milliseconds(25), seconds(12));
+    play.add(load);
+    play.advance(seconds(11));
+    // All at once, so that the last of them finds no room in time.
+    std::shared_ptr<std::optional<ClientReply>> last;
+    for (std::uint64_t n = 0; n < 40; ++n)
+        last = cluster.call("m0", CallVerb::Submit, "/urgent/" + jobName(91000 + n), "body-1");
+    REQUIRE(last->has_value());
+    REQUIRE((*last)->kind == ReplyKind::Refused);
+    CHECK(cluster.submit("m0", "urgent", 1, load.spec));
+    JobSpec lasting = load.spec;
+    lasting.steps.resize(1);
+    lasting.steps.front().longRunning = true;
+    CHECK(cluster.submit("m0", "urgent", 90001, lasting));
+    JobSpec later = load.spec;
+    later.repetitions = 1;
+    later.firstDueUnixMs = cluster.unixMs() + 60000;
+    CHECK(cluster.submit("m0", "urgent", 90002, later));
+    CHECK(cluster.submit("m0", "open-ended", 90003, load.spec));
+}
