Merge the refusal of submissions that cannot be served

Under overload every submission was accepted and much of the work ended too late to be of use. Merges the prediction and the submission gate.

--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -77,6 +77,7 @@
     }
     m_admission.clear();
     m_jobs.clear();
+    m_unstoredJobs.clear();
     m_readySteps.clear();
     m_upcomingSteps.clear();
     m_requestsAhead.clear();
@@ -97,6 +98,10 @@
     m_quarantine = FailureQuarantine();
     m_speeds = WorkerSpeeds();
     m_submissionRate.clear();
+    m_runTimes = RunTimeRatios();
+    m_loads.clear();
+    m_loadsBuiltAt = {};
+    m_predictedWaits.clear();
 }
 
 void JobScheduler::recover(
@@ -162,6 +167,7 @@
 void JobScheduler::activate()
 {
     m_recovered = true;
+    m_activatedAt = m_runtime.now();
     m_uncountedChanged = true;
     retainRates();
     m_log.record("scheduler_recovered",
@@ -183,6 +189,7 @@
     job->submission = std::move(submission);
     job->submission.beyondRate = takeFromRate(job->submission.account);
     Job& added = *(m_jobs[id] = std::move(job));
+    m_unstoredJobs.insert(id);
     markChanged(added, std::move(stored));
 }
 
@@ -193,6 +200,7 @@
         return;
     if (const auto& submission = it->second->submission; !submission.beyondRate)
         m_submissionRate.putBack(submission.account);
+    m_unstoredJobs.erase(id);
     m_jobs.erase(it);
 }
 
@@ -231,6 +239,7 @@
     Job* job = find(id);
     if (job == nullptr)
         return;
+    m_unstoredJobs.erase(id);
     if (change.submission) {
         job->accepted = true;
         if (job->submission.beyondRate)
--- a/src/lycheeledge/jobs/StepOrder.h
+++ b/src/lycheeledge/jobs/StepOrder.h
@@ -14,6 +14,9 @@
 
 namespace lycheeledge::jobs {
 
+/// By the users' statement, a result has some value up to this multiple of the objective.
+inline constexpr int resultExpiryFactor = 3;
+
 /** @brief Properties that determine the position of a step in the scheduling order. */
 struct StepUrgency {
     bool beyondRate = false; ///< submitted beyond the rate of its account; never set for long-running tasks
