Let a crowd's bytes arrive before the process is checked

The kernel takes a whole crowd's bytes before the process has read them, and the job handed in during the crowd is served on another thread, so the crowd could be gone too early: chunked bodies at the readiness address measured 31 to 75 MB and frames at the members' port 32 and 72 MB, on both sides of 62,500 KiB.

--- a/test/processes/ProcessTest.h
+++ b/test/processes/ProcessTest.h
@@ -166,6 +166,24 @@
     std::size_t descriptors = 0;
 };
 
+/**
+ * @brief Waits until the process has taken in what the kernel holds for it: until neither its peak memory nor its
+ * descriptors have changed for 0.4 s, or for 5 s.
+ */
+inline void settle(const ChildProcess& process, const std::function<void()>& observe)
+{
+    constexpr int steadyRounds = 8;
+    constexpr int maxRounds = 100;
+    std::pair<std::size_t, std::size_t> last;
+    for (int round = 0, steady = 0; round < maxRounds && steady < steadyRounds; ++round) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        observe();
+        const std::pair now { process.peakMemoryKb(), process.descriptors() };
+        steady = now == last ? steady + 1 : 0;
+        last = now;
+    }
+}
+
 /**
  * @brief Lets a crowd loose on the process of a cluster and checks the process during and after it.
  *
@@ -182,6 +200,7 @@
     {
         Crowd crowd(shape, texts);
         crowd.send(observe);
+        settle(process, observe);
         jobDuring = cluster.runsJob();
         observe();
         sentBytes = crowd.sentBytes();
