Limit the memory and the connections of clients at every listener

Unfinished bodies, the lists of chunks and responses that nobody reads had no common limit, so a crowd of connections could use up the memory of a VM; the platform's limits.memoryMb and limits.maxFds were not read.

A ledger of each HTTP listener counts them by means of a socket type in RESTinio's traits and closes the connections with the least progress at capacity. The peer listener delivers one frame of an unknown sender at a time and closes unconfirmed connections first. Read buffers shrink from 16 to 4 KB, and a request in progress no longer keeps two copies of its body.

--- a/src/lycheeledge/daemon/EntryProcess.cpp
+++ b/src/lycheeledge/daemon/EntryProcess.cpp
@@ -13,6 +13,7 @@
 
     // The load balancer probes /readyz about once a second; connections are accepted until it has seen the change.
     constexpr Duration deregistrationDelay = std::chrono::seconds(2);
+    constexpr Duration refusalLogInterval = std::chrono::seconds(1);
     constexpr Duration drainPollInterval = std::chrono::milliseconds(50);
     // Above the largest deadline of a request, 10 min, so that the server does not time out before the answer.
     constexpr std::chrono::milliseconds handleTimeout = std::chrono::minutes(11);
@@ -55,6 +56,7 @@
         result.secret = settings.clusterSecret;
         result.transport.address = settings.peer.host;
         result.transport.port = settings.peer.port;
+        result.transport.maxUnconfirmedBytes = settings.limits.maxRequestMemoryBytes;
         return result;
     }
 
@@ -94,6 +96,7 @@
         result.certificatePath = settings.certificatePath;
         result.keyPath = settings.keyPath;
         result.maxConnections = settings.limits.maxConnections;
+        result.maxRequestMemoryBytes = settings.limits.maxRequestMemoryBytes;
         result.handleTimeout = handleTimeout;
         return result;
     }
@@ -170,7 +173,10 @@
     , m_commands(m_loop, m_store, m_membership)
     , m_service(m_loop, m_telemetry, m_membership, m_authenticator, m_commands, m_router, m_cell)
     , m_httpGateway(m_loop, m_service, m_settings.limits.maxBodyBytes,
-          [this] { return m_telemetry.metricsText(m_membership, m_cell, m_router, m_httpGateway.callsInProgress()); })
+          [this] {
+              m_telemetry.setRefusals(m_httpServer.refusalCounts(), m_peerLink.counts());
+              return m_telemetry.metricsText(m_membership, m_cell, m_router, m_httpGateway.callsInProgress());
+          })
     , m_httpServer(serverSettings(m_settings), [this](HttpRequest request, const HttpServer::Respond& respond) {
         m_httpGateway.handle(std::move(request), respond);
     })
@@ -201,6 +207,7 @@
         m_membership.start();
         m_cell.start();
         m_telemetry.start();
+        logRefusals();
         m_httpGateway.setReady(true);
     });
     return absl::OkStatus();
@@ -227,6 +234,22 @@
     });
 }
 
+// At most one line for each interval, and only if something was refused or closed in it.
+void EntryProcess::logRefusals()
+{
+    m_loop.after(refusalLogInterval, [this] { logRefusals(); });
+    const RefusalCounts counts = m_httpServer.refusalCounts();
+    const PeerTransport::Counts peers = m_peerLink.counts();
+    const std::uint64_t total = counts.total() + peers.refused + peers.closed;
+    if (std::exchange(m_loggedRefusals, total) == total)
+        return;
+    LOG(WARNING) << "[http] Clients reached a limit; totals: " << counts.refusedConnections << " connections refused, "
+                 << counts.refusedRequests << " requests refused, " << counts.oversizeBodies
+                 << " bodies too large; closed: " << counts.closedIncomplete << " without a complete request, "
+                 << counts.closedUnread << " with an unread response, " << counts.closedIdle
+                 << " idle. Peers: " << peers.refused << " refused, " << peers.closed << " closed.";
+}
+
 void EntryProcess::beginStop()
 {
     if (m_stopping)
--- a/src/lycheeledge/daemon/EntryProcess.h
+++ b/src/lycheeledge/daemon/EntryProcess.h
@@ -97,6 +97,7 @@
     }
 
     void beginStop();
+    void logRefusals();
     bool stopLimitReached() const { return m_loop.now() >= m_stopDeadline; }
     void handOver();
     void drain();
@@ -125,6 +126,7 @@
     HttpGateway m_httpGateway;
     HttpServer m_httpServer;
     bool m_stopping = false;
+    std::uint64_t m_loggedRefusals = 0; ///< total at the last log line
     bool m_handedOver = false; // the cell was released or was never owned
     TimePoint m_stopDeadline;
 };
--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "JobDaemon.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -14,13 +15,18 @@
     constexpr Duration responseFlushDelay = std::chrono::milliseconds(150);
     constexpr int httpUnavailable = 503;
 
-    HttpServerSettings serverSettings(const ListenAddress& address, const JobDaemonSettings& settings)
+    // Readiness checks and requests of metrics have no body.
+    constexpr std::size_t maxCheckBodyBytes = 4096;
+
+    HttpServerSettings serverSettings(
+        const ListenAddress& address, std::size_t maxBodyBytes, const ListenerShare& share)
     {
         HttpServerSettings result;
         result.address = address.host;
         result.port = address.port;
-        result.maxBodyBytes = settings.maxBodyBytes;
-        result.maxConnections = settings.maxConnections;
+        result.maxBodyBytes = maxBodyBytes;
+        result.maxConnections = share.connections;
+        result.maxRequestMemoryBytes = share.bytes;
         // Clients keep connections open between calls that are many seconds apart.
         result.readTimeout = std::chrono::seconds(60);
         return result;
@@ -34,7 +40,9 @@
         result.maxFrameBytes = 4 << 20; // holds the body of a call, or an admission request, with headroom
         result.maxQueuedBytes = 16 << 20;
         // One from each member. A member whose connections are closed at once takes the owner's process for ended.
-        result.maxConnections = 3800; // below the descriptors of the smallest VM
+        result.maxConnections = settings.shares.members.connections;
+        // Holds at least one frame, with the spare capacity of its buffer.
+        result.maxUnconfirmedBytes = std::max(settings.shares.members.bytes, 2 * result.maxFrameBytes);
         return result;
     }
 
@@ -65,12 +73,12 @@
     , m_node({ m_loop, ports.store, ports.records, m_codec, ports.submissions, ports.workers, ports.vms,
                  ports.admission, m_memberPort, m_log, unixMilliseconds },
           localOwnerRecord(m_settings), m_settings.node)
-    , m_ingressServer(serverSettings(m_settings.ingress, m_settings),
+    , m_ingressServer(serverSettings(m_settings.ingress, m_settings.maxBodyBytes, m_settings.shares.ingress),
           [this](HttpRequest request, const HttpServer::Respond& respond) {
               m_executor.execute(
                   [this, request = std::move(request), respond]() mutable { handleCall(std::move(request), respond); });
           })
-    , m_readinessServer(serverSettings(m_settings.readiness, m_settings),
+    , m_readinessServer(serverSettings(m_settings.readiness, maxCheckBodyBytes, m_settings.shares.readiness),
           [this](const HttpRequest& request, const HttpServer::Respond& respond) {
               m_executor.execute([this, request, respond] { handleReadiness(request, respond); });
           })
@@ -78,10 +86,11 @@
     m_memberPort.setListener(&m_node.memberListener());
     if (m_settings.metricsPort != 0) {
         const ListenAddress address { m_settings.host, m_settings.metricsPort };
-        m_metricsServer = std::make_unique<HttpServer>(
-            serverSettings(address, m_settings), [this](const HttpRequest&, const HttpServer::Respond& respond) {
-                m_executor.execute([this, respond] { handleMetrics(respond); });
-            });
+        m_metricsServer
+            = std::make_unique<HttpServer>(serverSettings(address, maxCheckBodyBytes, m_settings.shares.metrics),
+                [this](const HttpRequest&, const HttpServer::Respond& respond) {
+                    m_executor.execute([this, respond] { handleMetrics(respond); });
+                });
     }
 }
 
@@ -193,6 +202,7 @@
 void JobDaemon::logLoad()
 {
     m_loop.after(m_settings.loadLogInterval, [this] { logLoad(); });
+    logRefusals();
     const auto& session = m_node.session();
     if (!m_node.lease().isOwner())
         return;
@@ -211,6 +221,30 @@
             { "relayed_open", m_node.relayedWorkers().callsInProgress() } });
 }
 
+RefusalCounts JobDaemon::refusalCounts() const
+{
+    RefusalCounts result = m_ingressServer.refusalCounts();
+    result += m_readinessServer.refusalCounts();
+    if (m_metricsServer)
+        result += m_metricsServer->refusalCounts();
+    return result;
+}
+
+// At most one line for each load interval, and only if something was refused or closed in it.
+void JobDaemon::logRefusals()
+{
+    const RefusalCounts counts = refusalCounts();
+    const PeerTransport::Counts peers = m_memberPort.counts();
+    const std::uint64_t total = counts.total() + peers.refused + peers.closed;
+    if (std::exchange(m_loggedRefusals, total) == total)
+        return;
+    m_log.record("clients_limited",
+        { { "refused_connections", counts.refusedConnections }, { "refused_requests", counts.refusedRequests },
+            { "oversize_bodies", counts.oversizeBodies }, { "closed_incomplete", counts.closedIncomplete },
+            { "closed_unread", counts.closedUnread }, { "closed_idle", counts.closedIdle },
+            { "refused_peers", peers.refused }, { "closed_peers", peers.closed } });
+}
+
 void JobDaemon::updateMetrics()
 {
     const auto setGauge
@@ -255,6 +289,24 @@
         static_cast<double>(relay.calls()));
     setGauge("lycheeledge_relay_calls_expired_total", "Calls that this member received too late to make them.",
         static_cast<double>(relay.expiredCalls()));
+    const RefusalCounts refusals = refusalCounts();
+    const PeerTransport::Counts peers = m_memberPort.counts();
+    setGauge("lycheeledge_connections_refused_total", "Clients' connections refused at capacity.",
+        static_cast<double>(refusals.refusedConnections));
+    setGauge("lycheeledge_requests_refused_total", "Requests refused because too many were in progress.",
+        static_cast<double>(refusals.refusedRequests));
+    setGauge("lycheeledge_bodies_oversize_total", "Requests refused because of the length of their body.",
+        static_cast<double>(refusals.oversizeBodies));
+    setGauge("lycheeledge_connections_closed_incomplete_total", "Connections closed without a complete request.",
+        static_cast<double>(refusals.closedIncomplete));
+    setGauge("lycheeledge_connections_closed_unread_total", "Connections closed with an unread response.",
+        static_cast<double>(refusals.closedUnread));
+    setGauge("lycheeledge_connections_closed_idle_total", "Connections closed between two requests, at capacity.",
+        static_cast<double>(refusals.closedIdle));
+    setGauge("lycheeledge_peer_connections_refused_total", "Members' connections refused at capacity.",
+        static_cast<double>(peers.refused));
+    setGauge("lycheeledge_peer_connections_closed_total", "Connections without a valid message closed at capacity.",
+        static_cast<double>(peers.closed));
     const auto setHistogram = [this](const char* name, const char* help, const LatencyHistogram& latencies) {
         m_metrics.histogram(name, help).set(latencies);
     };
--- a/src/lycheeledge/daemon/JobDaemon.h
+++ b/src/lycheeledge/daemon/JobDaemon.h
@@ -9,6 +9,7 @@
 #include "EventLoop.h"
 #include "JsonEventLog.h"
 #include "Metrics.h"
+#include "ResourceShares.h"
 
 #include <absl/status/status.h>
 
@@ -52,7 +53,7 @@
     Duration loadLogInterval = std::chrono::seconds(1); ///< of the `load` event
     /// Above the limit of the stored configuration, so that a call over that limit is refused with a reason.
     std::size_t maxBodyBytes = 512 << 10;
-    std::size_t maxConnections = 3000; ///< of clients; below the VM's limit on file descriptors
+    ResourceShares shares = divideResources(0, 0);
 };
 
 /** @brief Wall-clock time in milliseconds since 1970-01-01 UTC. Not monotonic. */
@@ -95,6 +96,8 @@
     void beginStop();
     void drain();
     void logLoad();
+    RefusalCounts refusalCounts() const;
+    void logRefusals();
     void updateMetrics();
 
     EventLoop& m_loop;
@@ -111,6 +114,7 @@
     std::unique_ptr<HttpServer> m_metricsServer;
     std::size_t m_callsInProgress = 0;
     std::uint64_t m_callsTotal = 0;
+    std::uint64_t m_loggedRefusals = 0; ///< total when `clients_limited` was last logged
     LatencyHistogram m_callLatencies;
     bool m_stopping = false;
     bool m_resigned = false;
--- a/src/lycheeledge/daemon/Settings.cpp
+++ b/src/lycheeledge/daemon/Settings.cpp
@@ -62,6 +62,7 @@
         };
         read("maxBodyBytes", limits.maxBodyBytes);
         read("maxConnections", limits.maxConnections);
+        read("maxRequestMemoryBytes", limits.maxRequestMemoryBytes);
         read("maxWaitingCalls", limits.maxWaitingCalls);
         read("maxConnectionsPerHost", limits.maxConnectionsPerHost);
         read("maxResponseBytes", limits.maxResponseBytes);
@@ -149,6 +150,9 @@
             return SchemaViolation { "/peer/port", "must differ from /listen/port on the same address" };
         if (settings.certificatePath.empty() != settings.keyPath.empty())
             return SchemaViolation { "/listen", "must have both certificatePath and keyPath, or neither" };
+        // The listener reads twice maxBodyBytes, counts two bytes for each, and leaves half to requests in progress.
+        if (settings.limits.maxRequestMemoryBytes < 8 * settings.limits.maxBodyBytes)
+            return SchemaViolation { "/limits/maxRequestMemoryBytes", "must be at least eight times maxBodyBytes" };
         if (intervals.isolation < 2 * intervals.gossip)
             return SchemaViolation { "/intervals/isolationMs", "must be at least twice gossipMs" };
         if (intervals.isolation <= intervals.freshnessRead)
--- a/src/lycheeledge/daemon/Settings.h
+++ b/src/lycheeledge/daemon/Settings.h
@@ -18,6 +18,7 @@
 struct LimitSettings {
     std::size_t maxBodyBytes = 1048576; ///< of the body of a call
     std::size_t maxConnections = 4096; ///< from callers
+    std::size_t maxRequestMemoryBytes = 33554432; ///< for unfinished requests and unsent responses of all callers
     std::size_t maxWaitingCalls = 65536; ///< capacity of the task queues between threads
     std::size_t maxConnectionsPerHost = 64; ///< to the platform and to each worker
     std::size_t maxResponseBytes = 67108864; ///< of responses from the platform and from workers
--- a/src/lycheeledge/daemon/SettingsSchemaText.h
+++ b/src/lycheeledge/daemon/SettingsSchemaText.h
@@ -76,6 +76,7 @@
       "properties": {
         "maxBodyBytes": { "type": "integer", "minimum": 1024, "maximum": 67108864, "default": 1048576 },
         "maxConnections": { "type": "integer", "minimum": 16, "maximum": 65536, "default": 4096 },
+        "maxRequestMemoryBytes": { "type": "integer", "minimum": 1048576, "maximum": 1073741824, "default": 33554432 },
         "maxWaitingCalls": { "type": "integer", "minimum": 64, "maximum": 1048576, "default": 65536 },
         "maxConnectionsPerHost": { "type": "integer", "minimum": 1, "maximum": 1024, "default": 64 },
         "maxResponseBytes": { "type": "integer", "minimum": 1048576, "maximum": 268435456, "default": 67108864 }
--- a/src/lycheeledge/daemon/Telemetry.cpp
+++ b/src/lycheeledge/daemon/Telemetry.cpp
@@ -97,6 +97,27 @@
     gauge("lycheeledge_cell_quarantined_workers", "Workers in quarantine.", static_cast<double>(quarantined));
 }
 
+void Telemetry::setRefusals(const RefusalCounts& counts, const PeerTransport::Counts& peers)
+{
+    const auto set = [this](std::string_view name, std::string_view help, std::uint64_t n) {
+        m_metrics.gauge(name, help).set(static_cast<double>(n));
+    };
+    set("lycheeledge_connections_refused_total", "Connections refused at capacity.", counts.refusedConnections);
+    set("lycheeledge_requests_refused_total", "Requests refused because too many were in progress.",
+        counts.refusedRequests);
+    set("lycheeledge_bodies_oversize_total", "Requests refused because of the length of their body.",
+        counts.oversizeBodies);
+    set("lycheeledge_connections_closed_incomplete_total", "Connections closed without a complete request.",
+        counts.closedIncomplete);
+    set("lycheeledge_connections_closed_unread_total", "Connections closed with an unread response.",
+        counts.closedUnread);
+    set("lycheeledge_connections_closed_idle_total", "Connections closed between two requests, at capacity.",
+        counts.closedIdle);
+    set("lycheeledge_peer_connections_refused_total", "Members' connections refused at capacity.", peers.refused);
+    set("lycheeledge_peer_connections_closed_total", "Connections without a valid message closed at capacity.",
+        peers.closed);
+}
+
 std::string Telemetry::metricsText(
     const Membership& membership, const CellController& cell, const RequestRouter& router, std::size_t callsInProgress)
 {
--- a/src/lycheeledge/daemon/Telemetry.h
+++ b/src/lycheeledge/daemon/Telemetry.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "../coordination/Runtime.h"
+#include "../transport/ConnectionLedger.h"
 #include "../transport/HttpClient.h"
+#include "../transport/PeerTransport.h"
 #include "CallTelemetry.h"
 #include "Metrics.h"
 #include "Settings.h"
@@ -29,6 +31,8 @@
     CallTelemetry& calls() { return m_calls; }
     TraceContextGenerator& contextGenerator() { return m_contextGenerator; }
     SpanExporter& exporter() { return m_exporter; }
+    /** @brief Sets the counters of refused and closed connections. */
+    void setRefusals(const RefusalCounts& counts, const PeerTransport::Counts& peers);
     /** @brief Updates the gauges from the given components and renders all metrics in the Prometheus text format. */
     std::string metricsText(const Membership& membership, const CellController& cell, const RequestRouter& router,
         std::size_t callsInProgress);
--- a/src/lycheeledge/protocol/AsioPeerLink.cpp
+++ b/src/lycheeledge/protocol/AsioPeerLink.cpp
@@ -105,6 +105,7 @@
     auto connection = std::make_unique<Connection>(
         Connection { .channel = SecureChannel(m_settings.secret, m_settings.self, makeNonce(), initiator),
             .initiator = initiator,
+            .confirmed = initiator,
             .address = {},
             .pending = {},
             .failureCallbacks = {} });
@@ -134,6 +135,8 @@
             m_transport.close(id);
             return;
         }
+        if (!connection.confirmed)
+            m_transport.resume(id);
         sendPending(id, connection);
         return;
     }
@@ -143,6 +146,8 @@
         m_transport.close(id);
         return;
     }
+    if (!std::exchange(connection.confirmed, true))
+        m_transport.confirm(id);
     handleMessage(id, connection, *text);
 }
 
--- a/src/lycheeledge/protocol/AsioPeerLink.h
+++ b/src/lycheeledge/protocol/AsioPeerLink.h
@@ -33,6 +33,7 @@
     /** @brief Starts to listen. @return the port. Errors: `UNAVAILABLE`. */
     absl::StatusOr<std::uint16_t> start();
     void stop();
+    PeerTransport::Counts counts() const { return m_transport.counts(); }
 
     void gossip(const Address& to, const Gossip& message) override;
     void send(const MemberId& to, const Address& address, PeerMessage message, SendFailed failed) override;
@@ -44,6 +45,7 @@
     struct Connection {
         SecureChannel channel;
         bool initiator = false;
+        bool confirmed = false; // the transport knows that the other end is authenticated
         Address address; // of the other end, if initiator
         std::deque<std::string> pending; // encoded messages to send once the channel is established
         absl::flat_hash_map<std::uint64_t, SendFailed> failureCallbacks; // of calls without a reply, by call id
--- a/src/lycheeledge/protocol/FramedMemberPort.cpp
+++ b/src/lycheeledge/protocol/FramedMemberPort.cpp
@@ -25,7 +25,10 @@
         m_executor.execute([this, connection, frame = std::move(frame)] { handleFrame(connection, frame); });
     };
     result.closed = [this](PeerTransport::ConnectionId connection) {
-        m_executor.execute([this, connection] { m_listener->closed(connection); });
+        m_executor.execute([this, connection] {
+            m_confirmed.erase(connection);
+            m_listener->closed(connection);
+        });
     };
     return result;
 }
@@ -34,6 +37,8 @@
 {
     const auto message = decodeMemberMessage(frame);
     if (message.ok()) {
+        if (m_confirmed.insert(connection).second)
+            m_transport.confirm(connection);
         m_listener->received(connection, *message);
         return;
     }
--- a/src/lycheeledge/protocol/FramedMemberPort.h
+++ b/src/lycheeledge/protocol/FramedMemberPort.h
@@ -6,6 +6,7 @@
 #include "../transport/PeerTransport.h"
 #include "CompletionExecutor.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <absl/status/statusor.h>
 
 #include <cstdint>
@@ -22,6 +23,7 @@
     /** @brief Starts to listen. @return the port. Errors: `UNAVAILABLE`. */
     absl::StatusOr<std::uint16_t> start() { return m_transport.start(); }
     void stop() { m_transport.stop(); }
+    PeerTransport::Counts counts() const { return m_transport.counts(); }
 
     jobs::MemberConnection connect(const std::string& host, std::uint16_t port) override;
     void send(jobs::MemberConnection connection, const jobs::MemberMessage& message) override;
@@ -34,6 +36,7 @@
     CompletionExecutor& m_executor;
     jobs::EventLog& m_log;
     jobs::MemberListener* m_listener = nullptr;
+    absl::flat_hash_set<jobs::MemberConnection> m_confirmed; // open connections with at least one valid message
     PeerTransport m_transport;
 };
 
--- a/src/lycheeledge/transport/HttpServer.cpp
+++ b/src/lycheeledge/transport/HttpServer.cpp
@@ -1,22 +1,22 @@
-// HTTP server based on RESTinio, which is included only here because it is slow to compile.
+// HTTP server based on RESTinio, which is included only by this file because it is slow to compile.
 
 #include "HttpServer.h"
 
 #include "BoundedRing.h"
+#include "ConnectionLedger.h"
+#include "MeteredSocket.h"
 #include "TlsCertificate.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <glog/logging.h>
-#include <restinio/all.hpp>
-#include <restinio/tls.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <exception>
 #include <stdexcept>
 #include <thread>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 
 namespace lycheeledge {
@@ -31,47 +31,47 @@
     // RESTinio closes the connection without a response if a body exceeds its limit. Its limit is therefore larger by
     // this margin: bodies between the two limits are read completely and answered with status 413.
     constexpr std::size_t bodyLimitMargin = 1 << 20;
-    constexpr std::size_t readBufferBytes = 16384;
+    // Small, since each idle connection has one.
+    constexpr std::size_t readBufferBytes = 4096;
+    // Of the kernel's buffers of a connection. The kernel may use twice as much.
+    constexpr int socketBufferBytes = 16384;
     constexpr auto timeoutCheckPeriod = std::chrono::milliseconds(250);
 
-    /** @brief Open connections, by id. Used only on the server's thread. */
-    class OpenConnections {
-    public:
-        /** @brief Adds a connection before its TLS handshake, which RESTinio does not report to the listener. */
-        void add(restinio::connection_id_t id) { m_open.insert(id); }
-
-        void state_changed(const restinio::connection_state::notice_t& notice) noexcept // NOLINT
-        {
-            if (std::holds_alternative<restinio::connection_state::accepted_t>(notice.cause()))
-                m_open.insert(notice.connection_id());
-            else
-                m_open.erase(notice.connection_id());
-        }
-
-        std::size_t count() const { return m_open.size(); }
+    using RequestHandler = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
 
-    private:
-        std::unordered_set<restinio::connection_id_t> m_open;
-    };
+    struct Traits : public restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t, RequestHandler,
+                        restinio::noop_strand_t, detail::MeteredTcpSocket> { };
 
-    using RequestHandler = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+    struct TlsTraits : public restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
+                           RequestHandler, restinio::noop_strand_t, detail::MeteredTlsSocket> { };
 
-    struct Traits : public restinio::single_thread_traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
-                        RequestHandler> {
-        using connection_state_listener_t = OpenConnections; // NOLINT
+    /** @brief Context of the new connections on a server's thread. */
+    struct ConnectionContext {
+        std::shared_ptr<ConnectionLedger> ledger;
+        std::chrono::milliseconds handshakeTimeout {};
     };
+    thread_local ConnectionContext connectionContext;
 
-    struct TlsTraits : public restinio::single_thread_tls_traits_t<restinio::asio_timer_manager_t,
-                           restinio::null_logger_t, RequestHandler> {
-        using connection_state_listener_t = OpenConnections; // NOLINT
-    };
+    /** @brief Adds a connection, whose socket does not move from now on, to the ledger. */
+    template <typename Socket> void addToLedger(Socket& socket, restinio::connection_id_t id)
+    {
+        const auto& ledger = connectionContext.ledger;
+        // RESTinio closes the connection when its pending operation fails.
+        ledger->add(id, std::chrono::steady_clock::now(), [&socket] {
+            asio::error_code ignored;
+            socket.lowest_layer().shutdown(asio::socket_base::shutdown_both, ignored);
+        });
+        socket.attach(std::make_unique<detail::Meter>(ledger, id));
+    }
 
-    /** @brief Context of the TLS handshakes on a server's thread. */
-    struct HandshakeContext {
-        OpenConnections* connections = nullptr;
-        std::chrono::milliseconds timeout {};
-    };
-    thread_local HandshakeContext handshakeContext;
+    /** @brief Replaces RESTinio's function of the same name; overload resolution prefers the exact socket type. */
+    template <typename StartRead, typename Failed>
+    void prepare_connection_and_start_read(detail::MeteredTcpSocket& socket, // NOLINT
+        restinio::impl::connection_t<Traits>& connection, StartRead startRead, Failed)
+    {
+        addToLedger(socket, connection.connection_id());
+        startRead();
+    }
 
     /**
      * @brief Replaces RESTinio's function of the same name, which has no handshake timeout, so that peers which send
@@ -79,11 +79,12 @@
      * specialized for TlsTraits.
      */
     template <typename StartRead, typename Failed>
-    void prepare_connection_and_start_read(restinio::impl::tls_socket_t& socket, // NOLINT
+    void prepare_connection_and_start_read(detail::MeteredTlsSocket& socket, // NOLINT
         restinio::impl::connection_t<TlsTraits>& connection, StartRead startRead, Failed failed)
     {
-        handshakeContext.connections->add(connection.connection_id());
-        const auto timer = std::make_shared<asio::steady_timer>(socket.get_executor(), handshakeContext.timeout);
+        addToLedger(socket, connection.connection_id());
+        const auto timer
+            = std::make_shared<asio::steady_timer>(socket.get_executor(), connectionContext.handshakeTimeout);
         const auto alive = connection.shared_from_this();
         timer->async_wait([&socket, alive](const asio::error_code& ec) {
             asio::error_code ignored;
@@ -115,17 +116,50 @@
         return result;
     }
 
-    void sendResponse(restinio::request_t& request, HttpResponse response, bool close)
+    using ResponseBuilder = restinio::response_builder_t<restinio::restinio_controlled_output_t>;
+
+    /** @brief A request whose response is not sent yet. It does not keep RESTinio's copy of the body. */
+    struct PendingRequest {
+        ResponseBuilder builder;
+        restinio::connection_id_t connection = 0;
+        std::size_t memory = 0; ///< counted by ConnectionLedger::beginRequest()
+    };
+
+    void sendResponse(ConnectionLedger& ledger, PendingRequest request, HttpResponse response, bool close)
     {
-        const auto status = static_cast<std::uint16_t>(response.status);
-        auto builder = request.create_response(
-            restinio::http_status_line_t(restinio::http_status_code_t(status), response.status < 400 ? "OK" : "Error"));
+        ResponseBuilder& builder = request.builder;
+        builder.header().status_line({ restinio::http_status_code_t(static_cast<std::uint16_t>(response.status)),
+            response.status < 400 ? "OK" : "Error" });
         if (close)
             builder.connection_close();
         for (const auto& [name, value] : response.headers)
             builder.append_header(name, value);
+        ledger.beginResponse(request.connection, response.body.size(), std::chrono::steady_clock::now());
         builder.set_body(std::move(response.body));
-        builder.done();
+        // Called on the server's thread, before the connection reads its next request.
+        builder.done([&ledger, id = request.connection](
+                         const asio::error_code&) { ledger.endResponse(id, std::chrono::steady_clock::now()); });
+    }
+
+    PendingRequest makePendingRequest(restinio::request_t& request)
+    {
+        const auto id = request.connection_id();
+        return { request.create_response(), id, 0 };
+    }
+
+    /** @brief Memory of a converted request, in bytes. Each header field is a node of a map with two strings. */
+    std::size_t requestMemory(const HttpRequest& request)
+    {
+        constexpr std::size_t bytesPerField = 128;
+        std::size_t result = sizeof(HttpRequest) + request.target.size() + request.body.size();
+        for (const auto& [name, value] : request.headers)
+            result += bytesPerField + name.size() + value.size();
+        return result;
+    }
+
+    HttpResponse busyResponse()
+    {
+        return { 503, { { "Retry-After", "1" } }, "the server is at capacity; the request was not executed" };
     }
 
     struct QueuedResponse {
@@ -135,27 +169,34 @@
 
     /** @brief State shared by the server's thread and the responders. */
     struct SharedState {
-        explicit SharedState(std::size_t maxConnections)
-            : responses(maxConnections + 1)
+        explicit SharedState(const HttpServerSettings& settings)
+            : ledger(std::make_shared<ConnectionLedger>(
+                ConnectionLimits { settings.maxRequestMemoryBytes, settings.maxConnections }))
+            , responses(settings.maxConnections + 1)
         {
         }
 
+        // Destroyed after the connections, which the context owns.
+        std::shared_ptr<ConnectionLedger> ledger; // used only on the server's thread, except counts()
+
         asio::io_context context { 1 };
-        // Each connection has at most one request in progress, so the queue never becomes full.
+        // At most maxConnections requests are in progress, so the queue never becomes full. This includes requests
+        // whose connection has been closed.
         BoundedRing<QueuedResponse> responses;
         std::atomic<bool> closeAfterResponse { false };
         // The members below are used only on the server's thread.
-        std::unordered_map<std::uint64_t, restinio::request_handle_t> pendingRequests; // by request id
+        std::unordered_map<std::uint64_t, PendingRequest> pendingRequests; // by request id
         std::uint64_t nextRequestId = 1;
 
         void sendQueuedResponses()
         {
             while (auto queued = responses.popUntil({})) {
-                const auto node = pendingRequests.extract(queued->requestId);
+                auto node = pendingRequests.extract(queued->requestId);
                 if (node.empty())
                     continue;
+                ledger->endRequest(node.mapped().memory);
                 try {
-                    sendResponse(*node.mapped(), std::move(queued->response), closeAfterResponse);
+                    sendResponse(*ledger, std::move(node.mapped()), std::move(queued->response), closeAfterResponse);
                 } catch (const std::exception& ex) {
                     LOG(WARNING) << "[http] Response not sent: " << ex.what();
                 }
@@ -228,8 +269,8 @@
         : settings(std::move(serverSettings))
         , handler(std::move(requestHandler))
         , certificate(settings.certificatePath, settings.keyPath)
-        , sharedState(std::make_shared<SharedState>(settings.maxConnections))
-        , connections(std::make_shared<OpenConnections>())
+        , sharedState(std::make_shared<SharedState>(settings))
+        , ledger(sharedState->ledger)
     {
     }
 
@@ -239,16 +280,25 @@
     {
         if (request->header().connection() == restinio::http_connection_header_t::upgrade)
             return restinio::request_rejected();
+        ledger->completed(request->connection_id());
+        PendingRequest pending = makePendingRequest(*request);
         if (request->body().size() > settings.maxBodyBytes) {
-            sendResponse(*request, { 413, {}, "request body is too large" }, true);
+            ledger->countOversizeBody();
+            sendResponse(*ledger, std::move(pending), { 413, {}, "request body is too large" }, true);
+            return restinio::request_accepted();
+        }
+        HttpRequest converted = convertRequest(*request);
+        pending.memory = requestMemory(converted);
+        if (sharedState->pendingRequests.size() >= settings.maxConnections || !ledger->beginRequest(pending.memory)) {
+            sendResponse(*ledger, std::move(pending), busyResponse(), sharedState->closeAfterResponse);
             return restinio::request_accepted();
         }
         const std::uint64_t id = sharedState->nextRequestId++;
-        sharedState->pendingRequests.emplace(id, request);
+        sharedState->pendingRequests.emplace(id, std::move(pending));
         auto responder = std::make_shared<Responder>(sharedState, id);
         const Respond respond = [responder](HttpResponse response) { responder->respond(std::move(response)); };
         try {
-            handler(convertRequest(*request), respond);
+            handler(std::move(converted), respond);
         } catch (const std::exception& ex) {
             LOG(ERROR) << "[http] Handler failed: " << ex.what();
             responder->respond({ 500, {}, "internal error" });
@@ -269,19 +319,23 @@
             .handle_request_timeout(settings.handleTimeout)
             .write_http_response_timelimit(settings.readTimeout)
             .timer_manager(timeoutCheckPeriod)
-            .connection_state_listener(connections)
             .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t {}
                                           .max_url_size(maxTargetBytes)
                                           .max_field_name_size(maxFieldNameBytes)
                                           .max_field_value_size(maxFieldValueBytes)
                                           .max_field_count(maxFields)
-                                          .max_body_size(settings.maxBodyBytes + bodyLimitMargin))
-            .acceptor_post_bind_hook(
-                [&port](asio::ip::tcp::acceptor& acceptor) { port = acceptor.local_endpoint().port(); })
+                                          .max_body_size(settings.maxBodyBytes
+                                              + std::min(bodyLimitMargin, settings.maxRequestMemoryBytes / 16)))
+            .acceptor_post_bind_hook([&port](asio::ip::tcp::acceptor& acceptor) {
+                port = acceptor.local_endpoint().port();
+                // Accepted connections inherit the sizes, which thus also apply before they are accepted.
+                acceptor.set_option(asio::socket_base::receive_buffer_size(socketBufferBytes));
+                acceptor.set_option(asio::socket_base::send_buffer_size(socketBufferBytes));
+            })
             // RESTinio's own connection limiter leaks a slot whenever a peer resets its connection before it is
             // accepted. The limit is therefore enforced here: the exception closes the new socket.
-            .socket_options_setter([open = connections, limit = settings.maxConnections](auto& options) {
-                if (open->count() >= limit)
+            .socket_options_setter([ledger = ledger](auto& options) {
+                if (!ledger->admit(std::chrono::steady_clock::now()))
                     throw std::runtime_error("too many connections");
                 options.set_option(asio::ip::tcp::no_delay(true));
             })
@@ -310,7 +364,7 @@
     Handler handler;
     TlsCertificate certificate;
     std::shared_ptr<SharedState> sharedState;
-    std::shared_ptr<OpenConnections> connections; // used only on the server's thread
+    std::shared_ptr<ConnectionLedger> ledger; // used only on the server's thread, except counts()
     std::unique_ptr<Listener> listener;
     std::thread thread;
 };
@@ -339,12 +393,11 @@
         return absl::UnavailableError(
             absl::StrCat("cannot listen on ", impl.settings.address, ":", impl.settings.port, ": ", ex.what()));
     }
-    impl.thread = std::thread(
-        [sharedState = impl.sharedState, connections = impl.connections, timeout = impl.settings.readTimeout] {
-            handshakeContext = { connections.get(), timeout };
-            const auto guard = asio::make_work_guard(sharedState->context);
-            sharedState->context.run();
-        });
+    impl.thread = std::thread([sharedState = impl.sharedState, timeout = impl.settings.readTimeout] {
+        connectionContext = { sharedState->ledger, timeout };
+        const auto guard = asio::make_work_guard(sharedState->context);
+        sharedState->context.run();
+    });
     return port;
 }
 
@@ -384,4 +437,6 @@
     impl.sharedState.reset();
 }
 
+RefusalCounts HttpServer::refusalCounts() const { return m_implementation->ledger->counts(); }
+
 } // namespace lycheeledge
--- a/src/lycheeledge/transport/HttpServer.h
+++ b/src/lycheeledge/transport/HttpServer.h
@@ -1,6 +1,7 @@
 // HTTP server that runs on its own thread.
 #pragma once
 
+#include "ConnectionLedger.h"
 #include "Http.h"
 
 #include <absl/status/statusor.h>
@@ -19,6 +20,9 @@
     std::uint16_t port = 0; ///< 0 for any free port
     std::size_t maxBodyBytes = 1 << 20;
     std::size_t maxConnections = 4096;
+    /// Memory for requests that are being received or handled, and for unsent responses. At least four times
+    /// `maxBodyBytes`.
+    std::size_t maxRequestMemoryBytes = 64 << 20;
     /// Time to receive a complete request. Also limits TLS handshakes and the writing of a response.
     std::chrono::milliseconds readTimeout { 10000 };
     std::chrono::milliseconds handleTimeout { 120000 }; ///< time within which the handler must respond
@@ -60,6 +64,8 @@
     void stopAccepting();
     /** @brief Closes all connections and joins the thread. */
     void stop();
+    /** @brief Refused and closed connections and requests. May be called from any thread. */
+    RefusalCounts refusalCounts() const;
 
 private:
     struct Implementation;
--- a/src/lycheeledge/transport/PeerTransport.cpp
+++ b/src/lycheeledge/transport/PeerTransport.cpp
@@ -10,7 +10,9 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <deque>
+#include <set>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -25,6 +27,7 @@
     constexpr std::size_t headerBytes = 4; // frame length, big-endian
     constexpr std::size_t maxDatagramBytes = 65507; // largest UDP payload over IPv4
     constexpr std::size_t readChunkBytes = 4096; // of each connection; the owner has one to each member
+    constexpr auto acceptRetryDelay = std::chrono::milliseconds(100);
     constexpr std::size_t maxFramesPerWrite = 32;
     constexpr std::size_t maxIdleBufferBytes = 64 << 10; // a larger receive buffer is freed once it is empty
 
@@ -66,6 +69,9 @@
         std::size_t queuedBytes = 0; // total size of `sendQueue`
         std::array<char, readChunkBytes> chunk {};
         std::string received; // not yet complete frames
+        bool confirmed = false;
+        bool reading = false; // false after the first frame until the connection is confirmed
+        std::size_t unconfirmedBytes = 0; // part of Implementation::unconfirmedBytes
     };
     using ConnectionPointer = std::shared_ptr<Connection>;
 
@@ -74,6 +80,7 @@
         , handlers(std::move(eventHandlers))
         , workGuard(asio::make_work_guard(context))
         , acceptor(context)
+        , acceptTimer(context)
         , datagramSocket(context)
         , datagramBuffer(maxDatagramBytes, '\0')
     {
@@ -117,16 +124,72 @@
         acceptor.async_accept(connection->socket, [this, connection](asio::error_code ec) {
             if (ec == asio::error::operation_aborted)
                 return;
-            if (!ec && connections.size() < settings.maxConnections) {
+            if (!ec && (connections.size() < settings.maxConnections || closeUnconfirmed(0))) {
                 const ConnectionId id = nextConnectionId++;
                 connections.emplace(id, connection);
+                unconfirmed.insert(id);
                 handlers.accepted(id);
                 startConnection(id, connection);
+            } else if (!ec) {
+                ++refusedConnections;
+                connection->socket.close(ec);
+            }
+            if (ec == asio::error::no_descriptors || ec == asio::error::no_memory) {
+                // An immediate attempt would fail again and occupy the thread.
+                acceptTimer.expires_after(acceptRetryDelay);
+                acceptTimer.async_wait([this](asio::error_code e) {
+                    if (!e)
+                        accept();
+                });
+                return;
             }
             accept();
         });
     }
 
+    /**
+     * @brief Closes the connection that has been unconfirmed for the longest time, with at least `minBytes` in memory.
+     * @return false if there is none.
+     */
+    bool closeUnconfirmed(std::size_t minBytes)
+    {
+        const auto it = std::find_if(unconfirmed.begin(), unconfirmed.end(),
+            [this, minBytes](ConnectionId id) { return connections.at(id)->unconfirmedBytes >= minBytes; });
+        if (it == unconfirmed.end())
+            return false;
+        ++closedConnections;
+        close(*it);
+        return true;
+    }
+
+    void setUnconfirmedBytes(Connection& connection, std::size_t n)
+    {
+        unconfirmedBytes = unconfirmedBytes - connection.unconfirmedBytes + n;
+        connection.unconfirmedBytes = n;
+    }
+
+    void confirm(ConnectionId id)
+    {
+        const auto it = connections.find(id);
+        if (it == connections.end() || it->second->confirmed)
+            return;
+        const ConnectionPointer connection = it->second;
+        connection->confirmed = true;
+        unconfirmed.erase(id);
+        setUnconfirmedBytes(*connection, 0);
+        resume(id);
+    }
+
+    void resume(ConnectionId id)
+    {
+        const auto it = connections.find(id);
+        if (it == connections.end() || !it->second->open || it->second->reading)
+            return;
+        const ConnectionPointer connection = it->second;
+        if (handleFrames(id, connection))
+            read(id, connection);
+    }
+
     void startConnection(ConnectionId id, const ConnectionPointer& connection)
     {
         asio::error_code ec;
@@ -139,6 +202,7 @@
     void connect(ConnectionId id, const std::string& host, std::uint16_t remotePort)
     {
         auto connection = std::make_shared<Connection>(context);
+        connection->confirmed = true;
         connections.emplace(id, connection);
         asio::error_code ec;
         const auto address = asio::ip::make_address(host, ec);
@@ -160,19 +224,27 @@
     // Reads whatever has arrived: under load, one call returns many small frames.
     void read(ConnectionId id, const ConnectionPointer& connection)
     {
+        connection->reading = true;
         connection->socket.async_read_some(
             asio::buffer(connection->chunk), [this, id, connection](asio::error_code ec, std::size_t n) {
                 if (ec) {
                     close(id);
                     return;
                 }
+                connection->reading = false;
                 connection->received.append(connection->chunk.data(), n);
+                if (!connection->confirmed) {
+                    setUnconfirmedBytes(*connection, connection->received.capacity());
+                    while (unconfirmedBytes > settings.maxUnconfirmedBytes && closeUnconfirmed(1)) { }
+                    if (!connections.contains(id))
+                        return;
+                }
                 if (handleFrames(id, connection))
                     read(id, connection);
             });
     }
 
-    /** @return false if the connection is closed. */
+    /** @return false if no more frames may be read: the connection is closed, or waits to be confirmed. */
     bool handleFrames(ConnectionId id, const ConnectionPointer& connection)
     {
         std::string& received = connection->received;
@@ -189,6 +261,12 @@
             begin += headerBytes + n;
             if (!connections.contains(id))
                 return false;
+            // A sender of frames without a valid message would otherwise fill the queue of the frames' receiver.
+            if (!connection->confirmed) {
+                received.erase(0, begin);
+                setUnconfirmedBytes(*connection, n + received.capacity());
+                return false;
+            }
         }
         received.erase(0, begin);
         if (received.empty() && received.capacity() > maxIdleBufferBytes)
@@ -244,6 +322,8 @@
             return;
         const ConnectionPointer connection = it->second;
         connections.erase(it);
+        unconfirmed.erase(id);
+        setUnconfirmedBytes(*connection, 0);
         asio::error_code ec;
         connection->socket.close(ec);
         handlers.closed(id);
@@ -254,11 +334,16 @@
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> workGuard;
     Tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
     Udp::socket datagramSocket;
     Udp::endpoint datagramSender;
     std::string datagramBuffer;
     std::uint16_t port = 0;
     absl::flat_hash_map<ConnectionId, ConnectionPointer> connections;
+    std::set<ConnectionId> unconfirmed; // accepted ones; ids increase with time
+    std::size_t unconfirmedBytes = 0; // sum over `connections`
+    std::atomic<std::uint64_t> refusedConnections { 0 };
+    std::atomic<std::uint64_t> closedConnections { 0 };
     std::atomic<ConnectionId> nextConnectionId { 1 };
     std::thread thread;
 };
@@ -318,4 +403,19 @@
     asio::post(m_implementation->context, [this, connection] { m_implementation->close(connection); });
 }
 
+void PeerTransport::confirm(ConnectionId connection)
+{
+    asio::post(m_implementation->context, [this, connection] { m_implementation->confirm(connection); });
+}
+
+void PeerTransport::resume(ConnectionId connection)
+{
+    asio::post(m_implementation->context, [this, connection] { m_implementation->resume(connection); });
+}
+
+PeerTransport::Counts PeerTransport::counts() const
+{
+    return { .refused = m_implementation->refusedConnections, .closed = m_implementation->closedConnections };
+}
+
 } // namespace lycheeledge
--- a/src/lycheeledge/transport/PeerTransport.h
+++ b/src/lycheeledge/transport/PeerTransport.h
@@ -17,6 +17,8 @@
     std::size_t maxFrameBytes = 80 << 20;
     std::size_t maxQueuedBytes = 256 << 20; ///< a connection with more unsent bytes is closed
     std::size_t maxConnections = 1024;
+    /// Memory for frames of unconfirmed connections, see PeerTransport::confirm().
+    std::size_t maxUnconfirmedBytes = 256 << 20;
 
     bool operator==(const PeerTransportSettings&) const = default;
 };
@@ -26,6 +28,14 @@
 public:
     using ConnectionId = std::uint64_t;
 
+    /** @brief Connections of unknown senders that were refused or closed at capacity, since the start. */
+    struct Counts {
+        std::uint64_t refused = 0; ///< new connections, while all others are confirmed
+        std::uint64_t closed = 0; ///< unconfirmed connections, longest unconfirmed first
+
+        bool operator==(const Counts&) const = default;
+    };
+
     /** @brief Called on the transport's thread. */
     struct Handlers {
         std::function<void(std::string datagram)> datagram;
@@ -52,6 +62,14 @@
     ConnectionId connect(const std::string& host, std::uint16_t port);
     void sendFrame(ConnectionId connection, std::string frame);
     void close(ConnectionId connection);
+    /**
+     * @brief The peer has sent a valid message. Until then, an accepted connection delivers one frame, and it is closed
+     * before confirmed ones at capacity. Connections from connect() are confirmed from the start.
+     */
+    void confirm(ConnectionId connection);
+    /** @brief Lets an unconfirmed connection deliver one more frame. */
+    void resume(ConnectionId connection);
+    Counts counts() const;
 
 private:
     struct Implementation;
--- a/test/platform/SettingsTest.cpp
+++ b/test/platform/SettingsTest.cpp
@@ -50,6 +50,19 @@
         == "bounds.graceS must be a number that is not negative");
 }
 
+// Guards against limits of the VM that nothing reads, and against a value that overflows.
+TEST_CASE("limits of memory and descriptors are read", "[settings]")
+{
+    CHECK(parsePlatformSettings(completeSettings)->memoryBytes == 0);
+    CHECK(parsePlatformSettings(completeSettings)->maxDescriptors == 0);
+    const auto settings = parsePlatformSettings(completeSettings + "limits.memoryMb=120\nlimits.maxFds=3075\n");
+    REQUIRE(settings.ok());
+    CHECK(settings->memoryBytes == std::size_t { 120 } << 20);
+    CHECK(settings->maxDescriptors == 3075);
+    CHECK(parsePlatformSettings(completeSettings + "limits.memoryMb=1e300\n").status().message()
+        == "limits.memoryMb is out of range");
+}
+
 TEST_CASE("a missing settings file is an error", "[settings]")
 {
     CHECK(readPlatformSettings("no-such-file").status().code() == absl::StatusCode::kNotFound);
