--- a/src/lycheeledge/transport/HttpServer.cpp
+++ b/src/lycheeledge/transport/HttpServer.cpp
@@ -134,7 +134,7 @@
             builder.connection_close();
         for (const auto& [name, value] : response.headers)
             builder.append_header(name, value);
-        ledger.beginResponse(request.connection, response.body.size(), std::chrono::steady_clock::now());
+        ledger.beginResponse(request.connection, response.body.capacity(), std::chrono::steady_clock::now());
         builder.set_body(std::move(response.body));
         // Called on the server's thread, before the connection reads its next request.
         builder.done([&ledger, id = request.connection](
--- a/test/transport/HttpServerMemoryTest.cpp
+++ b/test/transport/HttpServerMemoryTest.cpp
@@ -11,7 +11,7 @@
 #include <malloc.h>
 #include <memory>
 #include <string>
-#include <thread>
+#include <utility>
 #include <vector>
 
 using namespace lycheeledge;
@@ -41,7 +41,9 @@
 std::size_t peakWithClients(const std::string& request, int count)
 {
     HttpServer server({}, [](const HttpRequest&, const HttpServer::Respond& respond) {
-        respond({ 200, {}, std::string(100000, 'x') + "served" });
+        std::string body(100000, 'x');
+        body.replace(body.size() - 6, 6, "served");
+        respond({ 200, {}, std::move(body) });
     });
     const auto port = server.start();
     REQUIRE(port.ok());
