--- a/test/jobs/overload/SubmissionRecordTest.cpp
+++ b/test/jobs/overload/SubmissionRecordTest.cpp
@@ -40,4 +40,10 @@
     for (const std::string none :
         { "", R"(,"weight":-1)", R"(,"weight":1e10)", R"(,"weight":"12")", R"(,"weight":null)" })
         CHECK_FALSE(rateOf(none).has_value());
+    // Guards against accounts that are ordered by a rate although the process does not ask for it.
+    const auto off = platform::StoreRecords(false).configuration(
+        { "op/config", R"({"version":1,"tenants":[{"name":"t","apiKeys":["k"],"weight":12}]})", 1 });
+    REQUIRE(off.ok());
+    CHECK(off->accounts.at(0).weight == 12);
+    CHECK_FALSE(off->accounts.at(0).submissionsPerSecond.has_value());
 }
