Close slow senders before connections that have just been accepted

At the limit of connections, a new connection that had not sent its first bytes yet was closed before one that had sent a few bytes long ago, so that a crowd of slow senders could keep out every new client. Connections of less than a second, and those that send at least 4,096 bytes a second, now come after slower ones; idle ones come last as before. The new test failed before the change (it closed the new connection), and the tests of [connection-ledger] pass after it.

--- a/src/lycheeledge/transport/ConnectionLedger.cpp
+++ b/src/lycheeledge/transport/ConnectionLedger.cpp
@@ -19,6 +19,8 @@
     constexpr std::size_t inProgressPart = 2;
     // An ordinary body of the largest legal size arrives within this time.
     constexpr auto minRequestTime = std::chrono::seconds(1);
+    // In bytes a second. A slower sender cannot complete the largest legal body within the time limit of 60 s.
+    constexpr double minRequestRate = 4096;
     // A client that has just received a response may be about to send its next request.
     constexpr auto minIdleTime = std::chrono::seconds(5);
 
@@ -156,7 +158,8 @@
 }
 
 // Connections that may be closed, the first one first. When memory is short, those with less than the average come
-// last, since closing them would free little, and so do those that have just begun.
+// last, since closing them would free little, and so do those that have just begun. When places are short, those that
+// have just begun or that send at an ordinary rate come after slower ones, and idle ones come last.
 std::vector<ConnectionLedger::Candidate> ConnectionLedger::candidates(bool withoutMemory, Time now)
 {
     const std::size_t mean = m_open == 0 ? 0 : m_connectionBytes / m_open;
@@ -167,13 +170,16 @@
             || (idle && now - entry.since < minIdleTime))
             continue;
         const double seconds = std::max(std::chrono::duration<double>(now - entry.since).count(), 1e-6);
+        const double bytesPerSecond = static_cast<double>(entry.received) / seconds;
+        const bool isNew = now - entry.since < minRequestTime;
         result.push_back({ .entry = &entry,
-            .spared = !withoutMemory && (entry.memory < mean || now - entry.since < minRequestTime),
-            .bytesPerSecond = static_cast<double>(entry.received) / seconds });
+            .idle = idle,
+            .spared = isNew || (withoutMemory ? bytesPerSecond >= minRequestRate : entry.memory < mean),
+            .bytesPerSecond = bytesPerSecond });
     }
     std::sort(result.begin(), result.end(), [](const Candidate& a, const Candidate& b) {
-        return std::tie(a.spared, a.entry->phase, a.bytesPerSecond, a.entry->since)
-            < std::tie(b.spared, b.entry->phase, b.bytesPerSecond, b.entry->since);
+        return std::tie(a.idle, a.spared, a.entry->phase, a.bytesPerSecond, a.entry->since)
+            < std::tie(b.idle, b.spared, b.entry->phase, b.bytesPerSecond, b.entry->since);
     });
     return result;
 }
--- a/src/lycheeledge/transport/ConnectionLedger.h
+++ b/src/lycheeledge/transport/ConnectionLedger.h
@@ -88,7 +88,8 @@
     };
     struct Candidate {
         Entry* entry = nullptr;
-        bool spared = false; ///< little memory, or new; closed after the others
+        bool idle = false; ///< between two requests; closed last
+        bool spared = false; ///< new, of little memory or of an ordinary rate; closed after the others
         double bytesPerSecond = 0;
     };
 
--- a/test/transport/ConnectionLedgerTest.cpp
+++ b/test/transport/ConnectionLedgerTest.cpp
@@ -131,3 +131,21 @@
     CHECK(fixture.closed.empty());
     CHECK(fixture.ledger.counts() == RefusalCounts {});
 }
+
+// Guards against a crowd of very slow senders that lets no new client send its first bytes.
+TEST_CASE("A slow sender is closed before a connection that has just been accepted", "[connection-ledger]")
+{
+    Fixture fixture({ .maxBytes = 1000000, .maxConnections = 3 });
+    fixture.add(1);
+    CHECK(fixture.receive(1, 20));
+    fixture.add(2);
+    CHECK(fixture.receive(2, 500000));
+    fixture.now += 10s;
+    fixture.add(3);
+    fixture.now += 100ms;
+    fixture.add(4);
+    CHECK(fixture.closed == Ids { 1 });
+    // Among the others, the silent one makes less progress than the large request.
+    fixture.add(5);
+    CHECK(fixture.closed == Ids { 1, 3 });
+}
