Ignore data that was read from a closed member connection

A read may have completed when another handler closes its connection. Its handler then counted the memory again, for good, so that a crowd of strangers left the limit of unconfirmed connections exceeded and each new member was closed; of confirmed connections it delivered frames after their end. The handler now checks that the connection is still open.

--- a/src/lycheeledge/transport/PeerTransport.cpp
+++ b/src/lycheeledge/transport/PeerTransport.cpp
@@ -227,7 +227,8 @@
         connection->reading = true;
         connection->socket.async_read_some(
             asio::buffer(connection->chunk), [this, id, connection](asio::error_code ec, std::size_t n) {
-                if (ec) {
+                // The read may have succeeded before another handler closed the connection.
+                if (ec || !connections.contains(id)) {
                     close(id);
                     return;
                 }
