--- a/test/platform/SubmissionRangeTest.cpp
+++ b/test/platform/SubmissionRangeTest.cpp
@@ -3,8 +3,10 @@
 #include <catch2/catch.hpp>
 
 #include <platform/Ingress.h>
+#include <platform/Json.h>
 #include <string>
 #include <variant>
+#include <vector>
 
 using namespace lycheeledge;
 using namespace lycheeledge::platform;
@@ -107,3 +109,32 @@
     longest.timeoutMs = timeoutMs("9223372036854775807");
     CHECK(replyDeadline(longest, TimePoint(hours(1))) > TimePoint(hours(2)));
 }
+
+// Guards against lists of dependencies that are kept, stored and visited once for each repetition of a number.
+TEST_CASE("a repeated dependency counts once", "[ingress][range]")
+{
+    std::string text = R"({"steps":[{"count":1},{"count":1},{"count":1,"after":[1)";
+    for (int n = 0; n < 100000; ++n)
+        text += n % 2 == 0 ? ",0" : ",1";
+    const auto spec = Ingress().decode(text + "]}]}");
+    REQUIRE(spec.ok());
+    CHECK(spec->steps[2].after == std::vector<std::uint32_t> { 1, 0 });
+    CHECK(spec->steps[2].after.capacity() <= 2);
+    CHECK_FALSE(Ingress().decode(R"({"steps":[{"count":1},{"count":1,"after":[0,0,1]}]})").ok());
+}
+
+// Guards against documents that occupy many times the memory of their text. A value has 24 bytes and at least two
+// characters, and the allocator adds up to 64 KB.
+TEST_CASE("a document occupies a small multiple of the memory of its text", "[ingress][range]")
+{
+    for (const std::string element : { "0,", "[],", "{},", R"("",)", R"({"":0},)", R"({"a":[]},)", R"("\u0000",)" }) {
+        INFO(element);
+        std::string text = R"({"steps":[)";
+        while (text.size() < 262000)
+            text += element;
+        text.back() = ']';
+        auto document = parseJsonObject(text + "}");
+        REQUIRE(document.ok());
+        CHECK(document->GetAllocator().Capacity() <= 13 * text.size());
+    }
+}
