Reserve the threads of a test

The lint of the new test of the members' listener named a vector that grows in a loop; it reserves its capacity now.

--- a/test/transport/PeerTransportLimitsTest.cpp
+++ b/test/transport/PeerTransportLimitsTest.cpp
@@ -115,6 +115,7 @@
 {
     Fixture fixture({ .maxUnconfirmedBytes = 64 << 10 });
     std::vector<std::thread> strangers;
+    strangers.reserve(16);
     for (int n = 0; n < 16; ++n) {
         strangers.emplace_back([port = fixture.port] {
             for (int i = 0; i < 8; ++i) {
