Send refusals after the library's request callback has returned

RESTinio starts to read the next request when a response is sent within the request callback, and once more after its write, which resets the parser. A client that had sent the first part of its next request together with one that was refused at capacity (503) was disconnected, and the bytes read in between were taken out of the count of memory. Refusals are now posted, like all other responses.

--- a/src/lycheeledge/transport/HttpServer.cpp
+++ b/src/lycheeledge/transport/HttpServer.cpp
@@ -276,6 +276,22 @@
 
     bool usesTls() const { return !settings.certificatePath.empty(); }
 
+    /**
+     * @brief Responds once the library's request callback has returned. After a response from within it, the library
+     * would start to read the next request both at once and after the write, and lose what it has parsed in between.
+     */
+    void refuse(PendingRequest request, HttpResponse response, bool close)
+    {
+        asio::post(sharedState->context,
+            [ledger = ledger, request = std::move(request), response = std::move(response), close]() mutable {
+                try {
+                    sendResponse(*ledger, std::move(request), std::move(response), close);
+                } catch (const std::exception& ex) {
+                    LOG(WARNING) << "[http] Refusal not sent: " << ex.what();
+                }
+            });
+    }
+
     restinio::request_handling_status_t handle(const restinio::request_handle_t& request)
     {
         if (request->header().connection() == restinio::http_connection_header_t::upgrade)
@@ -284,13 +300,13 @@
         PendingRequest pending = makePendingRequest(*request);
         if (request->body().size() > settings.maxBodyBytes) {
             ledger->countOversizeBody();
-            sendResponse(*ledger, std::move(pending), { 413, {}, "request body is too large" }, true);
+            refuse(std::move(pending), { 413, {}, "request body is too large" }, true);
             return restinio::request_accepted();
         }
         HttpRequest converted = convertRequest(*request);
         pending.memory = requestMemory(converted);
         if (sharedState->pendingRequests.size() >= settings.maxConnections || !ledger->beginRequest(pending.memory)) {
-            sendResponse(*ledger, std::move(pending), busyResponse(), sharedState->closeAfterResponse);
+            refuse(std::move(pending), busyResponse(), sharedState->closeAfterResponse);
             return restinio::request_accepted();
         }
         const std::uint64_t id = sharedState->nextRequestId++;
--- a/test/transport/HttpServerLimitsTest.cpp
+++ b/test/transport/HttpServerLimitsTest.cpp
@@ -164,3 +164,31 @@
         served = fixture.serves();
     CHECK(served);
 }
+
+// Guards against a response from within the library's request callback, after which the library reads on before the
+// response is written, and then drops what it has parsed of the next request.
+TEST_CASE("A refused request does not disturb the next one on its connection", "[http-limits]")
+{
+    HttpServerSettings settings;
+    settings.maxBodyBytes = 40000;
+    settings.maxRequestMemoryBytes = 64 << 10;
+    const Fixture fixture(settings);
+    // Takes nearly half of the memory, so that requests with a long target are refused.
+    const RawClient waiting(fixture.port);
+    waiting.send("POST /wait HTTP/1.1\r\nContent-Length: 32000\r\n\r\n" + std::string(32000, 'x'));
+    const std::string request = "GET /" + std::string(1000, 'x') + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string refusal = "the request was not executed";
+    bool refused = false;
+    for (int n = 0; n < 100 && !refused; ++n) {
+        const RawClient probe(fixture.port);
+        probe.send(request);
+        refused = probe.receiveUntil("e").find(" 503 ") != std::string::npos;
+        std::this_thread::sleep_for(10ms);
+    }
+    REQUIRE(refused);
+    const RawClient client(fixture.port);
+    client.send(request + request.substr(0, 500));
+    CHECK(client.receiveUntil(refusal).find(refusal) != std::string::npos);
+    client.send(request.substr(500));
+    CHECK(client.receiveUntil(refusal).find(refusal) != std::string::npos);
+}
