--- a/test/processes/DaemonTest.cpp
+++ b/test/processes/DaemonTest.cpp
@@ -211,6 +211,7 @@
 TEST_CASE("Daemon: unfinished frames at the members' port", "[processes]")
 {
     DaemonCluster cluster;
-    const std::string frame = std::string("\x01\x00\x00\x00", 4) + std::string(16000000, 'x');
+    std::string frame("\x01\x00\x00\x00", 4);
+    frame.append(16000000, 'x');
     checkCrowd(cluster, { cluster.peer, 16 }, same(frame), machine);
 }
--- a/test/processes/ProcessTest.h
+++ b/test/processes/ProcessTest.h
@@ -62,7 +62,7 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t n = sizeof(address);
-        bind(sockets.back(), reinterpret_cast<sockaddr*>(&address), n);
+        REQUIRE(bind(sockets.back(), reinterpret_cast<sockaddr*>(&address), n) == 0);
         getsockname(sockets.back(), reinterpret_cast<sockaddr*>(&address), &n);
         result.push_back(ntohs(address.sin_port));
     }
--- a/test/support/ChildProcess.h
+++ b/test/support/ChildProcess.h
@@ -28,6 +28,7 @@
         : m_logFile(logFile)
     {
         std::vector<char*> arguments;
+        arguments.reserve(command.size() + 1);
         for (const auto& it : command)
             arguments.push_back(const_cast<char*>(it.c_str()));
         arguments.push_back(nullptr);
