--- a/review/cases-3/upkeep_takeover.cpp
+++ b/review/cases-3/upkeep_takeover.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr std::size_t tasks = 6; // of the step
 constexpr std::size_t mayMiss = 1;
 constexpr std::int64_t startupMs = 300; // as the executors report a percent of 100
 constexpr std::int64_t noticeMs = 4500;
@@ -27,6 +28,11 @@
         const auto it = startedAt.find(task);
         return it != startedAt.end() && nowMs() - it->second > startupMs;
     }
+    std::size_t countAtWork() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(startedAt.begin(), startedAt.end(), [this](const auto& it) { return isAtWork(it.first); }));
+    }
     void started(const std::string&, const std::string& task, std::int64_t) override
     {
         const std::lock_guard lock(mutex);
@@ -98,11 +104,27 @@
         sleepMs(500);
         owner->start();
     }
+    std::int64_t shortSince = 0;
+    std::int64_t longestShort = 0; // with more tasks away than allowed
+    std::size_t fewest = tasks;
     const bool completed = eventually(70000, [&] {
+        {
+            const std::lock_guard lock(watch.mutex);
+            const std::size_t n = watch.countAtWork();
+            fewest = std::min(fewest, n);
+            if (n + mayMiss >= tasks)
+                shortSince = 0;
+            else if (shortSince == 0)
+                shortSince = nowMs();
+            if (shortSince != 0)
+                longestShort = std::max(longestShort, nowMs() - shortSince);
+        }
         const auto state = store.get("status/wave/7");
         return state && state->find("completed") != std::string::npos;
     });
     const std::lock_guard lock(watch.mutex);
+    record("fewest tasks at work: %zu of %zu; more than %zu away for %lld ms on end", fewest, tasks, mayMiss,
+        static_cast<long long>(longestShort));
     record(
         "wave %s; tasks ended by an order beyond mayMiss: %d", completed ? "completed" : "not completed", watch.broken);
     if (watch.broken > 0)
