--- a/review/standins-3/net.h
+++ b/review/standins-3/net.h
@@ -1,6 +1,7 @@
 // Small HTTP/1.1 server and client on loopback, and the record of a case.
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <cctype>
@@ -203,6 +204,9 @@
     /** @brief All connections of now stay open and carry nothing any more, in both directions. New ones work. */
     void silence() { m_silentUpTo = m_lastConnection.load(); }
 
+    /// Bandwidth of the link of each peer, in Mbit/s; 0: unlimited. All connections of a peer share it.
+    std::atomic<double> peerMbps { 0 };
+
     /** @brief While set, connections are accepted and nothing is read: a machine behind a partition. */
     std::atomic<bool> cut { false };
 
@@ -234,6 +238,32 @@
         }
     }
 
+    bool sendAll(int fd, const std::string& text)
+    {
+        sockaddr_in peer {};
+        socklen_t n = sizeof peer;
+        getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &n);
+        constexpr std::size_t chunk = 4096;
+        for (std::size_t at = 0; at < text.size(); at += chunk) {
+            const std::size_t bytes = std::min(chunk, text.size() - at);
+            if (peerMbps > 0) {
+                Clock::time_point due;
+                {
+                    const std::lock_guard lock(m_linkMutex);
+                    auto& free = m_links[peer.sin_addr.s_addr];
+                    due = std::max(free, Clock::now());
+                    free = due
+                        + std::chrono::microseconds(
+                            static_cast<std::int64_t>(static_cast<double>(bytes) * 8 / peerMbps));
+                }
+                std::this_thread::sleep_until(due);
+            }
+            if (send(fd, text.data() + at, bytes, MSG_NOSIGNAL) != static_cast<ssize_t>(bytes))
+                return false;
+        }
+        return true;
+    }
+
     void serve(int fd, int generation, std::int64_t number)
     {
         std::string buf, head, body;
@@ -290,7 +320,7 @@
             const std::string text = "HTTP/1.1 " + std::to_string(response.status)
                 + " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(response.body.size())
                 + "\r\n\r\n" + response.body;
-            if (send(fd, text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size()))
+            if (!sendAll(fd, text))
                 break;
         }
         {
@@ -305,6 +335,8 @@
     Handler m_handler;
     std::mutex m_mutex;
     std::set<int> m_connections;
+    std::mutex m_linkMutex;
+    std::map<std::uint32_t, Clock::time_point> m_links; ///< when the link of a peer is free
     std::atomic<int> m_threads { 0 };
     std::atomic<int> m_generation { 0 };
     std::atomic<std::int64_t> m_lastConnection { 0 };
--- a/review/standins-3/platform.h
+++ b/review/standins-3/platform.h
@@ -222,14 +222,16 @@
             const std::string after = query("after");
             std::string items;
             std::size_t n = 0;
+            std::size_t bytes = 0; // of values
             bool truncated = false;
             for (auto it = m_items.lower_bound(prefix); it != m_items.end() && it->first.rfind(prefix, 0) == 0; ++it) {
                 if (!after.empty() && it->first <= after)
                     continue;
-                if (n == 500 || items.size() > (1U << 20)) {
+                if (n == 500 || bytes + it->second.value.size() > (1U << 20)) {
                     truncated = true;
                     break;
                 }
+                bytes += it->second.value.size();
                 items += (n++ > 0 ? "," : "") + encode(it->first, it->second);
             }
             return { 200,
--- a/review/standins-3/system.h
+++ b/review/standins-3/system.h
@@ -42,6 +42,14 @@
     return ntohs(address.sin_port);
 }
 
+/** @brief What the settings file says of each machine. */
+struct MachineLimits {
+    std::string cpuShare = "0.25";
+    std::string memoryMb = "260";
+    std::string linkMbps = "1000.0";
+};
+inline MachineLimits machineLimits;
+
 /** @brief One machine with the program of the deploy file, started from the root of the repository. */
 class Entry {
 public:
@@ -58,8 +66,10 @@
         out << "node=" << m_name << "\nrole=entry\nmachineClass=front\nserves=front\nip=" << this->ip
             << "\nzone=z1\nregion=region\nzones.z1=region\nlisten.front=" << this->ip << ":" << front
             << "\nlisten.ready=" << this->ip << ":" << ready
-            << "\ninternalPorts=7420,7435\nseeds=\nbootstrap=true\nlossCounts=false\nlimits.cpuShare=0.25\n"
-               "limits.cores=1\nlimits.memoryMb=260\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=0\n"
+            << "\ninternalPorts=7420,7435\nseeds=\nbootstrap=true\nlossCounts=false\nlimits.cpuShare="
+            << machineLimits.cpuShare << "\nlimits.cores=1\nlimits.memoryMb=" << machineLimits.memoryMb
+            << "\nlimits.maxFds=4100\nlimits.linkMbps=" << machineLimits.linkMbps
+            << "\nlimits.diskMb=0\n"
                "discovery=platform\nentry=vip\nheartbeatMs=1500\n"
                "contracts=base,drain,config,cost,recover,sched,tenants,quota,platform,advice,upkeep,sharing\n"
                "faultTolerance.machines=1\nfaultTolerance.zones=0\nfaultTolerance.regions=0\nbounds.seedLagS=3\n"
@@ -123,6 +133,7 @@
     }
     bool isReady() const { return call(ip, ready, "GET", "/v1/ready", { { "Host", ip } }, "", 500).status == 200; }
     const std::string& name() const { return m_name; }
+    pid_t pid() const { return m_pid; }
 
 private:
     std::string m_name;
