--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -12,26 +12,15 @@
     constexpr std::size_t maxDoneEntries = 256; ///< in a record; beyond that, done tasks are stored as bits
     constexpr std::size_t taskEntryBytes = 29; ///< of a TaskProgress without failed runs and checkpoint
 
-    void setBit(std::string& bits, std::uint32_t index)
-    {
-        bits.resize(std::max<std::size_t>(bits.size(), index / 8 + 1));
-        bits[index / 8] = static_cast<char>(static_cast<unsigned char>(bits[index / 8]) | (1U << (index % 8)));
-    }
-
-    bool hasBit(const std::string& bits, std::uint32_t index)
-    {
-        return index / 8 < bits.size() && (static_cast<unsigned char>(bits[index / 8]) & (1U << (index % 8))) != 0;
-    }
-
-    template <typename Predicate> RunUsage usageOfTasks(const Job& job, Predicate predicate)
+    /** @param count gives the number of tasks of a step. */
+    template <typename Count> RunUsage usageOfTasks(const Job& job, Count count)
     {
         RunUsage result;
         for (const auto& [n, occurrence] : job.open) {
             for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-                const auto& tasks = occurrence.steps[i].tasks;
                 const StepSpec& spec = job.spec().steps[i];
-                const auto count = std::count_if(tasks.begin(), tasks.end(), predicate);
-                result += { .reserved = reservationOf(spec) * count, .charged = spec.request * count };
+                const std::int64_t tasks = count(occurrence.steps[i]);
+                result += { .reserved = reservationOf(spec) * tasks, .charged = spec.request * tasks };
             }
         }
         return result;
@@ -41,16 +30,16 @@
 
 std::uint32_t Step::unavailableExcept(std::uint32_t index) const
 {
-    std::uint32_t n = 0;
-    for (std::uint32_t i = 0; i < tasks.size(); ++i)
-        n += i != index && !tasks[i].isAvailable() ? 1 : 0;
-    return n;
+    const auto& states = tasks.states();
+    const auto available = static_cast<std::uint32_t>(
+        std::count_if(states.begin(), states.end(), [](const auto& it) { return it.second.isAvailable(); }));
+    return tasks.size() - available - (tasks[index].isAvailable() ? 0 : 1);
 }
 
 TimePoint Step::waitingSince() const
 {
-    TimePoint result = TimePoint::max();
-    for (const auto& task : tasks) {
+    TimePoint result = tasks.untouched() > 0 ? releasedAt : TimePoint::max();
+    for (const auto& [i, task] : tasks.states()) {
         if (task.phase == TaskPhase::Waiting)
             result = std::min(result, std::max(releasedAt, task.since));
     }
@@ -68,7 +57,7 @@
 Task* Job::find(const TaskKey& key)
 {
     Step* step = find(stepOf(key));
-    return step != nullptr && key.index < step->tasks.size() ? &step->tasks[key.index] : nullptr;
+    return step != nullptr ? step->tasks.find(key.index) : nullptr;
 }
 
 Occurrence& Job::openOccurrence(std::uint32_t n, TimePoint now)
@@ -77,7 +66,7 @@
     occurrence.releasedAt = now;
     occurrence.steps.resize(spec().steps.size());
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
-        occurrence.steps[i].tasks.resize(spec().steps[i].taskCount);
+        occurrence.steps[i].tasks = TaskTable(spec().steps[i].taskCount);
     return occurrence;
 }
 
@@ -89,14 +78,24 @@
     return JobTiming { .admission = granted - releasedAt, .placement = placedAt - granted, .running = now - placedAt };
 }
 
+std::size_t Job::assignedTasks() const
+{
+    std::size_t n = 0;
+    for (const auto& [k, occurrence] : open) {
+        for (const auto& step : occurrence.steps)
+            n += step.assigned;
+    }
+    return n;
+}
+
 RunUsage Job::assignedUsage() const
 {
-    return usageOfTasks(*this, [](const Task& task) { return task.isAssigned(); });
+    return usageOfTasks(*this, [](const Step& step) { return step.assigned; });
 }
 
 RunUsage Job::waitingUsage() const
 {
-    return usageOfTasks(*this, [](const Task& task) { return task.phase == TaskPhase::Waiting; });
+    return usageOfTasks(*this, [](const Step& step) { return step.waiting(); });
 }
 
 ProgressRecord Job::progress(std::size_t maxCheckpointBytes) const
@@ -131,12 +130,17 @@
             progress.allDone = step.isDone();
             if (progress.allDone)
                 continue;
-            std::string doneBits;
-            for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-                const Task& task = step.tasks[i];
+            std::string doneBits = compact ? step.tasks.doneBits() : std::string();
+            if (!compact) {
+                for (std::uint32_t i = 0; i < step.tasks.doneBits().size() * 8; ++i) {
+                    if (detail::hasBit(step.tasks.doneBits(), i))
+                        progress.tasks.push_back({ i, true, {}, {} });
+                }
+            }
+            for (const auto& [i, task] : step.tasks.states()) {
                 if (task.phase == TaskPhase::Done || task.doneWhenRunEnds) {
                     if (compact)
-                        setBit(doneBits, i);
+                        detail::setBit(doneBits, i);
                     else
                         progress.tasks.push_back({ i, true, task.failedRuns, {} });
                     continue;
@@ -151,6 +155,8 @@
                 if (hasCheckpoint)
                     maxCheckpointBytes -= std::min(maxCheckpointBytes, task.checkpoint.size() + taskEntryBytes);
             }
+            std::sort(progress.tasks.begin(), progress.tasks.end(),
+                [](const auto& a, const auto& b) { return a.index < b.index; });
             if (!doneBits.empty())
                 record.doneTasks.push_back({ n, k, std::move(doneBits) });
         }
@@ -167,7 +173,7 @@
             // Failed runs are not counted for long-running tasks, and counted once for a gang.
             if (spec().steps[i].longRunning || spec().steps[i].gang)
                 continue;
-            for (const auto& task : occurrence.steps[i].tasks) {
+            for (const auto& [index, task] : occurrence.steps[i].tasks.states()) {
                 if (task.phase != TaskPhase::Done && task.hasStarted())
                     result += unfinishedTaskBytes + task.failedRuns.size() * sizeof(RunNumber);
             }
@@ -195,20 +201,20 @@
                 && std::any_of(
                     progress.tasks.begin(), progress.tasks.end(), [](const auto& task) { return task.done; });
             if (progress.allDone || gangDone) {
-                for (auto& task : step.tasks)
-                    task.phase = TaskPhase::Done;
-                step.done = static_cast<std::uint32_t>(step.tasks.size());
+                step.tasks.markAllDone();
+                step.done = step.tasks.size();
             }
             for (const auto& taskProgress : progress.tasks) {
-                if (taskProgress.index >= step.tasks.size())
+                if (taskProgress.index >= step.tasks.size() || step.tasks.isDone(taskProgress.index))
                     continue;
-                Task& task = step.tasks[taskProgress.index];
-                task.failedRuns = taskProgress.failedRuns;
-                task.checkpoint = taskProgress.checkpoint;
-                if (taskProgress.done && task.phase != TaskPhase::Done) {
-                    task.phase = TaskPhase::Done;
+                if (taskProgress.done) {
+                    step.tasks.markDone(taskProgress.index);
                     ++step.done;
+                    continue;
                 }
+                Task& task = *step.tasks.find(taskProgress.index);
+                task.failedRuns = taskProgress.failedRuns;
+                task.checkpoint = taskProgress.checkpoint;
             }
         }
     }
@@ -216,10 +222,8 @@
         Step* step = find(StepKey { id, entry.occurrence, entry.step });
         for (std::uint32_t i = 0; step != nullptr && i < step->tasks.size(); ++i) {
             // The end of one member completes a gang.
-            if ((!spec().steps[entry.step].gang && !hasBit(entry.bits, i)) || step->tasks[i].phase == TaskPhase::Done)
-                continue;
-            step->tasks[i].phase = TaskPhase::Done;
-            ++step->done;
+            if (spec().steps[entry.step].gang || detail::hasBit(entry.bits, i))
+                step->done += step->tasks.markDone(i) ? 1 : 0;
         }
     }
     // Earlier builds counted workers out of reach among the crashes, but not among the interruptions.
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "JobRecord.h"
-#include "StallDetector.h"
+#include "TaskTable.h"
 #include "WorkerSpeeds.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -21,53 +21,6 @@
 /// failed runs beyond the first: an entry of 37 bytes and its crash counts.
 inline constexpr std::size_t unfinishedTaskBytes = 64;
 
-enum class TaskPhase : std::uint8_t {
-    Waiting,
-    Starting, ///< a start order was sent; the run may or may not exist
-    Running,
-    Stopping, ///< a stop order was sent; the run may still exist
-    Done,
-};
-
-struct Task {
-    TaskPhase phase = TaskPhase::Waiting;
-    RunNumber run = 0; ///< number of the latest run; 0 before the first start
-    std::vector<RunNumber> failedRuns; ///< failed runs that count as attempts
-    std::uint32_t crashes = 0; ///< workers that crashed soon after they had started the task
-    /// Workers that went out of reach soon after they had started the task, and may have crashed; zero again once a run
-    /// has been alive for long enough.
-    std::uint32_t unexplainedLosses = 0;
-    std::uint32_t interruptions = 0; ///< workers that crashed while they ran the task, however long
-    WorkerId worker; ///< set exactly while Starting, Running or Stopping, when resources are reserved on it
-    TimePoint since; ///< when the phase began
-    TimePoint confirmedAt; ///< when the worker confirmed the start or stop order; zero before that
-    bool doneWhenRunEnds = false; ///< another gang member or an earlier run completed the task; the run still exists
-    TimePoint notBefore; ///< earliest time of the next start
-    TimePoint lostAt; ///< when its last run ended of which no worker reported the end; zero if there was none
-    std::string checkpoint;
-    int pacePercent = 100;
-    bool isFullRun = false; ///< this owner started the run without a checkpoint, so that its run time can be measured
-    int restarts = 0; ///< restarts because of too little progress
-    /// No run of an earlier owner exists elsewhere, nor an end that this owner has to count: it has started the task,
-    /// or found a run of it if it is long-running.
-    bool isLocated = false;
-    int progressPercent = 0; ///< as last reported; a long-running task is available at 100
-    std::optional<ProgressSample> progress; ///< last sample of the run that was evaluated
-
-    /** @brief Whether this or an earlier owner knows of a run of it. */
-    bool hasStarted() const { return run != 0 || !failedRuns.empty() || !checkpoint.empty(); }
-    /** @brief Number of workers that the task may have crashed. */
-    std::uint32_t suspicions() const { return crashes + unexplainedLosses; }
-    /** @brief Whether it starts apart from other such tasks. A partition may cost many tasks one loss each. */
-    bool startsApart() const { return crashes > 0 || unexplainedLosses > 1; }
-    /** @brief Whether a long-running task is ready to serve its users. */
-    bool isAvailable() const { return phase == TaskPhase::Running && progressPercent >= 100; }
-    bool isAssigned() const
-    {
-        return phase == TaskPhase::Starting || phase == TaskPhase::Running || phase == TaskPhase::Stopping;
-    }
-};
-
 struct Ticket {
     std::string text;
     TimePoint expiry;
@@ -104,12 +57,12 @@
 };
 
 struct Step {
-    std::vector<Task> tasks;
+    TaskTable tasks;
     std::uint32_t done = 0;
     std::uint32_t assigned = 0; ///< number of tasks with reserved resources
     std::vector<RunNumber> failedGangRuns; ///< failed runs of a gang that count as attempts
     bool released = false; ///< all steps that it depends on are done
-    std::vector<MeasuredRun> measured; ///< run times of tasks that completed in a single full run
+    std::vector<MeasuredRun> measured; ///< run times of tasks that completed in a single full run, of some of them
     StepAdmission admission;
     TimePoint releasedAt; ///< zero before release; time of recovery if an earlier owner released the step
     TimePoint placedAt; ///< when all its tasks first had a worker; zero before that
@@ -120,7 +73,8 @@
     TimePoint waitingSince() const;
     /** @brief Number of unavailable tasks, not counting the one at `index`. */
     std::uint32_t unavailableExcept(std::uint32_t index) const;
-    bool hasWaiting() const { return done + assigned < tasks.size(); }
+    std::uint32_t waiting() const { return tasks.size() - done - assigned; }
+    bool hasWaiting() const { return waiting() > 0; }
     bool isDone() const { return done == tasks.size(); }
 };
 
@@ -157,10 +111,12 @@
     bool mayHaveUnlocatedRuns = false;
 
     const JobSpec& spec() const { return submission.spec; }
+    std::size_t assignedTasks() const;
     /** @brief Of all tasks that are assigned to a worker. */
     RunUsage assignedUsage() const;
     /** @brief Of all tasks that wait, as if each had a run. */
     RunUsage waitingUsage() const;
+    /** @brief Gives the task a state of its own. @return `nullptr` also for a done task whose state was erased. */
     Task* find(const TaskKey& key);
     Step* find(const StepKey& key);
     /** @brief Adds an occurrence, with all of its tasks waiting. */
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -94,6 +94,7 @@
     m_heldBackAccounts.clear();
     m_finishedJobs.clear();
     m_jobsWithDoneOccurrences.clear();
+    m_stepsWithDoneTasks.clear();
     m_scheduledJobs.clear();
     m_quarantine = FailureQuarantine();
     m_speeds = WorkerSpeeds();
@@ -252,8 +253,10 @@
     if (change.progress) {
         job->storedState = change.progress->state;
         notePlacements(*job, *change.progress, true);
-        if (isFinal(job->storedState))
+        if (isFinal(job->storedState)) {
             job->submission.spec = {};
+            m_jobsWithDoneOccurrences.insert(id);
+        }
     }
     if (!isFinal(job->state))
         releaseSteps(*job);
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -170,8 +170,10 @@
     void releaseDueOccurrences(Job& job, std::uint32_t released = 0);
     /** @brief Releases steps and completes the job if all is done. Steps and tasks stay valid. */
     void releaseSteps(Job& job);
-    /** @brief Steps and tasks of occurrences that are done become invalid. */
+    /** @brief Steps and tasks of occurrences that are done, and of jobs that have ended, become invalid. */
     void eraseDoneOccurrences();
+    /** @brief Done tasks become invalid. */
+    void eraseDoneTasks();
     void refreshReady(const StepKey& key, const Job& job, const Step& step);
     StepUrgency urgencyOf(const Job& job, const StepKey& key);
     void scheduleStep(Job& job, const StepKey& key);
@@ -413,6 +415,7 @@
     std::map<std::string, Duration> m_predictedWaits; ///< by queue
     std::set<std::pair<std::int64_t, JobId>> m_finishedJobs; ///< ordered by end time
     std::set<JobId> m_jobsWithDoneOccurrences; ///< to be erased
+    std::set<StepKey> m_stepsWithDoneTasks; ///< of which the state is to be erased
     absl::flat_hash_set<JobId> m_scheduledJobs; ///< jobs with occurrences that are not yet due
     PoolIndex m_pools;
     std::size_t m_scanOffset = 0; ///< where the next search for workers in a large pool begins
--- a/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerAdmission.cpp
@@ -122,11 +122,11 @@
     const StepSpec& spec = job.spec().steps[key.step];
     if (!withinLimit(job, spec, 1) || hasUsableTicket(step, reservationOf(spec)))
         return false;
-    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-        if (step.tasks[i].phase == TaskPhase::Waiting && mayStart(job, { key.job, key.occurrence, key.step, i }))
-            return true;
-    }
-    return false;
+    if (step.tasks.untouched() > 0 && allRunsLocated(job))
+        return true;
+    return std::any_of(step.tasks.states().begin(), step.tasks.states().end(), [&](const auto& it) {
+        return it.second.phase == TaskPhase::Waiting && mayStart(job, { key.job, key.occurrence, key.step, it.first });
+    });
 }
 
 bool JobScheduler::requestAdmission(Job& job, const StepKey& key, const AdmissionPolicy& policy, AdmissionReason reason)
@@ -177,7 +177,7 @@
         if (ticket == step->admission.tickets.end() || ticket->second.expiry < minExpiry)
             selected.push_back(worker);
     }
-    const std::size_t waiting = step->tasks.size() - step->done - step->assigned;
+    const std::size_t waiting = step->waiting();
     const std::size_t maxWorkers = spec.gang ? m_settings.maxWorkersPerGangCall : m_settings.maxWorkersPerAdmissionCall;
     selected.resize(std::min(selected.size(), spec.gang ? maxWorkers : m_settings.maxWorkersPerTicketRenewal));
     if (selected.empty() || taskCapacity < waiting) {
--- a/src/lycheeledge/jobs/JobSchedulerLoad.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerLoad.cpp
@@ -164,7 +164,7 @@
             || !reservation.fitsIn(load.largestWorker))
             continue;
         waits = true;
-        const auto count = static_cast<double>(step.tasks.size() - step.done - step.assigned);
+        const auto count = static_cast<double>(step.waiting());
         waiting.work += workOf(reservation, expectedRunTime(*queue, spec), count);
         if (queue->admission && needsAdmission(step))
             waiting.admissionTime += admissionTime(*queue->admission, spec, m_settings.maxWorkersPerAdmissionCall);
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -14,6 +14,8 @@
     constexpr std::size_t largePool = 512;
     // Several times the number of workers that an admission call names or a step usually needs.
     constexpr std::size_t maxFittingCandidates = 256;
+    // Of one step, so that the time of a pass does not grow with the tasks that wait.
+    constexpr std::size_t maxFirstStartsPerPass = 4096;
     constexpr std::size_t maxFullCandidates = 64; // without room for a task; they only fill up admission calls
     // In the stored progress; a step in which tasks are done takes 16 bytes, and a bit for each task, more.
     constexpr std::size_t emptyOccurrenceBytes = 12;
@@ -54,6 +56,7 @@
     if (!m_recovered)
         return;
     eraseDoneOccurrences();
+    eraseDoneTasks();
     for (auto it = m_scheduledJobs.begin(); it != m_scheduledJobs.end();) {
         Job* job = find(*it++);
         if (job != nullptr)
@@ -142,7 +145,14 @@
         Job* job = find(id);
         if (job == nullptr)
             continue;
-        // The last occurrence is kept until the job is erased.
+        if (isFinal(job->storedState)) {
+            if (job->assignedTasks() > 0)
+                m_jobsWithDoneOccurrences.insert(id); // until its runs have ended
+            else
+                job->open.clear();
+            continue;
+        }
+        // The last occurrence is kept until the end of the job is stored.
         const bool allReleased = job->nextOccurrence >= job->spec().occurrenceCount();
         for (auto it = job->open.begin(); it != job->open.end();) {
             const bool isErasable = it->second.isDone() && (job->open.size() > 1 || !allReleased);
@@ -151,6 +161,15 @@
     }
 }
 
+void JobScheduler::eraseDoneTasks()
+{
+    for (const auto& key : std::exchange(m_stepsWithDoneTasks, {})) {
+        Job* job = find(key.job);
+        if (Step* step = job != nullptr ? job->find(key) : nullptr)
+            step->tasks.eraseDone();
+    }
+}
+
 void JobScheduler::refreshReady(const StepKey& key, const Job& job, const Step& step)
 {
     if (step.released && step.hasWaiting() && !isFinal(job.state))
@@ -297,8 +316,9 @@
         || (queue.isUrgent() && m_quarantine.hasRecentFailure(id, m_runtime.now()));
     candidate.slowness = m_speeds.slowness(id, worker.record.kind);
     if (spec.maxTasksPerWorker > 0)
-        candidate.tasksOfStep = static_cast<std::uint32_t>(std::count_if(step.tasks.begin(), step.tasks.end(),
-            [&id](const Task& task) { return task.isAssigned() && task.worker == id; }));
+        candidate.tasksOfStep
+            = static_cast<std::uint32_t>(std::count_if(step.tasks.states().begin(), step.tasks.states().end(),
+                [&id](const auto& it) { return it.second.isAssigned() && it.second.worker == id; }));
 }
 
 std::vector<PlacementCandidate> JobScheduler::apartFromSuspects(std::vector<PlacementCandidate> candidates) const
@@ -360,9 +380,10 @@
     std::vector<std::uint32_t> due;
     const bool allLocated = allRunsLocated(job);
     std::size_t firstStarts = 0;
-    const std::size_t maxFirstStarts = spec.gang || spec.longRunning ? step->tasks.size() : firstStartsLeft(job);
-    for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
-        const Task& task = step->tasks[i];
+    const std::size_t maxFirstStarts = spec.gang ? step->tasks.size()
+        : spec.longRunning                       ? maxFirstStartsPerPass
+                                                 : std::min(firstStartsLeft(job), maxFirstStartsPerPass);
+    for (const auto& [i, task] : step->tasks.states()) {
         if (task.phase != TaskPhase::Waiting || task.notBefore > now || !isEndKnown(task))
             continue;
         if (!allLocated && !mayStart(job, { key.job, key.occurrence, key.step, i }))
@@ -376,6 +397,18 @@
             continue; // until enough of the started tasks are done
         due.push_back(i);
     }
+    // A task without a state of its own has not failed, and a run of it may exist only as long as any may.
+    if (allLocated && firstStarts < maxFirstStarts) {
+        const auto fresh = step->tasks.untouchedTasks(maxFirstStarts - firstStarts);
+        if (spec.gang && !fresh.empty() && hasFailed(job, key, step->tasks[fresh.front()])) {
+            finish(job, JobState::Failed, "a task reached its maximum number of attempts");
+            markChanged(job);
+            return;
+        }
+        const auto middle = static_cast<std::ptrdiff_t>(due.size());
+        due.insert(due.end(), fresh.begin(), fresh.end());
+        std::inplace_merge(due.begin(), due.begin() + middle, due.end());
+    }
     if (due.empty() || (spec.gang && due.size() + step->done < step->tasks.size()))
         return;
     std::size_t placed = 0;
--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -20,6 +20,9 @@
     // A task that makes little progress on several workers is long-running itself, so further restarts are useless.
     constexpr int maxProgressRestarts = 3;
 
+    // Of a step; more would not change its mean run time or the order of its workers much.
+    constexpr std::size_t maxMeasuredRuns = 1000;
+
     TaskLength lengthOf(const Step& step, const StepSpec& spec)
     {
         TaskLength result {
@@ -211,7 +214,9 @@
     if (failed && m_quarantine.recordFailure(worker.record.id, key.job, now))
         m_log.record("worker_quarantined", { { "worker", worker.record.id.value() }, { "task", describe(key) } });
     if (task == nullptr || task->phase == TaskPhase::Done) {
-        if (task == nullptr && job != nullptr && !isFinal(job->state))
+        const Step* step = job != nullptr ? job->find(stepOf(key)) : nullptr;
+        const bool isKnown = step != nullptr && key.index < step->tasks.size();
+        if (!isKnown && job != nullptr && !isFinal(job->state))
             m_log.record("end_of_unknown_task", { { "task", describe(key) }, { "run", end.run.run } });
         return;
     }
@@ -232,7 +237,8 @@
         markStarted(*job);
         if (current && task->isFullRun && !job->spec().steps[key.step].gang) {
             const MeasuredRun measured { worker.record.id, worker.record.kind, now - task->since };
-            job->find(stepOf(key))->measured.push_back(measured);
+            if (auto& runs = job->find(stepOf(key))->measured; runs.size() < maxMeasuredRuns)
+                runs.push_back(measured);
             recordRunTime(*job, job->spec().steps[key.step], measured);
         }
         if (!current && task->isAssigned()) {
--- a/src/lycheeledge/jobs/JobSchedulerRuns.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerRuns.cpp
@@ -68,7 +68,7 @@
 {
     RunNumber last = task.run;
     if (gang) {
-        for (const auto& member : step.tasks)
+        for (const auto& [i, member] : step.tasks.states())
             last = std::max(last, member.run);
     }
     return std::max(last, (m_epoch - 1) * runsPerEpoch) + 1;
@@ -96,7 +96,7 @@
 {
     Step& step = *job.find(stepOf(key));
     const StepSpec& spec = job.spec().steps[key.step];
-    Task& task = step.tasks[key.index];
+    Task& task = *step.tasks.find(key.index);
     const auto placement = job.placements.find(key);
     if (placement != job.placements.end() && placement->second.run != run)
         erasePlacement(job, key);
@@ -341,7 +341,7 @@
 {
     for (auto& [n, occurrence] : job.open) {
         for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
-            for (std::uint32_t k = 0; k < occurrence.steps[i].tasks.size(); ++k)
+            for (const auto& [k, task] : occurrence.steps[i].tasks.states())
                 stopTask(job, { job.id, n, i, k }, reason);
         }
     }
@@ -350,7 +350,9 @@
 void JobScheduler::stopGang(Job& job, const StepKey& key, const char* reason)
 {
     Step* step = job.find(key);
-    for (std::uint32_t i = 0; step != nullptr && i < step->tasks.size(); ++i)
+    if (step == nullptr)
+        return;
+    for (const auto& [i, task] : step->tasks.states())
         stopTask(job, { key.job, key.occurrence, key.step, i }, reason);
 }
 
@@ -405,20 +407,21 @@
     task.phase = TaskPhase::Done;
     task.checkpoint.clear();
     ++step.done;
+    m_stepsWithDoneTasks.insert(stepOf(key));
     if (isFinal(job.state))
         return;
     if (job.spec().steps[key.step].gang) {
         // One member that ends as done completes the gang. Members of the same run end by themselves.
+        for (auto& [i, member] : step.tasks.states()) {
+            if (!member.isAssigned())
+                continue;
+            member.doneWhenRunEnds = true;
+            if (member.run != task.run)
+                stopTask(job, { key.job, key.occurrence, key.step, i }, "the gang is done");
+        }
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-            Task& member = step.tasks[i];
-            if (member.isAssigned()) {
-                member.doneWhenRunEnds = true;
-                if (member.run != task.run)
-                    stopTask(job, { key.job, key.occurrence, key.step, i }, "the gang is done");
-            } else if (member.phase == TaskPhase::Waiting) {
-                member.phase = TaskPhase::Done;
-                ++step.done;
-            }
+            if (step.tasks[i].phase == TaskPhase::Waiting)
+                step.done += step.tasks.markDone(i) ? 1 : 0;
         }
     }
     refreshReady(stepOf(key), job, step);
@@ -429,6 +432,8 @@
             m_counters.placementTimes.observe(timing->placement);
             job.timing += *timing;
         }
+        step.measured = {};
+        step.admission = {};
         releaseSteps(job);
     }
 }
--- a/src/lycheeledge/jobs/JobSchedulerSettings.h
+++ b/src/lycheeledge/jobs/JobSchedulerSettings.h
@@ -48,7 +48,7 @@
     std::size_t maxWorkersPerTicketRenewal = 10; ///< workers named when tickets are renewed
     /// Workers named for a gang, whose tickets must all be valid at the same time.
     std::size_t maxWorkersPerGangCall = 60;
-    /// Tasks of a job's open occurrences, of 200 bytes each; one occurrence may have more.
+    /// Tasks of a job's open occurrences; one occurrence may have more.
     std::size_t maxOpenTasks = 300000;
     /// Longest value of the store. The progress of a job is one value: tasks that have started and are not done may
     /// take a quarter of it, and checkpoints and open occurrences an eighth each.
--- a/test/jobs/UnexpectedEndsTest.cpp
+++ b/test/jobs/UnexpectedEndsTest.cpp
@@ -41,7 +41,7 @@
     job.id = JobId(jobName(1));
     job.submission.spec = { .payload = {}, .steps = { simpleStep(2, 1000) } };
     job.state = JobState::Running;
-    Task& task = job.openOccurrence(0, TimePoint(seconds(1))).steps[0].tasks[1];
+    Task& task = *job.openOccurrence(0, TimePoint(seconds(1))).steps[0].tasks.find(1);
     task.phase = TaskPhase::Stopping;
     task.doneWhenRunEnds = true;
     Job next;
--- a/test/processes/EntryTest.cpp
+++ b/test/processes/EntryTest.cpp
@@ -220,3 +220,20 @@
     const std::string frame = std::string("\x00\x3f\xff\xff", 4) + std::string(4000000, 'x');
     checkCrowd(cluster, { cluster.peer, 30 }, same(frame), machine);
 }
+
+// Guards against memory for each task that waits: of four such jobs, it exceeded the machine's of every owner in turn.
+TEST_CASE("Entry: accepted jobs with many waiting tasks", "[processes]")
+{
+    EntryCluster cluster;
+    const std::string step = R"({"count":100000,"cpu":16000,"memMb":1000,"estRuntimeMs":3000)";
+    const std::string body
+        = R"({"spec":"x","steps":[)" + step + "}," + step + R"(,"after":[0]},)" + step + R"(,"after":[1]}]})";
+    for (int n = 0; n < 6; ++n) {
+        INFO("job " << n);
+        const std::string path = fmt::format("/{}/{:016x}", n % 2 == 0 ? "parked" : "jobs", 0xb0 + n);
+        CHECK(callOnce({ "POST", fmt::format("http://127.0.0.1:{}{}", cluster.front, path), {}, body }).status == 200);
+    }
+    CHECK(cluster.runsJob());
+    CHECK(cluster.process().isAlive());
+    CHECK(cluster.process().peakMemoryKb() <= machine.memoryKb);
+}
