Bound the memory of accepted jobs, by account

Callers saw: with enough accepted work the owner, and every next one, exceeded the memory of its VM, whatever the work consisted of: payloads of up to 4,000 bytes, steps, open occurrences of schedules (bounded for each job alone), ended jobs. Nothing compared their sum with limits.memoryMb.

Change: WorkMemory counts the estimated memory of all jobs. Its limit is a third of what exceeds 32 MB, between 8 and 48 MiB: the next owner may be a VM of 120 MB. Half of it is divided among the accounts by weight, the rest is for whoever comes first, so that no account uses up what others are owed. Beyond that a submission is refused at once, with Retry-After, before it is stored; as unknown while another owner may have it. Overdue occurrences beyond the first of a job wait while over half is in use.

--- a/src/lycheeledge/daemon/JobDaemon.cpp
+++ b/src/lycheeledge/daemon/JobDaemon.cpp
@@ -257,6 +257,12 @@
     setGauge("lycheeledge_jobs", "Jobs in memory.", static_cast<double>(session.scheduler().jobCount()));
     setGauge(
         "lycheeledge_ready_steps", "Steps with waiting tasks.", static_cast<double>(session.scheduler().readySteps()));
+    setGauge("lycheeledge_work_bytes", "Estimated memory of the accepted jobs.",
+        static_cast<double>(session.scheduler().workMemory().used()));
+    setGauge("lycheeledge_work_limit_bytes", "Memory of accepted jobs beyond which submissions are refused.",
+        static_cast<double>(session.scheduler().workMemory().limit()));
+    setGauge("lycheeledge_jobs_refused_for_memory_total", "Submissions refused for the memory of accepted jobs.",
+        static_cast<double>(calls.refusedForMemory));
     setGauge("lycheeledge_calls_in_progress", "Clients' calls in progress.", static_cast<double>(m_callsInProgress));
     setGauge("lycheeledge_calls_total", "Clients' calls.", static_cast<double>(m_callsTotal));
     setGauge("lycheeledge_starts_total", "Starts of tasks.", static_cast<double>(counters.starts));
--- a/src/lycheeledge/daemon/ResourceShares.cpp
+++ b/src/lycheeledge/daemon/ResourceShares.cpp
@@ -9,10 +9,13 @@
 namespace {
 
     constexpr std::size_t mebibyte = 1 << 20;
-    // An idle process uses 16 MB. The other half is for jobs and for decoding one request.
+    // An idle process uses 16 MB. The other half is for decoding one request.
     constexpr std::size_t processBytes = 32 * mebibyte;
     constexpr std::size_t minRequestBytes = 6 * mebibyte;
     constexpr std::size_t maxRequestBytes = 256 * mebibyte;
+    constexpr std::size_t minWorkBytes = 8 * mebibyte;
+    // The next owner, which may be a VM of 120 MB, has to hold what this one has accepted.
+    constexpr std::size_t maxWorkBytes = 48 * mebibyte;
     // RESTinio's connection with its 4 KB read buffer, timer and socket, and the kernel's socket.
     constexpr std::size_t bytesPerConnection = 16 << 10;
     // Descriptors of the log, of libraries and of files, as the platform counts them.
@@ -38,6 +41,7 @@
     // A third: memory that is freed in other sizes than it is allocated again is not available at once.
     const std::size_t bytes
         = memoryBytes == 0 ? maxRequestBytes : std::clamp(free / 3, minRequestBytes, maxRequestBytes);
+    result.workBytes = memoryBytes == 0 ? maxWorkBytes : std::clamp(free / 3, minWorkBytes, maxWorkBytes);
     result.readiness.bytes = bytes / 16;
     result.metrics.bytes = bytes / 16;
     result.members.bytes = bytes / 4;
--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -3,6 +3,7 @@
 #include "Job.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace lycheeledge::jobs {
@@ -10,6 +11,11 @@
 namespace {
 
     constexpr std::size_t maxDoneEntries = 256; ///< in a record; beyond that, done tasks are stored as bits
+    // Ids and names of the job, and the entries of the containers that hold it.
+    constexpr std::size_t jobEntryBytes = 256;
+    constexpr std::size_t mapEntryBytes = 48;
+    // The client's call, the record and the commit hold a copy each until the submission is stored.
+    constexpr std::size_t copiesBeforeCommit = 4;
     constexpr std::size_t taskEntryBytes = 29; ///< of a TaskProgress without failed runs and checkpoint
 
     /** @param count gives the number of tasks of a step. */
@@ -26,8 +32,27 @@
         return result;
     }
 
+    std::size_t specBytes(const JobSpec& spec)
+    {
+        return std::accumulate(
+            spec.steps.begin(), spec.steps.end(), spec.payload.size(), [](std::size_t n, const StepSpec& step) {
+                return n + sizeof(StepSpec) + step.after.size() * sizeof(std::uint32_t) + step.requiredLabel.size()
+                    + step.preferredRack.size() + step.image.size();
+            });
+    }
+
 } // namespace
 
+std::size_t submissionBytes(const JobSpec& spec)
+{
+    return sizeof(Job) + jobEntryBytes + specBytes(spec) * copiesBeforeCommit;
+}
+
+std::size_t occurrenceBytes(const JobSpec& spec)
+{
+    return sizeof(Occurrence) + mapEntryBytes + spec.steps.size() * sizeof(Step);
+}
+
 std::uint32_t Step::unavailableExcept(std::uint32_t index) const
 {
     const auto& states = tasks.states();
@@ -60,6 +85,13 @@
     return step != nullptr ? step->tasks.find(key.index) : nullptr;
 }
 
+std::size_t Job::memoryBytes() const
+{
+    const std::size_t spec = specBytes(submission.spec);
+    return sizeof(Job) + jobEntryBytes + spec * (accepted ? 1 : copiesBeforeCommit)
+        + open.size() * occurrenceBytes(submission.spec);
+}
+
 Occurrence& Job::openOccurrence(std::uint32_t n, TimePoint now)
 {
     Occurrence& occurrence = open[n];
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -89,6 +89,11 @@
     }
 };
 
+/** @brief Estimated memory of a job that was just submitted, until it is stored. */
+std::size_t submissionBytes(const JobSpec& spec);
+/** @brief Estimated memory of one open occurrence, without that of tasks which have started. */
+std::size_t occurrenceBytes(const JobSpec& spec);
+
 /** @brief State of one job. Tasks exist from the release of their occurrence until a while after its end. */
 struct Job {
     JobId id;
@@ -106,6 +111,7 @@
     std::size_t firstStartsLeft = 0; ///< number of tasks that may start for the first time in that pass
     std::map<TaskKey, RunPlacement> placements; ///< of confirmed runs of long-running tasks, as they shall be stored
     absl::flat_hash_set<TaskKey> storedPlacements; ///< tasks of which a placement may be in the store
+    std::size_t countedBytes = 0; ///< as last counted in WorkMemory
     /// After a takeover, unlocated tasks of the job may run on workers that have not reported yet. So may tasks of a
     /// job that had ended before.
     bool mayHaveUnlocatedRuns = false;
@@ -119,6 +125,8 @@
     /** @brief Gives the task a state of its own. @return `nullptr` also for a done task whose state was erased. */
     Task* find(const TaskKey& key);
     Step* find(const StepKey& key);
+    /** @brief Estimated memory of the job, without that of tasks which have started. */
+    std::size_t memoryBytes() const;
     /** @brief Adds an occurrence, with all of its tasks waiting. */
     Occurrence& openOccurrence(std::uint32_t n, TimePoint now);
     /** @param maxCheckpointBytes checkpoints beyond this total are left out, so that the next owner repeats work. */
--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -22,6 +22,7 @@
     , m_log(ports.log)
     , m_host(ports.host)
     , m_settings(settings)
+    , m_workMemory(settings.maxWorkBytes)
 {
     m_admission.onRelayFree([this] { requestPass(); });
 }
@@ -99,6 +100,7 @@
     m_quarantine = FailureQuarantine();
     m_speeds = WorkerSpeeds();
     m_submissionRate.clear();
+    m_workMemory.clear();
     m_runTimes = RunTimeRatios();
     m_loads.clear();
     m_loadsBuiltAt = {};
@@ -126,7 +128,7 @@
     job->mayHaveUnlocatedRuns = true;
     if (isFinal(job->state)) {
         m_finishedJobs.emplace(job->endedUnixMs, id);
-        m_jobs[id] = std::move(job);
+        countMemory(*(m_jobs[id] = std::move(job)));
         return;
     }
     if (!hasSubmission) {
@@ -136,6 +138,7 @@
     const Duration age
         = std::chrono::milliseconds(std::max<std::int64_t>(0, m_host.unixMs() - job->submission.acceptedUnixMs));
     Job& stored = *(m_jobs[id] = std::move(job));
+    countMemory(stored);
     releaseDueOccurrences(stored);
     for (auto& [n, occurrence] : stored.open) {
         // Objectives of scheduled occurrences count from their due time, which releaseDueOccurrences() handles.
@@ -191,6 +194,7 @@
     job->submission.beyondRate = takeFromRate(job->submission.account);
     Job& added = *(m_jobs[id] = std::move(job));
     m_unstoredJobs.insert(id);
+    countMemory(added);
     markChanged(added, std::move(stored));
 }
 
@@ -202,6 +206,27 @@
     if (const auto& submission = it->second->submission; !submission.beyondRate)
         m_submissionRate.putBack(submission.account);
     m_unstoredJobs.erase(id);
+    erase(id);
+}
+
+bool JobScheduler::hasMemoryFor(const AccountId& account, const JobSpec& spec) const
+{
+    return !m_configuration
+        || m_workMemory.admits(account, submissionBytes(spec) + occurrenceBytes(spec), *m_configuration);
+}
+
+void JobScheduler::countMemory(Job& job)
+{
+    const std::size_t before = std::exchange(job.countedBytes, job.memoryBytes());
+    m_workMemory.replace(job.submission.account, before, job.countedBytes);
+}
+
+void JobScheduler::erase(const JobId& id)
+{
+    const auto it = m_jobs.find(id);
+    if (it == m_jobs.end())
+        return;
+    m_workMemory.replace(it->second->submission.account, it->second->countedBytes, 0);
     m_jobs.erase(it);
 }
 
@@ -258,6 +283,7 @@
             m_jobsWithDoneOccurrences.insert(id);
         }
     }
+    countMemory(*job);
     if (!isFinal(job->state))
         releaseSteps(*job);
     requestPass();
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -19,6 +19,7 @@
 #include "overload/RunTimeRatios.h"
 #include "overload/SubmissionGate.h"
 #include "overload/SubmissionRate.h"
+#include "overload/WorkMemory.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -115,6 +116,8 @@
      */
     GateDecision evaluate(
         const QueuePolicy& queue, const AccountId& account, const JobSpec& spec, std::uint64_t random);
+    /** @brief Whether a job of the account may be submitted, so that the accepted work stays within its memory. */
+    bool hasMemoryFor(const AccountId& account, const JobSpec& spec) const;
     /** @brief Drops a submission that is not stored and will never be. */
     void withdraw(const JobId& id);
     /** @brief Cancels a job. `stored` is called once the cancellation is stored. */
@@ -137,6 +140,7 @@
     const Job* job(const JobId& id) const;
     /** @brief Number of accepted jobs of a queue of which no task has started. */
     std::size_t unstartedJobs(const std::string& queue) const;
+    const WorkMemory& workMemory() const { return m_workMemory; }
     const WorkerTable& workers() const { return m_workers; }
     const JobSchedulerCounters& counters() const { return m_counters; }
     std::size_t jobCount() const { return m_jobs.size(); }
@@ -285,6 +289,9 @@
     bool hasFailed(const Job& job, const StepKey& key, const Task& task) const;
     void finish(Job& job, JobState state, const char* reason);
     void logEnd(const Job& job, const char* reason);
+    /** @brief Counts the memory of a job after it has changed. */
+    void countMemory(Job& job);
+    void erase(const JobId& id);
     void markChanged(const Job& job, std::function<void()> stored = {});
 
     // Reports (JobSchedulerReports.cpp)
@@ -408,6 +415,7 @@
     FailureQuarantine m_quarantine;
     WorkerSpeeds m_speeds;
     SubmissionRate m_submissionRate;
+    WorkMemory m_workMemory; ///< of all jobs in `m_jobs`
     RunTimeRatios m_runTimes;
     TimePoint m_activatedAt;
     std::map<std::string, PoolLoad> m_loads; ///< by pool; a cache
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -69,7 +69,7 @@
     while (!m_finishedJobs.empty() && m_finishedJobs.begin()->first < oldest) {
         const JobId id = m_finishedJobs.begin()->second;
         m_finishedJobs.erase(m_finishedJobs.begin());
-        m_jobs.erase(id);
+        erase(id);
         m_ledger.changed(id);
     }
     requestPass();
@@ -87,14 +87,14 @@
     }
     const std::int64_t nowMs = m_host.unixMs();
     const std::size_t tasksOfOccurrence = job.spec().taskCount();
-    const std::size_t occurrenceBytes = emptyOccurrenceBytes + job.spec().steps.size() * emptyStepBytes;
+    const std::size_t storedBytes = emptyOccurrenceBytes + job.spec().steps.size() * emptyStepBytes;
     while (job.nextOccurrence < job.spec().occurrenceCount()) {
         if (job.spec().isScheduled() && job.nextOccurrence >= released) {
             // Overdue occurrences beyond this are released as earlier ones end.
             const std::size_t n = job.open.size() + 1;
             if (n > 1
-                && (n * tasksOfOccurrence > m_settings.maxOpenTasks
-                    || n * occurrenceBytes > m_settings.maxValueBytes / 8))
+                && (n * tasksOfOccurrence > m_settings.maxOpenTasks || n * storedBytes > m_settings.maxValueBytes / 8
+                    || !m_workMemory.hasSpare(occurrenceBytes(job.spec()))))
                 break;
             const std::int64_t due = job.spec().firstDueUnixMs + job.nextOccurrence * job.spec().intervalMs;
             if (due > nowMs)
@@ -102,6 +102,7 @@
         }
         Occurrence& occurrence = job.openOccurrence(job.nextOccurrence++, m_runtime.now());
         occurrence.objective = occurrence.releasedAt + length;
+        countMemory(job);
     }
     if (job.nextOccurrence < job.spec().occurrenceCount())
         m_scheduledJobs.insert(job.id);
@@ -150,6 +151,7 @@
                 m_jobsWithDoneOccurrences.insert(id); // until its runs have ended
             else
                 job->open.clear();
+            countMemory(*job);
             continue;
         }
         // The last occurrence is kept until the end of the job is stored.
@@ -158,6 +160,7 @@
             const bool isErasable = it->second.isDone() && (job->open.size() > 1 || !allReleased);
             it = isErasable ? job->open.erase(it) : std::next(it);
         }
+        countMemory(*job);
     }
 }
 
--- a/src/lycheeledge/jobs/JobSchedulerSettings.h
+++ b/src/lycheeledge/jobs/JobSchedulerSettings.h
@@ -50,6 +50,8 @@
     std::size_t maxWorkersPerGangCall = 60;
     /// Tasks of a job's open occurrences; one occurrence may have more.
     std::size_t maxOpenTasks = 300000;
+    /// Memory of accepted jobs; 0: no limit. See WorkMemory.
+    std::size_t maxWorkBytes = 0;
     /// Longest value of the store. The progress of a job is one value: tasks that have started and are not done may
     /// take a quarter of it, and checkpoints and open occurrences an eighth each.
     std::size_t maxValueBytes = std::size_t { 1 } << 20;
--- a/src/lycheeledge/jobs/JobService.cpp
+++ b/src/lycheeledge/jobs/JobService.cpp
@@ -167,7 +167,7 @@
         reply(failure(ReplyKind::BadRequest, std::string(spec.status().message())));
         return;
     }
-    if (refuseUnservable(queue, account, id, *spec, reply))
+    if (refuseForMemory(account, id, *spec, reply) || refuseUnservable(queue, account, id, *spec, reply))
         return;
     m_pending[id] = { .call = call, .replies = {}, .deadline = deadline };
     m_pending[id].replies.push_back(std::move(reply));
@@ -187,6 +187,26 @@
     });
 }
 
+bool JobService::refuseForMemory(const AccountId& account, const JobId& id, const JobSpec& spec, const Reply& reply)
+{
+    if (m_scheduler.hasMemoryFor(account, spec))
+        return false;
+    const WorkMemory& memory = m_scheduler.workMemory();
+    m_log.record("job_refused",
+        { { "job", id.value() }, { "account", account.value() }, { "reason", "accepted work takes the memory" },
+            { "used_bytes", memory.used() }, { "limit_bytes", memory.limit() } });
+    // Another owner may know the job by now.
+    if (!m_host.mayStartTasks()) {
+        ++m_counters.unknown;
+        reply({ .kind = ReplyKind::Unknown, .reason = "the ownership cannot be confirmed now" });
+        return true;
+    }
+    ++m_counters.refused;
+    ++m_counters.refusedForMemory;
+    reply(refusal("too much accepted work is waiting", m_settings.memoryRetryAfterS));
+    return true;
+}
+
 // Only while the ownership is certain: otherwise another owner may know the job by now.
 bool JobService::refuseUnservable(
     const QueuePolicy& queue, const AccountId& account, const JobId& id, const JobSpec& spec, const Reply& reply)
--- a/src/lycheeledge/jobs/JobService.h
+++ b/src/lycheeledge/jobs/JobService.h
@@ -22,6 +22,7 @@
     /// configuration has not been confirmed for this long, because the queue or the key may have been added meanwhile.
     Duration denialFreshness = std::chrono::milliseconds(1700);
     std::uint32_t storeRetryAfterS = 2; ///< Retry-After while the store accepts no commits
+    std::uint32_t memoryRetryAfterS = 5; ///< Retry-After while the accepted work of the account takes its memory
     /// Whether submissions are refused that are predicted to end too late for their result to be of use.
     bool refusesUnservable = false;
 };
@@ -32,6 +33,7 @@
     std::uint64_t repeated = 0; ///< submissions of known jobs
     std::uint64_t refused = 0;
     std::uint64_t refusedByPrediction = 0; ///< because they would have ended too late; included in `refused`
+    std::uint64_t refusedForMemory = 0; ///< because accepted work takes the memory; included in `refused`
     std::uint64_t unknown = 0; ///< submissions that were answered as unknown
     std::uint64_t unauthorized = 0;
     std::uint64_t malformed = 0;
@@ -99,6 +101,12 @@
      */
     bool refuseUnservable(
         const QueuePolicy& queue, const AccountId& account, const JobId& id, const JobSpec& spec, const Reply& reply);
+    /**
+     * @brief Refuses a submission for which the accepted work of its account, and of all, leaves no memory. The job
+     * must be unknown to this owner.
+     * @return whether it was answered; then it does not run because of this call.
+     */
+    bool refuseForMemory(const AccountId& account, const JobId& id, const JobSpec& spec, const Reply& reply);
     /** @brief Answers a submission of a job that is stored or being stored. */
     void repeat(const QueuePolicy& queue, const JobId& id, Reply reply);
     void cancel(const ClientCall& call, const JobId& id, Reply reply);
--- a/test/daemon/ResourceSharesTest.cpp
+++ b/test/daemon/ResourceSharesTest.cpp
@@ -21,6 +21,9 @@
                 = shares.ingress.bytes + shares.readiness.bytes + shares.metrics.bytes + shares.members.bytes;
             if (memoryMb >= 64)
                 CHECK(bytes <= (memoryMb << 20) / 3);
+            if (memoryMb >= 64)
+                CHECK(bytes + shares.workBytes <= (memoryMb << 20) * 2 / 3);
+            CHECK(shares.workBytes >= std::size_t { 8 } << 20);
             // Holds the largest body in progress in half of it.
             CHECK(shares.ingress.bytes >= std::size_t { 4 } * 262144);
         }
--- a/test/processes/EntryTest.cpp
+++ b/test/processes/EntryTest.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <atomic>
+
 using namespace lycheeledge;
 using namespace lycheeledge::test;
 
@@ -237,3 +239,45 @@
     CHECK(cluster.process().isAlive());
     CHECK(cluster.process().peakMemoryKb() <= machine.memoryKb);
 }
+
+// Guards against accepted work without a bound: the payloads of waiting jobs exceeded the memory, whoever owned them.
+TEST_CASE("Entry: accepted jobs with long payloads", "[processes]")
+{
+    constexpr int clients = 16;
+    constexpr int jobsOfClient = 700; // of 4,000 bytes: together the memory of the machine without the idle process
+    EntryCluster cluster;
+    const std::string body = R"({"spec":")" + std::string(3990, 'x')
+        + R"(","steps":[{"count":1,"cpu":100,"memMb":10,"estRuntimeMs":10}]})";
+    const auto urlOf = [&](int client, int n) {
+        return fmt::format("http://127.0.0.1:{}/parked/{:08x}{:08x}", cluster.front, client + 1, n);
+    };
+    std::atomic<int> accepted = 0;
+    std::atomic<int> refused = 0;
+    std::atomic<int> other = 0;
+    std::vector<std::thread> threads;
+    for (int client = 0; client < clients; ++client) {
+        threads.emplace_back([&, client] {
+            for (int n = 0; n < jobsOfClient && refused < clients; ++n) {
+                const auto response = callOnce({ "POST", urlOf(client, n), {}, body });
+                if (response.status == 200)
+                    ++accepted;
+                else if (response.status == 503 && response.body.find("accepted work") != std::string::npos)
+                    ++refused;
+                else
+                    ++other;
+            }
+        });
+    }
+    for (auto& it : threads)
+        it.join();
+    INFO(accepted << " accepted, " << refused << " refused, " << other << " other answers");
+    CHECK(accepted > 500);
+    CHECK(refused > 0);
+    CHECK(other == 0);
+    // Room for other work as soon as some of it has ended.
+    for (int n = 0; n < 20; ++n)
+        CHECK(callOnce({ "DELETE", urlOf(0, n), {}, "" }).status == 200);
+    CHECK(cluster.runsJob());
+    CHECK(cluster.process().isAlive());
+    CHECK(cluster.process().peakMemoryKb() <= machine.memoryKb);
+}
