Recover accepted jobs within the memory of the next owner

Cause: OwnerSession kept all encoded records until the last page had come, decoded all of them beside that, and then moved them to the jobs.

Change: records are decoded page by page. Payloads beyond half of the limit of accepted work are left in the store; each is read when a task of its job has a place, at most 16 at a time, and a failed read is repeated.

--- a/src/lycheeledge/jobs/JobScheduler.cpp
+++ b/src/lycheeledge/jobs/JobScheduler.cpp
@@ -9,6 +9,13 @@
 
 namespace lycheeledge::jobs {
 
+namespace {
+
+    // Bounds the payloads that are in memory without a running task.
+    constexpr std::size_t maxPayloadReads = 16;
+
+} // namespace
+
 std::string describe(const TaskKey& key)
 {
     return absl::StrCat(key.job.value(), ".", key.occurrence, ".", key.step, ".", key.index);
@@ -101,6 +108,7 @@
     m_speeds = WorkerSpeeds();
     m_submissionRate.clear();
     m_workMemory.clear();
+    m_payloadReads.clear();
     m_runTimes = RunTimeRatios();
     m_loads.clear();
     m_loadsBuiltAt = {};
@@ -108,14 +116,15 @@
 }
 
 void JobScheduler::recover(
-    const JobId& id, std::optional<SubmissionRecord> submission, std::optional<ProgressRecord> progress)
+    const JobId& id, std::optional<RecoveredSubmission> submission, std::optional<ProgressRecord> progress)
 {
     auto job = std::make_unique<Job>();
     job->id = id;
     job->accepted = true;
     const bool hasSubmission = submission.has_value();
     if (hasSubmission) {
-        job->submission = *std::move(submission);
+        job->submission = std::move(submission->record);
+        job->isPayloadUnloaded = !submission->hasPayload;
         recoverRate(job->submission);
     }
     if (progress) {
@@ -215,6 +224,40 @@
         || m_workMemory.admits(account, submissionBytes(spec) + occurrenceBytes(spec), *m_configuration);
 }
 
+// A recovered job may wait for long, and an earlier owner may have accepted more than fits here.
+bool JobScheduler::hasPayload(const Job& job)
+{
+    if (!job.isPayloadUnloaded)
+        return true;
+    if (m_payloadReads.size() < maxPayloadReads && m_payloadReads.insert(job.id).second)
+        m_host.readPayload(job.id, [this, id = job.id, session = std::weak_ptr<int>(m_session)](auto payload) {
+            if (!session.expired())
+                payloadRead(id, std::move(payload));
+        });
+    return false;
+}
+
+void JobScheduler::payloadRead(const JobId& id, std::optional<std::string> payload)
+{
+    if (!payload) {
+        m_runtime.after(m_settings.orderRetryDelay, [this, id, session = std::weak_ptr<int>(m_session)] {
+            if (session.expired())
+                return;
+            m_payloadReads.erase(id);
+            requestPass();
+        });
+        return;
+    }
+    m_payloadReads.erase(id);
+    Job* job = find(id);
+    if (job != nullptr && !isFinal(job->state) && job->isPayloadUnloaded) {
+        job->submission.spec.payload = *std::move(payload);
+        job->isPayloadUnloaded = false;
+        countMemory(*job);
+    }
+    requestPass();
+}
+
 void JobScheduler::countMemory(Job& job)
 {
     const std::size_t before = std::exchange(job.countedBytes, job.memoryBytes());
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -60,6 +60,16 @@
     virtual void fenced() = 0;
     /** @brief Milliseconds since 1970. */
     virtual std::int64_t unixMs() const = 0;
+    /** @brief Reads the payload of a stored job. `done` gets nothing if it cannot be read now. */
+    virtual void readPayload(const JobId& job, std::function<void(std::optional<std::string>)> done) = 0;
+};
+
+/** @brief A submission that was read from the store. */
+struct RecoveredSubmission {
+    SubmissionRecord record;
+    bool hasPayload = true; ///< otherwise `record` is without it, to save memory
+
+    bool operator==(const RecoveredSubmission&) const = default;
 };
 
 /**
@@ -88,7 +98,8 @@
     /** @brief Resets all state and begins an ownership epoch. No task starts before activate(). */
     void begin(Epoch epoch);
     /** @brief Adds a job that was read from the store. */
-    void recover(const JobId& id, std::optional<SubmissionRecord> submission, std::optional<ProgressRecord> progress);
+    void recover(
+        const JobId& id, std::optional<RecoveredSubmission> submission, std::optional<ProgressRecord> progress);
     /** @brief Adds the workers to which earlier owners may have sent orders. */
     void recoverWorkers(const WorkerSetRecord& workers);
     /** @brief Called once all earlier owners have certainly stopped: runs that they started end with their leases. */
@@ -289,6 +300,10 @@
     bool hasFailed(const Job& job, const StepKey& key, const Task& task) const;
     void finish(Job& job, JobState state, const char* reason);
     void logEnd(const Job& job, const char* reason);
+    /** @brief Whether the payload is in memory. Otherwise begins to read it, and requests a pass when it has arrived.
+     */
+    bool hasPayload(const Job& job);
+    void payloadRead(const JobId& id, std::optional<std::string> payload);
     /** @brief Counts the memory of a job after it has changed. */
     void countMemory(Job& job);
     void erase(const JobId& id);
@@ -415,6 +430,7 @@
     FailureQuarantine m_quarantine;
     WorkerSpeeds m_speeds;
     SubmissionRate m_submissionRate;
+    absl::flat_hash_set<JobId> m_payloadReads; ///< in progress, or failed a moment ago
     WorkMemory m_workMemory; ///< of all jobs in `m_jobs`
     RunTimeRatios m_runTimes;
     TimePoint m_activatedAt;
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -458,7 +458,7 @@
         if (!withinLimit(job, spec, static_cast<std::uint32_t>(due.size())))
             return 0;
         const auto places = placement.placeGang(due.size());
-        if (!places.empty() && std::count_if(due.begin(), due.end(), hasPlacement) > 0)
+        if (places.empty() || std::count_if(due.begin(), due.end(), hasPlacement) > 0 || !hasPayload(job))
             return 0;
         const RunNumber run = nextRun(step, step.tasks[due.front()], true);
         for (; placed < places.size(); ++placed)
@@ -469,7 +469,7 @@
         if (!withinLimit(job, spec, 1))
             break;
         const auto n = placement.place();
-        if (!n)
+        if (!n || !hasPayload(job))
             break;
         if (hasPlacement(i))
             continue;
--- a/src/lycheeledge/jobs/OwnerSession.cpp
+++ b/src/lycheeledge/jobs/OwnerSession.cpp
@@ -2,8 +2,6 @@
 
 #include "OwnerSession.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -32,6 +30,7 @@
     , m_service({ m_runtime, m_scheduler, m_ledger, ports.submissions, m_log, *this }, service)
     , m_maintenance(
           { m_runtime, ports.vms, m_store, m_records, m_scheduler, m_log }, std::move(ports.member), maintenance)
+    , m_maxPayloadBytes(scheduler.maxWorkBytes / 2)
     , m_evacuations(m_settings.dataCentres)
     , m_operatorView(m_settings.evacuationLimit)
 {
@@ -57,9 +56,12 @@
     };
     readConfiguration();
     readEvacuations();
-    readPages(m_ledger.keys().submissionPrefix, m_submissions, complete);
-    readPages(m_ledger.keys().progressPrefix, m_progress, complete);
-    readPages(m_records.workerPrefix(), m_registry, complete);
+    readPages(
+        m_ledger.keys().submissionPrefix, [this](const StoreEntry& entry) { readSubmission(entry); }, complete);
+    readPages(
+        m_ledger.keys().progressPrefix, [this](const StoreEntry& entry) { readProgress(entry); }, complete);
+    readPages(
+        m_records.workerPrefix(), [this](const StoreEntry& entry) { m_registry.push_back(entry); }, complete);
     readRecord(m_ledger.keys().workers, m_workerSet, complete);
     readRecord(m_ledger.keys().workerCapacities, m_workerCapacities, complete);
 }
@@ -75,6 +77,7 @@
     m_configuration.reset();
     m_submissions.clear();
     m_progress.clear();
+    m_payloadBytes = 0;
     m_registry.clear();
     m_workerSet.clear();
     m_workerCapacities.clear();
@@ -186,10 +189,12 @@
 void OwnerSession::readWaves()
 {
     m_waves.clear();
-    readPages(m_records.wavePrefix(), m_waves, [this] {
-        for (const auto& entry : std::exchange(m_waves, {}))
-            applyWave(entry);
-    });
+    readPages(
+        m_records.wavePrefix(), [this](const StoreEntry& entry) { m_waves.push_back(entry); },
+        [this] {
+            for (const auto& entry : std::exchange(m_waves, {}))
+                applyWave(entry);
+        });
 }
 
 void OwnerSession::applyWave(const StoreEntry& entry)
@@ -204,21 +209,22 @@
 // --- Recovery ---
 
 void OwnerSession::readPages(
-    const std::string& prefix, std::vector<StoreEntry>& into, std::function<void()> done, const std::string& after)
+    const std::string& prefix, EntryHandler handle, std::function<void()> done, const std::string& after)
 {
     m_store.list(prefix, after, m_settings.callTimeout,
-        [this, prefix, &into, done = std::move(done), after, session = SessionToken(m_sessionToken)](
-            const absl::StatusOr<StorePage>& page) {
+        [this, prefix, handle = std::move(handle), done = std::move(done), after,
+            session = SessionToken(m_sessionToken)](const absl::StatusOr<StorePage>& page) {
             if (session.expired())
                 return;
             if (!page.ok()) {
                 m_log.record("store_unreachable", { { "call", "list" }, { "error", page.status().message() } });
-                retryLater([this, prefix, &into, done, after] { readPages(prefix, into, done, after); });
+                retryLater([this, prefix, handle, done, after] { readPages(prefix, handle, done, after); });
                 return;
             }
-            into.insert(into.end(), page->entries.begin(), page->entries.end());
+            for (const auto& entry : page->entries)
+                handle(entry);
             if (page->truncated && !page->entries.empty())
-                readPages(prefix, into, done, page->entries.back().key);
+                readPages(prefix, handle, done, page->entries.back().key);
             else
                 done();
         });
@@ -242,6 +248,50 @@
         });
 }
 
+// Records are decoded as they arrive, so that the encoded form of only one page is in memory.
+void OwnerSession::readSubmission(const StoreEntry& entry)
+{
+    auto record = m_codec.decodeSubmission(entry.value);
+    if (!record.ok()) {
+        m_log.record("record_unreadable", { { "key", entry.key }, { "error", record.status().message() } });
+        return;
+    }
+    RecoveredSubmission submission { .record = *std::move(record) };
+    m_payloadBytes += submission.record.spec.payload.size();
+    if (m_maxPayloadBytes > 0 && m_payloadBytes > m_maxPayloadBytes) {
+        submission.record.spec.payload = {};
+        submission.hasPayload = false;
+    }
+    m_submissions.insert_or_assign(
+        JobId(entry.key.substr(m_ledger.keys().submissionPrefix.size())), std::move(submission));
+}
+
+void OwnerSession::readPayload(const JobId& job, std::function<void(std::optional<std::string>)> done)
+{
+    m_store.get(m_ledger.keys().submissionPrefix + job.value(), m_settings.callTimeout,
+        [this, job, done = std::move(done), session = SessionToken(m_sessionToken)](
+            const absl::StatusOr<StoreValue>& value) {
+            if (session.expired())
+                return;
+            if (!value.ok() || !value->entry) {
+                m_log.record("payload_unreadable",
+                    { { "job", job.value() }, { "error", value.ok() ? "no record" : value.status().message() } });
+                done(std::nullopt);
+                return;
+            }
+            auto record = m_codec.decodeSubmission(value->entry->value);
+            done(record.ok() ? std::optional(std::move(record->spec.payload)) : std::nullopt);
+        });
+}
+
+void OwnerSession::readProgress(const StoreEntry& entry)
+{
+    if (auto record = m_codec.decodeProgress(entry.value); record.ok())
+        m_progress.insert_or_assign(JobId(entry.key.substr(m_ledger.keys().progressPrefix.size())), *std::move(record));
+    else
+        m_log.record("record_unreadable", { { "key", entry.key }, { "error", record.status().message() } });
+}
+
 WorkerSetRecord OwnerSession::decodeWorkerSet()
 {
     if (m_workerSet.empty())
@@ -266,36 +316,19 @@
 
 void OwnerSession::finishRecovery()
 {
-    absl::flat_hash_map<std::string, SubmissionRecord> submissions;
-    const auto& keys = m_ledger.keys();
-    for (const auto& entry : m_submissions) {
-        auto record = m_codec.decodeSubmission(entry.value);
-        if (record.ok())
-            submissions.emplace(entry.key.substr(keys.submissionPrefix.size()), *std::move(record));
-        else
-            m_log.record("record_unreadable", { { "key", entry.key }, { "error", record.status().message() } });
+    while (!m_progress.empty()) {
+        auto progress = m_progress.extract(m_progress.begin());
+        auto submission = m_submissions.extract(progress.key());
+        m_scheduler.recover(progress.key(),
+            submission.empty() ? std::nullopt : std::optional(std::move(submission.mapped())),
+            std::move(progress.mapped()));
     }
-    for (const auto& entry : m_progress) {
-        auto record = m_codec.decodeProgress(entry.value);
-        if (!record.ok()) {
-            m_log.record("record_unreadable", { { "key", entry.key }, { "error", record.status().message() } });
-            continue;
-        }
-        const std::string id = entry.key.substr(keys.progressPrefix.size());
-        const auto it = submissions.find(id);
-        std::optional<SubmissionRecord> submission;
-        if (it != submissions.end()) {
-            submission = std::move(it->second);
-            submissions.erase(it);
-        }
-        m_scheduler.recover(JobId(id), std::move(submission), *std::move(record));
+    while (!m_submissions.empty()) {
+        auto submission = m_submissions.extract(m_submissions.begin());
+        m_scheduler.recover(submission.key(), std::move(submission.mapped()), std::nullopt);
     }
-    for (auto& [id, submission] : submissions)
-        m_scheduler.recover(JobId(id), std::move(submission), std::nullopt);
     m_scheduler.recoverWorkers(decodeWorkerSet());
     m_scheduler.setWorkers(decodeRegistry(m_registry));
-    m_submissions.clear();
-    m_progress.clear();
     m_activated = true;
     m_scheduler.activate();
     m_log.record("owner_recovered",
@@ -335,10 +368,12 @@
 void OwnerSession::readRegistry()
 {
     m_registry.clear();
-    readPages(m_records.workerPrefix(), m_registry, [this] {
-        m_scheduler.setWorkers(decodeRegistry(m_registry));
-        scheduleRegistryRead();
-    });
+    readPages(
+        m_records.workerPrefix(), [this](const StoreEntry& entry) { m_registry.push_back(entry); },
+        [this] {
+            m_scheduler.setWorkers(decodeRegistry(m_registry));
+            scheduleRegistryRead();
+        });
 }
 
 // --- Confirmation and loss of ownership ---
--- a/src/lycheeledge/jobs/OwnerSession.h
+++ b/src/lycheeledge/jobs/OwnerSession.h
@@ -9,6 +9,7 @@
 #include "evacuation/OperatorView.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -97,6 +98,7 @@
     TimePoint ownershipConfirmedAt() const override { return m_lease.confirmedAt(); }
     void fenced() override;
     std::int64_t unixMs() const override { return m_unixMs(); }
+    void readPayload(const JobId& job, std::function<void(std::optional<std::string>)> done) override;
 
 private:
     using SessionToken = std::weak_ptr<int>;
@@ -122,8 +124,13 @@
     /** @brief Logs the start and the end of a stale view. */
     void noteStaleView();
 
-    void readPages(const std::string& prefix, std::vector<StoreEntry>& into, std::function<void()> done,
-        const std::string& after = {});
+    using EntryHandler = std::function<void(const StoreEntry&)>;
+
+    /** @brief Calls `handle` once for each entry, then `done`. */
+    void readPages(
+        const std::string& prefix, EntryHandler handle, std::function<void()> done, const std::string& after = {});
+    void readSubmission(const StoreEntry& entry);
+    void readProgress(const StoreEntry& entry);
     void readRecord(const std::string& key, std::string& into, std::function<void()> done);
     WorkerSetRecord decodeWorkerSet();
     void readRegistry();
@@ -152,8 +159,11 @@
     bool m_activated = false;
     // Initial reads from the store; m_missingReads counts the incomplete ones.
     int m_missingReads = 0;
-    std::vector<StoreEntry> m_submissions;
-    std::vector<StoreEntry> m_progress;
+    /// Records that were read, until they are all there.
+    std::map<JobId, RecoveredSubmission> m_submissions;
+    std::map<JobId, ProgressRecord> m_progress;
+    std::size_t m_payloadBytes = 0; ///< of the submissions that were read
+    std::size_t m_maxPayloadBytes; ///< payloads beyond this are left in the store; 0: no limit
     std::vector<StoreEntry> m_registry;
     std::string m_workerSet;
     std::string m_workerCapacities;
--- a/src/lycheeledge/jobs/overload/WorkMemory.cpp
+++ b/src/lycheeledge/jobs/overload/WorkMemory.cpp
@@ -38,7 +38,8 @@
     double weights = 0;
     for (const auto& it : configuration.accounts)
         weights += std::max(0.0, it.weight);
-    const double bytesPerWeight = weights > 0 ? static_cast<double>(m_limit / 2) / weights : 0;
+    const std::size_t divided = m_limit / 2;
+    const double bytesPerWeight = weights > 0 ? static_cast<double>(divided) / weights : 0;
     const auto partOf
         = [&](const ClientAccount& it) { return static_cast<std::size_t>(std::max(0.0, it.weight) * bytesPerWeight); };
     const std::size_t wanted = usedBy(account) + bytes;
--- a/test/support/ChildProcess.h
+++ b/test/support/ChildProcess.h
@@ -66,6 +66,9 @@
         return !m_exited;
     }
 
+    /** @brief Asks the program to stop, as an operator does. */
+    void requestStop() { kill(m_pid, SIGTERM); }
+
     /** @brief Peak resident memory (VmHWM) in KiB; 0 if the process has ended. */
     std::size_t peakMemoryKb() const
     {
--- a/test/support/FakeJobWorkers.h
+++ b/test/support/FakeJobWorkers.h
@@ -22,6 +22,7 @@
     jobs::RunKey run;
     std::string worker;
     std::int64_t incarnationStartUnixMs = 0; ///< of the worker
+    std::string payload;
     std::string checkpoint;
     TimePoint at;
     std::optional<TimePoint> endedAt;
@@ -340,6 +341,7 @@
         m_recordedStarts.push_back({ .run = { order.task, order.run },
             .worker = id,
             .incarnationStartUnixMs = worker.incarnationStartUnixMs,
+            .payload = order.payload,
             .checkpoint = order.checkpoint,
             .at = now,
             .endedAt = {},
