--- a/src/lycheeledge/jobs/JobSchedulerReports.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerReports.cpp
@@ -358,6 +358,7 @@
     task->confirmedAt = task->since;
     task->isFullRun = false;
     task->progress.reset();
+    task->progressPercent = running.progressPercent;
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
     markStarted(*job);
--- a/test/jobs/MaintenanceTest.cpp
+++ b/test/jobs/MaintenanceTest.cpp
@@ -1,6 +1,6 @@
 // Maintenance waves: limit on VMs that are down, draining, takeovers and lost responses.
 
-#include "support/JobCluster.h"
+#include "support/JobClusterHelpers.h"
 
 #include <catch2/catch.hpp>
 
@@ -115,6 +115,52 @@
     CHECK(fleet.runsAtMaintenance == 0);
 }
 
+// Guards against a next owner that takes the runs it finds for unavailable, and so stops all tasks of a step at once.
+TEST_CASE("maintenance respects maxUnavailable after a takeover", "[maintenance][takeover]")
+{
+    const bool isPlanned = GENERATE(false, true);
+    INFO("planned stop: " << isPlanned);
+    Fleet fleet(3, 8);
+    auto step = simpleStep(6, 1000);
+    step.longRunning = true;
+    step.maxUnavailable = 1;
+    step.maxTasksPerWorker = 1;
+    fleet.cluster.workers.runTime = [](const TaskKey&) { return seconds(600); };
+    fleet.cluster.workers.availableAfter = milliseconds(800);
+    REQUIRE(fleet.cluster.submit("m0", "batch", 1, { .payload = {}, .steps = { step } }));
+    REQUIRE(fleet.cluster.waitFor([&] { return fleet.cluster.workers.availableTasks() == 6; }, seconds(10)));
+    fleet.requestWave(1, 8, 4, seconds(10));
+    std::size_t minAvailable = 6;
+    const auto observe = [&] { minAvailable = std::min(minAvailable, fleet.cluster.workers.availableTasks()); };
+    for (int n = 0; n < 2; ++n) {
+        const std::size_t maintained = fleet.cluster.vms.maintained();
+        REQUIRE(fleet.cluster.waitFor(
+            [&] {
+                observe();
+                return fleet.cluster.vms.maintained() > maintained;
+            },
+            seconds(20)));
+        const std::string owner = *fleet.cluster.owner();
+        if (isPlanned)
+            fleet.cluster.member(owner).node.resign([] {});
+        else
+            fleet.cluster.kill(owner);
+        REQUIRE(fleet.cluster.waitFor(
+            [&] {
+                observe();
+                return hasOtherOwner(fleet.cluster, owner);
+            },
+            seconds(20)));
+    }
+    REQUIRE(fleet.cluster.waitFor(
+        [&] {
+            observe();
+            return fleet.state(1) == "completed";
+        },
+        seconds(60)));
+    CHECK(minAvailable >= 5);
+}
+
 TEST_CASE("a wave continues under the next owner, also after lost responses", "[maintenance]")
 {
     Fleet fleet(3, 5);
