--- a/src/lycheeledge/jobs/Job.cpp
+++ b/src/lycheeledge/jobs/Job.cpp
@@ -14,7 +14,7 @@
     // Ids and names of the job, and the entries of the containers that hold it.
     constexpr std::size_t jobEntryBytes = 256;
     constexpr std::size_t mapEntryBytes = 48;
-    // The client's call, the record and the commit hold a copy each until the submission is stored.
+    // The client's call, the job, the commit and its encoded form hold a copy each until the submission is stored.
     constexpr std::size_t copiesBeforeCommit = 4;
     constexpr std::size_t taskEntryBytes = 29; ///< of a TaskProgress without failed runs and checkpoint
 
--- a/src/lycheeledge/jobs/Job.h
+++ b/src/lycheeledge/jobs/Job.h
@@ -111,8 +111,7 @@
     std::size_t firstStartsLeft = 0; ///< number of tasks that may start for the first time in that pass
     std::map<TaskKey, RunPlacement> placements; ///< of confirmed runs of long-running tasks, as they shall be stored
     absl::flat_hash_set<TaskKey> storedPlacements; ///< tasks of which a placement may be in the store
-    /// The payload is left in the store, and is read again before a task starts.
-    bool isPayloadUnloaded = false;
+    bool isPayloadUnloaded = false; ///< the payload is only in the store, and is read before a task starts
     std::size_t countedBytes = 0; ///< as last counted in WorkMemory
     /// After a takeover, unlocated tasks of the job may run on workers that have not reported yet. So may tasks of a
     /// job that had ended before.
--- a/src/lycheeledge/jobs/JobScheduler.h
+++ b/src/lycheeledge/jobs/JobScheduler.h
@@ -300,8 +300,7 @@
     bool hasFailed(const Job& job, const StepKey& key, const Task& task) const;
     void finish(Job& job, JobState state, const char* reason);
     void logEnd(const Job& job, const char* reason);
-    /** @brief Whether the payload is in memory. Otherwise begins to read it, and requests a pass when it has arrived.
-     */
+    /** @brief Whether the payload is in memory. Otherwise begins to read it; its arrival requests a pass. */
     bool hasPayload(const Job& job);
     void payloadRead(const JobId& id, std::optional<std::string> payload);
     /** @brief Counts the memory of a job after it has changed. */
@@ -430,7 +429,7 @@
     FailureQuarantine m_quarantine;
     WorkerSpeeds m_speeds;
     SubmissionRate m_submissionRate;
-    absl::flat_hash_set<JobId> m_payloadReads; ///< in progress, or failed a moment ago
+    absl::flat_hash_set<JobId> m_payloadReads; ///< jobs whose payload is being read, or could not be read a moment ago
     WorkMemory m_workMemory; ///< of all jobs in `m_jobs`
     RunTimeRatios m_runTimes;
     TimePoint m_activatedAt;
--- a/src/lycheeledge/jobs/JobSchedulerPasses.cpp
+++ b/src/lycheeledge/jobs/JobSchedulerPasses.cpp
@@ -14,9 +14,9 @@
     constexpr std::size_t largePool = 512;
     // Several times the number of workers that an admission call names or a step usually needs.
     constexpr std::size_t maxFittingCandidates = 256;
+    constexpr std::size_t maxFullCandidates = 64; // without room for a task; they only fill up admission calls
     // Of one step, so that the time of a pass does not grow with the tasks that wait.
     constexpr std::size_t maxFirstStartsPerPass = 4096;
-    constexpr std::size_t maxFullCandidates = 64; // without room for a task; they only fill up admission calls
     // In the stored progress; a step in which tasks are done takes 16 bytes, and a bit for each task, more.
     constexpr std::size_t emptyOccurrenceBytes = 12;
     constexpr std::size_t emptyStepBytes = 33;
